PqLink: COPY, cancel, describe, held completions, own SQLSTATE

Cause: the link refused COPY, did not cancel, dropped notices and parameter changes, and told a query's success before its commit had succeeded. Change: COPY runs outside the pipeline and asks for the status after a committed COPY in; the last completion of a batch is held until its Sync; cancel sends the request on a connection of the loop, with the secret key read from libpq's own trace of the startup (PQcancel blocks, and PGcancel is opaque); a refused connect gives the upstream's SQLSTATE.

--- a/src/amaranthhall/upstream/link.hpp
+++ b/src/amaranthhall/upstream/link.hpp
@@ -56,7 +56,12 @@
     virtual void onColumns(std::size_t query, std::span<const pgwire::Column> columns) = 0;
     virtual void onRow(std::size_t query, std::span<const pgwire::Value> values) = 0;
 
-    /// @brief The query succeeded; the tag is empty for an empty query and for Prepare and DescribePrepared.
+    /**
+     * @brief The query succeeded; the tag is empty for an empty query and for Prepare and DescribePrepared.
+     *
+     * The last query of a batch is reported once its commit has succeeded; a commit that fails is an
+     * error of that query.
+     */
     virtual void onCompleted(std::size_t query, std::string_view tag) = 0;
 
     /// @brief The query failed; the queries after it in the batch do not run and are not reported.
@@ -68,6 +73,9 @@
     /// @brief The upstream awaits COPY data; answered by Link::sendCopyData() and Link::endCopy().
     virtual void onCopyIn(std::size_t query, std::span<const std::int16_t> columnFormats, std::int16_t format) = 0;
 
+    /// @brief The upstream takes COPY data again, after Link::sendCopyData() gave false.
+    virtual void onCopyReady() { }
+
     virtual void onCopyOut(std::size_t query, std::span<const std::int16_t> columnFormats, std::int16_t format) = 0;
     virtual void onCopyData(std::size_t query, std::string_view data) = 0;
 
@@ -89,11 +97,17 @@
 
     /**
      * @brief Runs one COPY statement outside the pipeline.
+     *
+     * BatchEnd::status is set after a COPY that put data in and committed.
+     *
      * @warning The link must be idle, and the text must hold one statement.
      */
     virtual void runCopy(const std::string& text, ResultSink& sink) = 0;
 
-    /// @brief Sends data after ResultSink::onCopyIn(); gives false while the upstream is not taking more.
+    /**
+     * @brief Sends data after ResultSink::onCopyIn().
+     * @return False if more should wait for ResultSink::onCopyReady(); the data itself is taken in any case.
+     */
     virtual bool sendCopyData(std::string_view data) = 0;
 
     /// @brief Ends the COPY; an error message makes the upstream roll it back.
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -1,75 +1,35 @@
 #include "amaranthhall/upstream/pq_link.hpp"
 
+#include "amaranthhall/upstream/pq_result.hpp"
+
+#include <algorithm>
 #include <array>
-#include <charconv>
-#include <utility>
 
 namespace amaranthhall::upstream {
 
 namespace {
 
-    constexpr std::string_view positionQuery = "SELECT role, term, record_term, position, applied, leaving FROM ah_status()";
-
-    struct ResultCloser {
-        void operator()(PGresult* result) const noexcept { PQclear(result); }
-    };
-    using ResultHandle = std::unique_ptr<PGresult, ResultCloser>;
-
-    struct FieldCode {
-        char code;
-        int diagnostic;
-    };
-
-    constexpr std::array<FieldCode, 18> errorFieldCodes { {
-        { 'S', PG_DIAG_SEVERITY },
-        { 'V', PG_DIAG_SEVERITY_NONLOCALIZED },
-        { 'C', PG_DIAG_SQLSTATE },
-        { 'M', PG_DIAG_MESSAGE_PRIMARY },
-        { 'D', PG_DIAG_MESSAGE_DETAIL },
-        { 'H', PG_DIAG_MESSAGE_HINT },
-        { 'P', PG_DIAG_STATEMENT_POSITION },
-        { 'p', PG_DIAG_INTERNAL_POSITION },
-        { 'q', PG_DIAG_INTERNAL_QUERY },
-        { 'W', PG_DIAG_CONTEXT },
-        { 's', PG_DIAG_SCHEMA_NAME },
-        { 't', PG_DIAG_TABLE_NAME },
-        { 'c', PG_DIAG_COLUMN_NAME },
-        { 'd', PG_DIAG_DATATYPE_NAME },
-        { 'n', PG_DIAG_CONSTRAINT_NAME },
-        { 'F', PG_DIAG_SOURCE_FILE },
-        { 'L', PG_DIAG_SOURCE_LINE },
-        { 'R', PG_DIAG_SOURCE_FUNCTION },
-    } };
-
-    pgwire::ErrorFields readErrorFields(const PGresult& result)
-    {
-        pgwire::ErrorFields error;
-        for (const auto& field : errorFieldCodes) {
-            if (const char* text = PQresultErrorField(&result, field.diagnostic))
-                error.fields.push_back({ field.code, text });
-        }
-        return error;
-    }
+    constexpr const char* positionQuery = "SELECT role, term, record_term, position, applied, leaving FROM ah_status()";
+
+    // libpq writes by itself once this much is buffered.
+    constexpr std::size_t unsentLimitBytes = 60'000;
+
+    // The parameters that PostgreSQL 15 reports on each change.
+    constexpr std::array reportedNames { "application_name", "client_encoding", "DateStyle", "default_transaction_read_only", "in_hot_standby", "integer_datetimes",
+        "IntervalStyle", "is_superuser", "server_encoding", "server_version", "session_authorization", "standard_conforming_strings", "TimeZone" };
 
-    std::uint64_t readNumber(PGresult& result, int column)
+    std::string_view readParameter(const PGconn* connection, const char* name)
     {
-        const std::string_view text(PQgetvalue(&result, 0, column), static_cast<std::size_t>(PQgetlength(&result, 0, column)));
-        std::uint64_t value = 0;
-        std::from_chars(text.data(), text.data() + text.size(), value);
-        return value;
+        const char* value = PQparameterStatus(connection, name);
+        return value ? std::string_view(value) : std::string_view();
     }
 
-    pgwire::TransactionStatus readTransaction(PGconn* connection)
+    std::size_t measure(const Query& query)
     {
-        switch (PQtransactionStatus(connection)) {
-        case PQTRANS_INTRANS:
-        case PQTRANS_ACTIVE:
-            return pgwire::TransactionStatus::Active;
-        case PQTRANS_INERROR:
-            return pgwire::TransactionStatus::Failed;
-        default:
-            return pgwire::TransactionStatus::Idle;
-        }
+        auto bytes = query.text.size() + query.statement.size();
+        for (const auto& value : query.parameters)
+            bytes += value ? value->size() : 0;
+        return bytes;
     }
 
 }
@@ -93,9 +53,9 @@
     this->opened = std::move(whenOpened);
     this->broken = std::move(whenBroken);
     const auto port = std::to_string(this->options.address.port);
-    const std::array<const char*, 9> keywords { "hostaddr", "port", "dbname", "user", "password", "sslmode", "sslrootcert", "application_name", nullptr };
-    const std::array<const char*, 9> values { this->options.address.host.c_str(), port.c_str(), this->options.database.c_str(), this->options.user.c_str(),
-        this->options.password.c_str(), this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), "amaranthhall", nullptr };
+    const std::array keywords { "hostaddr", "port", "dbname", "user", "password", "sslmode", "sslrootcert", "gssencmode", "application_name", static_cast<const char*>(nullptr) };
+    const std::array values { this->options.address.host.c_str(), port.c_str(), this->options.database.c_str(), this->options.user.c_str(), this->options.password.c_str(),
+        this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), "disable", this->options.applicationName.c_str(), static_cast<const char*>(nullptr) };
     this->connection.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
     this->connectTimer = this->loop.after(this->options.connectTimeout, [this] { this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time")); });
     if (!this->connection || PQstatus(this->connection.get()) == CONNECTION_BAD) {
@@ -105,29 +65,39 @@
         });
         return;
     }
-    this->writeWatch = this->loop.watch(PQsocket(this->connection.get()), { .writable = true }, [this](auto) { this->pollConnect(); });
+    // The message of a refusal carries its SQLSTATE at this verbosity only.
+    PQsetErrorVerbosity(this->connection.get(), PQERRORS_VERBOSE);
+    PQsetNoticeReceiver(this->connection.get(), &PqLink::takeNotice, this);
+    this->keyTrace = std::make_unique<internal::KeyTrace>(this->connection.get());
+    this->watchConnect({ .writable = true });
+}
+
+void PqLink::watchConnect(kernel::Readiness interest)
+{
+    this->writeWatch = this->loop.watch(PQsocket(this->connection.get()), interest, [this](auto) { this->pollConnect(); });
 }
 
 void PqLink::pollConnect()
 {
     const auto state = PQconnectPoll(this->connection.get());
-    this->readWatch.reset();
     this->writeWatch.reset();
     switch (state) {
     case PGRES_POLLING_READING:
-        this->readWatch = this->loop.watch(PQsocket(this->connection.get()), { .readable = true }, [this](auto) { this->pollConnect(); });
+        this->watchConnect({ .readable = true });
         break;
     case PGRES_POLLING_WRITING:
-        this->writeWatch = this->loop.watch(PQsocket(this->connection.get()), { .writable = true }, [this](auto) { this->pollConnect(); });
+        this->watchConnect({ .writable = true });
         break;
     case PGRES_POLLING_OK:
         PQsetnonblocking(this->connection.get(), 1);
         PQenterPipelineMode(this->connection.get());
+        for (const char* name : reportedNames)
+            this->parameters.emplace_back(name, readParameter(this->connection.get(), name));
         this->updateWatch();
         this->finishOpen({});
         break;
     default:
-        this->finishOpen(pgwire::makeError("FATAL", "08001", PQerrorMessage(this->connection.get())));
+        this->finishOpen(internal::readConnectError(PQerrorMessage(this->connection.get())));
         break;
     }
 }
@@ -135,99 +105,119 @@
 void PqLink::finishOpen(const pgwire::ErrorFields& error)
 {
     this->connectTimer.reset();
-    if (!error.fields.empty()) {
-        this->readWatch.reset();
-        this->writeWatch.reset();
-    }
+    if (this->keyTrace)
+        this->backendKey = this->keyTrace->finish();
+    this->keyTrace.reset();
+    if (!error.fields.empty())
+        this->markBroken();
     if (const auto call = std::exchange(this->opened, nullptr))
         call(error);
 }
 
-void PqLink::beginBatch(ResultSink& usedSink)
+void PqLink::markBroken()
+{
+    this->hasBroken = true;
+    this->readWatch.reset();
+    this->writeWatch.reset();
+}
+
+bool PqLink::holdsState() const noexcept
+{
+    return this->stateLeft || internal::readTransaction(this->connection.get()) != pgwire::TransactionStatus::Idle;
+}
+
+void PqLink::noteText(std::string_view text) noexcept
+{
+    if (text.find("set_config") != std::string_view::npos)
+        this->stateLeft = true;
+}
+
+void PqLink::beginBatch(ResultSink& usedSink, std::size_t queries)
 {
     this->sink = &usedSink;
+    this->queryCount = queries;
     this->queryIndex = 0;
     this->columnsReported = false;
     this->inPosition = false;
+    this->heldTag.reset();
     this->end = {};
-    this->end.sent = true;
 }
 
 bool PqLink::sendQuery(const Query& query)
 {
-    std::vector<const char*> values;
-    std::vector<int> lengths;
-    std::vector<int> formats;
+    this->sentValues.clear();
+    this->sentLengths.clear();
+    this->sentFormats.clear();
     for (std::size_t i = 0; i < query.parameters.size(); ++i) {
         const auto& value = query.parameters[i];
-        values.push_back(value ? value->data() : nullptr);
-        lengths.push_back(value ? static_cast<int>(value->size()) : 0);
         const auto& given = query.parameterFormats;
-        formats.push_back(given.empty() ? 0 : given[given.size() == 1 ? 0 : i]);
+        this->sentValues.push_back(value ? value->c_str() : nullptr);
+        this->sentLengths.push_back(value ? static_cast<int>(value->size()) : 0);
+        this->sentFormats.push_back(given.empty() ? 0 : given[given.size() == 1 ? 0 : i]);
     }
-    const auto count = static_cast<int>(values.size());
+    const auto count = static_cast<int>(query.parameters.size());
     auto* raw = this->connection.get();
+    this->noteText(query.text);
     switch (query.kind) {
     case QueryKind::Execute: {
+        if (query.parameterTypes.size() >= query.parameters.size())
+            return PQsendQueryParams(raw, query.text.c_str(), count, query.parameterTypes.data(), this->sentValues.data(), this->sentLengths.data(), this->sentFormats.data(), query.resultFormat) == 1;
         auto types = query.parameterTypes;
-        types.resize(values.size());
-        return PQsendQueryParams(raw, query.text.c_str(), count, types.data(), values.data(), lengths.data(), formats.data(), query.resultFormat) == 1;
+        types.resize(query.parameters.size());
+        return PQsendQueryParams(raw, query.text.c_str(), count, types.data(), this->sentValues.data(), this->sentLengths.data(), this->sentFormats.data(), query.resultFormat) == 1;
     }
     case QueryKind::Prepare:
+        this->stateLeft = this->stateLeft || !query.statement.empty();
         return PQsendPrepare(raw, query.statement.c_str(), query.text.c_str(), static_cast<int>(query.parameterTypes.size()), query.parameterTypes.data()) == 1;
     case QueryKind::ExecutePrepared:
-        return PQsendQueryPrepared(raw, query.statement.c_str(), count, values.data(), lengths.data(), formats.data(), query.resultFormat) == 1;
+        return PQsendQueryPrepared(raw, query.statement.c_str(), count, this->sentValues.data(), this->sentLengths.data(), this->sentFormats.data(), query.resultFormat) == 1;
     case QueryKind::DescribePrepared:
         break;
     }
     return PQsendDescribePrepared(raw, query.statement.c_str()) == 1;
 }
 
+bool PqLink::sendPositionQuery()
+{
+    auto* raw = this->connection.get();
+    return PQsendQueryParams(raw, positionQuery, 0, nullptr, nullptr, nullptr, nullptr, 0) == 1 && PQpipelineSync(raw) == 1;
+}
+
+bool PqLink::sendBatch(const Batch& batch)
+{
+    const bool queriesSent = std::all_of(batch.queries.begin(), batch.queries.end(), [this](const auto& query) { return this->sendQuery(query); });
+    return queriesSent && PQpipelineSync(this->connection.get()) == 1 && (!batch.withPosition || this->sendPositionQuery());
+}
+
 void PqLink::run(const Batch& batch, ResultSink& usedSink)
 {
-    this->beginBatch(usedSink);
-    this->queryCount = batch.queries.size();
-    this->syncsLeft = batch.withPosition ? 2 : 1;
-    bool accepted = true;
-    for (const auto& query : batch.queries)
-        accepted = accepted && this->sendQuery(query);
-    accepted = accepted && PQpipelineSync(this->connection.get()) == 1;
-    if (batch.withPosition) {
-        accepted = accepted && PQsendQueryParams(this->connection.get(), std::string(positionQuery).c_str(), 0, nullptr, nullptr, nullptr, nullptr, 0) == 1;
-        accepted = accepted && PQpipelineSync(this->connection.get()) == 1;
+    this->beginBatch(usedSink, batch.queries.size());
+    this->kinds.clear();
+    std::size_t bytes = 0;
+    for (const auto& query : batch.queries) {
+        this->kinds.push_back(query.kind);
+        bytes += measure(query);
     }
-    if (!accepted) {
-        this->loop.post([this, living = this->alive] {
-            if (*living && this->sink)
-                this->endBatch(true);
-        });
+    this->syncsLeft = batch.withPosition ? 2 : 1;
+    this->end.sent = bytes > unsentLimitBytes;
+    if (this->hasBroken || !this->sendBatch(batch)) {
+        this->endLater();
         return;
     }
-    PQsetSingleRowMode(this->connection.get());
+    this->end.sent = true;
+    this->beginQuery();
     this->flush();
 }
 
-void PqLink::runCopy(const std::string&, ResultSink& usedSink)
+void PqLink::endLater()
 {
-    this->beginBatch(usedSink);
+    this->markBroken();
     this->loop.post([this, living = this->alive] {
-        if (!*living || !this->sink)
-            return;
-        this->sink->onError(0, pgwire::makeError("ERROR", "0A000", "COPY is not supported"));
-        this->endBatch(false);
+        if (*living && this->sink)
+            this->endBatch(true);
     });
 }
 
-bool PqLink::sendCopyData(std::string_view data)
-{
-    return PQputCopyData(this->connection.get(), data.data(), static_cast<int>(data.size())) == 1;
-}
-
-void PqLink::endCopy(const std::optional<std::string>& error)
-{
-    PQputCopyEnd(this->connection.get(), error ? error->c_str() : nullptr);
-}
-
 void PqLink::pauseReading()
 {
     this->readingPaused = true;
@@ -236,7 +226,8 @@
 
 void PqLink::resumeReading()
 {
-    this->readingPaused = false;
+    if (!std::exchange(this->readingPaused, false))
+        return;
     this->updateWatch();
     this->loop.post([this, living = this->alive] {
         if (*living && this->sink && !this->readingPaused)
@@ -246,56 +237,73 @@
 
 void PqLink::cancel()
 {
+    if (this->sink && this->backendKey && !this->hasBroken)
+        internal::sendCancelRequest(this->loop, this->options.address, *this->backendKey);
 }
 
 std::string_view PqLink::parameterStatus(const std::string& name) const
 {
-    const char* value = PQparameterStatus(this->connection.get(), name.c_str());
-    return value ? std::string_view(value) : std::string_view();
+    return readParameter(this->connection.get(), name.c_str());
 }
 
 void PqLink::updateWatch()
 {
-    if (this->readingPaused) {
+    if (this->readingPaused || this->hasBroken) {
         this->readWatch.reset();
         return;
     }
     if (!this->readWatch)
-        this->readWatch = this->loop.watch(PQsocket(this->connection.get()), { .readable = true }, [this](auto readiness) { this->onReady(readiness); });
+        this->readWatch = this->loop.watch(PQsocket(this->connection.get()), { .readable = true }, [this](auto) { this->onReady(); });
 }
 
 void PqLink::flush()
 {
-    const auto left = PQflush(this->connection.get());
-    if (left == 0) {
-        this->writeWatch.reset();
-    } else if (!this->writeWatch) {
-        this->writeWatch = this->loop.watch(PQsocket(this->connection.get()), { .writable = true }, [this](auto) { this->flush(); });
+    if (PQflush(this->connection.get()) == 1) {
+        if (!this->writeWatch)
+            this->writeWatch = this->loop.watch(PQsocket(this->connection.get()), { .writable = true }, [this](auto) { this->flush(); });
+        return;
     }
+    this->writeWatch.reset();
+    if (std::exchange(this->copyBlocked, false) && this->sink)
+        this->sink->onCopyReady();
 }
 
-void PqLink::onReady(kernel::Readiness)
+void PqLink::onReady()
 {
-    if (PQconsumeInput(this->connection.get()) == 0) {
-        this->readWatch.reset();
-        this->writeWatch.reset();
-        if (this->sink)
+    const auto living = this->alive;
+    const bool isOpen = PQconsumeInput(this->connection.get()) == 1;
+    if (!isOpen)
+        this->markBroken();
+    if (this->sink) {
+        // Answers that came whole before the break still count.
+        this->readAnswers();
+        if (*living && this->sink && !isOpen && !this->readingPaused)
             this->endBatch(true);
-        else if (this->broken)
-            this->broken();
         return;
     }
-    if (this->sink)
-        this->readAnswers();
+    static_cast<void>(PQisBusy(this->connection.get()));
+    if (isOpen || !this->broken)
+        return;
+    const auto call = this->broken;
+    call();
 }
 
 void PqLink::readAnswers()
+{
+    if (this->copyPhase == CopyPhase::None)
+        this->readBatch();
+    else
+        this->readCopy();
+}
+
+void PqLink::readBatch()
 {
     const auto living = this->alive;
     while (*living && this->sink && !this->readingPaused && PQisBusy(this->connection.get()) == 0) {
-        const ResultHandle result(PQgetResult(this->connection.get()));
+        const internal::ResultHandle result(PQgetResult(this->connection.get()));
         if (!result) {
-            this->nextQuery();
+            ++this->queryIndex;
+            this->beginQuery();
             continue;
         }
         if (!this->takeResult(*result))
@@ -303,9 +311,8 @@
     }
 }
 
-void PqLink::nextQuery()
+void PqLink::beginQuery()
 {
-    ++this->queryIndex;
     this->columnsReported = false;
     PQsetSingleRowMode(this->connection.get());
 }
@@ -314,14 +321,7 @@
 {
     switch (PQresultStatus(&result)) {
     case PGRES_PIPELINE_SYNC:
-        if (--this->syncsLeft == 0) {
-            this->endBatch(false);
-            return false;
-        }
-        this->end.transaction = readTransaction(this->connection.get());
-        this->inPosition = true;
-        PQsetSingleRowMode(this->connection.get());
-        return true;
+        return this->takeSync();
     case PGRES_SINGLE_TUPLE:
         this->takeTuples(result, false);
         return true;
@@ -329,86 +329,137 @@
         this->takeTuples(result, true);
         return true;
     case PGRES_COMMAND_OK:
-        if (!this->inPosition)
-            this->sink->onCompleted(this->queryIndex, PQcmdStatus(&result));
+        if (this->queryIndex < this->kinds.size() && this->kinds[this->queryIndex] == QueryKind::DescribePrepared)
+            this->takeDescription(result);
+        this->complete(PQcmdStatus(&result));
         return true;
     case PGRES_EMPTY_QUERY:
-        this->sink->onCompleted(this->queryIndex, "");
+        this->complete("");
         return true;
     case PGRES_PIPELINE_ABORTED:
         return true;
+    case PGRES_COPY_IN:
+    case PGRES_COPY_OUT:
+    case PGRES_COPY_BOTH:
+        this->markBroken(); // libpq cannot leave a COPY that began in pipeline mode.
+        this->endBatch(true);
+        return false;
     default:
-        if (PQstatus(this->connection.get()) == CONNECTION_BAD) {
-            this->endBatch(true);
-            return false;
-        }
-        if (!this->inPosition)
-            this->sink->onError(this->queryIndex, readErrorFields(result));
-        return true;
+        this->takeError(result);
+        if (PQstatus(this->connection.get()) != CONNECTION_BAD)
+            return true;
+        this->markBroken();
+        this->endBatch(true);
+        return false;
     }
 }
 
-void PqLink::reportColumns(PGresult& result)
+bool PqLink::takeSync()
 {
-    if (this->columnsReported)
-        return;
-    this->columnsReported = true;
-    std::vector<pgwire::Column> columns;
-    for (int i = 0; i < PQnfields(&result); ++i) {
-        columns.push_back({
-            .name = PQfname(&result, i),
-            .table = static_cast<std::int32_t>(PQftable(&result, i)),
-            .tableColumn = static_cast<std::int16_t>(PQftablecol(&result, i)),
-            .type = static_cast<std::int32_t>(PQftype(&result, i)),
-            .typeLength = static_cast<std::int16_t>(PQfsize(&result, i)),
-            .typeModifier = PQfmod(&result, i),
-            .format = static_cast<std::int16_t>(PQfformat(&result, i)),
-        });
+    this->releaseCompletion();
+    if (--this->syncsLeft == 0) {
+        this->endBatch(false);
+        return false;
     }
-    this->sink->onColumns(this->queryIndex, columns);
+    this->end.transaction = internal::readTransaction(this->connection.get());
+    this->inPosition = true;
+    this->beginQuery();
+    return true;
+}
+
+void PqLink::takeError(PGresult& result)
+{
+    this->heldTag.reset();
+    // A break without a word of the upstream has no SQLSTATE; BatchEnd::lost tells it.
+    if (this->inPosition || !PQresultErrorField(&result, PG_DIAG_SQLSTATE))
+        return;
+    const auto last = this->queryCount == 0 ? 0 : this->queryCount - 1;
+    this->sink->onError(std::min(this->queryIndex, last), internal::readErrorFields(result));
+}
+
+void PqLink::complete(std::string_view tag)
+{
+    if (this->inPosition)
+        return;
+    if (!tag.starts_with("SELECT") && !tag.empty())
+        this->stateLeft = true;
+    if (this->queryIndex + 1 < this->queryCount)
+        this->sink->onCompleted(this->queryIndex, tag);
+    else
+        this->heldTag = tag;
+}
+
+void PqLink::releaseCompletion()
+{
+    if (!this->heldTag)
+        return;
+    const auto tag = std::exchange(this->heldTag, std::nullopt);
+    this->sink->onCompleted(this->queryCount - 1, *tag);
+}
+
+void PqLink::takeDescription(PGresult& result)
+{
+    std::vector<std::uint32_t> types;
+    for (int i = 0; i < PQnparams(&result); ++i)
+        types.push_back(PQparamtype(&result, i));
+    this->sink->onParameterTypes(this->queryIndex, types);
+    if (PQnfields(&result) == 0)
+        return;
+    internal::readColumns(result, this->columns);
+    this->sink->onColumns(this->queryIndex, this->columns);
 }
 
 void PqLink::takeTuples(PGresult& result, bool last)
 {
     if (this->inPosition) {
-        this->takePosition(result);
+        if (PQntuples(&result) == 1)
+            this->end.status = internal::readStatus(result);
         return;
     }
-    this->reportColumns(result);
-    std::vector<pgwire::Value> values(static_cast<std::size_t>(PQnfields(&result)));
+    if (!std::exchange(this->columnsReported, true)) {
+        internal::readColumns(result, this->columns);
+        this->sink->onColumns(this->queryIndex, this->columns);
+    }
     for (int row = 0; row < PQntuples(&result); ++row) {
-        for (int i = 0; i < PQnfields(&result); ++i) {
-            auto& value = values[static_cast<std::size_t>(i)];
-            value = PQgetisnull(&result, row, i) ? pgwire::Value()
-                                                 : pgwire::Value(std::string_view(PQgetvalue(&result, row, i), static_cast<std::size_t>(PQgetlength(&result, row, i))));
-        }
-        this->sink->onRow(this->queryIndex, values);
+        internal::readRow(result, row, this->values);
+        this->sink->onRow(this->queryIndex, this->values);
     }
     if (last)
-        this->sink->onCompleted(this->queryIndex, PQcmdStatus(&result));
+        this->complete(PQcmdStatus(&result));
 }
 
-void PqLink::takePosition(PGresult& result)
+void PqLink::reportParameters()
 {
-    if (PQntuples(&result) != 1 || PQnfields(&result) != 6)
-        return;
-    const std::string_view role = PQgetvalue(&result, 0, 0);
-    this->end.status = group::UpstreamStatus {
-        .role = role == "primary" ? group::Role::Primary : group::Role::Replica,
-        .term = readNumber(result, 1),
-        .last = { .term = readNumber(result, 2), .position = readNumber(result, 3) },
-        .applied = readNumber(result, 4),
-        .leaving = readNumber(result, 5) != 0,
-    };
+    for (auto& [name, known] : this->parameters) {
+        const auto value = readParameter(this->connection.get(), name.c_str());
+        if (value == known)
+            continue;
+        known = value;
+        this->sink->onParameterStatus(name, value);
+    }
 }
 
 void PqLink::endBatch(bool lost)
 {
     this->end.lost = lost;
-    if (!this->inPosition)
-        this->end.transaction = readTransaction(this->connection.get());
+    this->copyPhase = CopyPhase::None;
+    if (lost)
+        this->markBroken();
+    else if (!this->inPosition)
+        this->end.transaction = internal::readTransaction(this->connection.get());
+    if (!lost && this->stateLeft)
+        this->reportParameters();
+    if (this->end.status && this->statusObserver)
+        this->statusObserver(*this->end.status);
     const auto ended = this->end;
     std::exchange(this->sink, nullptr)->onEnd(ended);
 }
 
+void PqLink::takeNotice(void* self, const PGresult* result)
+{
+    const auto& link = *static_cast<PqLink*>(self);
+    if (link.sink && !link.inPosition)
+        link.sink->onNotice(internal::readErrorFields(*result));
+}
+
 }
