Pools, routing, admission, batched confirmations and barriers

Cause: one list of idle links without limit, the first replica for every read, no queue, one wait on a replica for each write, no barrier. Change: a pool for each upstream holds at most its allowance, opens a few at a time, is warmed to recent demand, backs off with jitter and one trial, and resets links by DISCARD ALL unless they ran nothing but SELECTs for sure reads; routing and admission decide purely; one poll confirms all writes so far; one round of statuses serves as barrier for all waiting reads and as term check.

--- /dev/null
+++ b/src/amaranthhall/admission/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::admission {
+
+struct Arrival;
+struct LaneState;
+struct Shed;
+
+}
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -6,9 +6,9 @@
 #include "amaranthhall/table/table_json.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
-#include "amaranthhall/upstream/basic_confirmer.hpp"
-#include "amaranthhall/upstream/basic_dispatcher.hpp"
+#include "amaranthhall/upstream/batched_confirmer.hpp"
 #include "amaranthhall/upstream/group_monitor.hpp"
+#include "amaranthhall/upstream/pooled_dispatcher.hpp"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -46,8 +46,8 @@
     registry.add(std::make_unique<telemetry::Metrics>());
     registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
-    registry.add(std::make_unique<upstream::BasicDispatcher>(loop, registry, settings.upstreams));
-    registry.add(std::make_unique<upstream::BasicConfirmer>(loop, registry));
+    registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
+    registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
     registry.start();
     telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() } });
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -121,9 +121,24 @@
     this->writeWatch.reset();
 }
 
+bool PqLink::isInTransaction() const noexcept
+{
+    return internal::readTransaction(this->connection.get()) != pgwire::TransactionStatus::Idle;
+}
+
 bool PqLink::holdsState() const noexcept
 {
-    return this->stateLeft || internal::readTransaction(this->connection.get()) != pgwire::TransactionStatus::Idle;
+    return this->stateLeft || this->isInTransaction();
+}
+
+void PqLink::close()
+{
+    this->markBroken();
+    this->sink = nullptr;
+    this->opened = nullptr;
+    this->connectTimer.reset();
+    this->keyTrace.reset();
+    this->connection.reset();
 }
 
 void PqLink::noteText(std::string_view text) noexcept
@@ -371,7 +386,7 @@
 {
     this->heldTag.reset();
     // A break without a word of the upstream has no SQLSTATE; BatchEnd::lost tells it.
-    if (this->inPosition || !PQresultErrorField(&result, PG_DIAG_SQLSTATE))
+    if (!this->sink || this->inPosition || !PQresultErrorField(&result, PG_DIAG_SQLSTATE))
         return;
     const auto last = this->queryCount == 0 ? 0 : this->queryCount - 1;
     this->sink->onError(std::min(this->queryIndex, last), internal::readErrorFields(result));
@@ -379,7 +394,7 @@
 
 void PqLink::complete(std::string_view tag)
 {
-    if (this->inPosition)
+    if (this->inPosition || !this->sink)
         return;
     if (!tag.starts_with("SELECT") && !tag.empty())
         this->stateLeft = true;
@@ -403,7 +418,7 @@
     for (int i = 0; i < PQnparams(&result); ++i)
         types.push_back(PQparamtype(&result, i));
     this->sink->onParameterTypes(this->queryIndex, types);
-    if (PQnfields(&result) == 0)
+    if (!this->sink || PQnfields(&result) == 0)
         return;
     internal::readColumns(result, this->columns);
     this->sink->onColumns(this->queryIndex, this->columns);
@@ -423,6 +438,8 @@
     for (int row = 0; row < PQntuples(&result); ++row) {
         internal::readRow(result, row, this->values);
         this->sink->onRow(this->queryIndex, this->values);
+        if (!this->sink)
+            return; // the sink has given the link up
     }
     if (last)
         this->complete(PQcmdStatus(&result));
@@ -441,6 +458,8 @@
 
 void PqLink::endBatch(bool lost)
 {
+    if (!this->sink)
+        return;
     this->end.lost = lost;
     this->copyPhase = CopyPhase::None;
     if (lost)
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -70,6 +70,11 @@
     /// @brief Tells whether session state may be left on the connection since markClean(), besides that of plain SELECTs.
     [[nodiscard]] bool holdsState() const noexcept;
 
+    [[nodiscard]] bool isInTransaction() const noexcept;
+
+    /// @brief Closes the connection at once; no callback and no sink is called any more.
+    void close();
+
     /// @brief Forgets the state that a reset has dropped.
     void markClean() noexcept { this->stateLeft = false; }
 
--- /dev/null
+++ b/test/admission/test_admission.cpp
@@ -0,0 +1,79 @@
+#include "amaranthhall/admission/admission.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace amaranthhall;
+using namespace amaranthhall::admission;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto start = Time(1h);
+
+Arrival makeArrival(Time now, std::uint32_t serviceWaiting, std::uint32_t groupWaiting)
+{
+    return { .now = now, .deadline = now + 2s, .serviceWaiting = serviceWaiting, .groupWaiting = groupWaiting, .serviceLimit = 100, .groups = 3 };
+}
+
+LaneState makeLane(Duration interval)
+{
+    LaneState lane { .waiting = 50 };
+    for (int i = 0; i <= 20; ++i)
+        noteGrant(lane, start + i * interval);
+    return lane;
+}
+
+}
+
+TEST_GROUP(Admission) {};
+
+TEST(Admission, AFullQueueIsRefusedAtOnceWithATimeToComeBack)
+{
+    const auto shed = admit({}, makeArrival(start, 100, 0));
+    CHECK(shed && shed->reason == ShedReason::QueueFull);
+    CHECK(shed->retryAfter > Duration::zero());
+}
+
+TEST(Admission, ASlowGroupLeavesRoomForTheOthersOfItsService)
+{
+    CHECK(!admit({}, makeArrival(start, 49, 49)));
+    const auto shed = admit({}, makeArrival(start, 50, 50));
+    CHECK(shed && shed->reason == ShedReason::GroupShareFull);
+    CHECK(!admit({}, makeArrival(start, 50, 0)));
+}
+
+TEST(Admission, WorkThatCannotBeServedInTimeIsRefusedAtOnce)
+{
+    const auto lane = makeLane(100ms);
+    const auto shed = admit(lane, makeArrival(start + 2s, 50, 50));
+    CHECK(shed.has_value());
+    auto slow = makeArrival(start + 2s, 10, 10);
+    CHECK(admit(lane, slow)->reason == ShedReason::TooSlow);
+    CHECK(admit(lane, slow)->retryAfter >= 3s);
+    slow.deadline = slow.now + 6s;
+    CHECK(!admit(lane, slow));
+}
+
+TEST(Admission, AnUnknownOrOldRateRefusesNothing)
+{
+    LaneState fresh { .waiting = 40 };
+    CHECK(!admit(fresh, makeArrival(start, 40, 40)));
+    CHECK(!admit(makeLane(100ms), makeArrival(start + 10s, 40, 40)));
+}
+
+TEST(Admission, AStallDuringAChangeOfPrimaryIsNoRate)
+{
+    auto lane = makeLane(1ms);
+    const auto after = start + 20ms + 3s;
+    noteGrant(lane, after);
+    noteGrant(lane, after + 1ms);
+    CHECK(!admit(lane, makeArrival(after + 2ms, 40, 40)));
+}
+
+TEST(Admission, AnEmptyQueueGivesNoSample)
+{
+    LaneState lane;
+    for (int i = 0; i < 20; ++i)
+        noteGrant(lane, start + i * 1s);
+    CHECK(!estimateWait(lane, start + 20s));
+}
--- /dev/null
+++ b/test/routing/test_route.cpp
@@ -0,0 +1,167 @@
+#include "amaranthhall/routing/route.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <vector>
+
+using namespace amaranthhall;
+using namespace amaranthhall::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto fixedSeed = 7U;
+constexpr auto now = Time(1h);
+
+group::UpstreamView makeView(group::Role role, std::string zone, group::LogPoint last)
+{
+    return { .zone = std::move(zone), .status = { .role = role, .term = last.term, .last = last, .applied = last.position }, .reach = group::Reach::Up, .freshAsOf = now };
+}
+
+}
+
+TEST_GROUP(Route)
+{
+    Random random { fixedSeed };
+    std::vector<group::UpstreamView> views {
+        makeView(group::Role::Primary, "lautoka", { 3, 100 }),
+        makeView(group::Role::Replica, "nadi", { 3, 100 }),
+        makeView(group::Role::Replica, "ba", { 3, 90 }),
+    };
+    std::vector<Candidate> candidates;
+    Situation situation { .primary = 0, .zone = "nadi", .now = now };
+
+    void setup() override
+    {
+        for (const auto& view : this->views)
+            this->candidates.push_back({ .view = &view, .weight = 100, .idle = 1, .allowance = 4 });
+    }
+
+    Decision choose(const Work& work) { return chooseUpstream(this->candidates, work, this->situation, this->random); }
+
+    static std::uint8_t skips(const Decision& decision, SkipReason reason) { return decision.skipped[static_cast<std::size_t>(reason)]; }
+};
+
+TEST(Route, AWriteGoesToThePrimaryOnly)
+{
+    CHECK(this->choose({}).step == Step::Serve);
+    CHECK_EQUAL(0U, this->choose({}).candidate);
+    this->views[0].reach = group::Reach::Down;
+    CHECK(this->choose({}).step == Step::Wait);
+    CHECK_EQUAL(1, skips(this->choose({}), SkipReason::Unreachable));
+    this->situation.primary.reset();
+    CHECK(this->choose({}).step == Step::Wait);
+}
+
+TEST(Route, AWriteDoesNotGoToAPrimaryThatIsLeaving)
+{
+    this->views[0].status.leaving = true;
+    CHECK(this->choose({}).step == Step::Wait);
+    CHECK_EQUAL(1, skips(this->choose({}), SkipReason::Leaving));
+}
+
+TEST(Route, AReadStaysInItsZoneUnlessTheReplicaThereIsNearlyFull)
+{
+    for (int i = 0; i < 50; ++i)
+        CHECK_EQUAL(1U, this->choose({ .isRead = true }).candidate);
+    this->candidates[1].busy = 3;
+    int elsewhere = 0;
+    for (int i = 0; i < 200; ++i)
+        elsewhere += this->choose({ .isRead = true }).candidate == 2 ? 1 : 0;
+    CHECK(elsewhere > 100);
+    CHECK(elsewhere < 200);
+}
+
+TEST(Route, WeightsDivideTheReadsBetweenEquals)
+{
+    this->situation.zone = "lautoka";
+    this->candidates[2].weight = 300;
+    int third = 0;
+    for (int i = 0; i < 1000; ++i)
+        third += this->choose({ .isRead = true }).candidate == 2 ? 1 : 0;
+    CHECK(third > 700);
+    CHECK(third < 800);
+}
+
+TEST(Route, AReadWithAPointSkipsAReplicaThatLags)
+{
+    this->situation.zone = "ba";
+    const auto decision = this->choose({ .isRead = true, .atLeast = group::LogPoint { 3, 95 } });
+    CHECK_EQUAL(1U, decision.candidate);
+    CHECK_EQUAL(1, skips(decision, SkipReason::Lag));
+}
+
+TEST(Route, AFencedUpstreamWithAnOldTailDoesNotHoldAPointOfTheNewTerm)
+{
+    // Position 100 of term 3 is not position 95 of term 4, whatever term was accepted since.
+    const group::UpstreamStatus oldTail { .role = group::Role::Replica, .term = 5, .last = { 3, 100 }, .applied = 100 };
+    CHECK(!holdsPoint(oldTail, { 4, 95 }));
+    CHECK(holdsPoint(oldTail, { 3, 95 }));
+    CHECK(holdsPoint({ .term = 5, .last = { 5, 120 }, .applied = 96 }, { 4, 95 }));
+    CHECK(!holdsPoint({ .term = 5, .last = { 5, 120 }, .applied = 94 }, { 4, 95 }));
+}
+
+TEST(Route, AReadWaitsForReplicationAndGoesToThePrimaryOnlyAfterItsPatience)
+{
+    const Work work { .isRead = true, .atLeast = group::LogPoint { 3, 101 }, .waited = 10ms, .patience = 100ms };
+    this->views[0].status.applied = 101;
+    const auto early = this->choose(work);
+    CHECK(early.step == Step::Wait);
+    CHECK(early.isLagging);
+    auto late = work;
+    late.waited = 100ms;
+    CHECK(this->choose(late).step == Step::Serve);
+    CHECK_EQUAL(0U, this->choose(late).candidate);
+}
+
+TEST(Route, AReadGoesToThePrimaryAtOnceIfNoReplicaCanServeIt)
+{
+    this->views[1].reach = group::Reach::Down;
+    this->views[2].status.leaving = true;
+    const auto decision = this->choose({ .isRead = true, .patience = 100ms });
+    CHECK(decision.step == Step::Serve);
+    CHECK_EQUAL(0U, decision.candidate);
+    CHECK_EQUAL(1, skips(decision, SkipReason::Unreachable));
+    CHECK_EQUAL(1, skips(decision, SkipReason::Leaving));
+}
+
+TEST(Route, ReadsLeaveHalfOfThePrimaryToWrites)
+{
+    for (const auto index : { 1, 2 })
+        this->candidates[static_cast<std::size_t>(index)] = { .view = &this->views[static_cast<std::size_t>(index)], .busy = 4, .allowance = 4 };
+    const Work work { .isRead = true, .waited = 1s, .patience = 100ms };
+    CHECK(this->choose(work).step == Step::Serve);
+    this->candidates[0].busy = 2;
+    const auto decision = this->choose(work);
+    CHECK(decision.step == Step::Wait);
+    CHECK_EQUAL(2, skips(decision, SkipReason::NoConnection));
+}
+
+TEST(Route, AReadOfAStatedAgeNeedsAReplicaThatIsKnownToBeFresh)
+{
+    this->views[1].freshAsOf = now - 3s;
+    this->views[2].freshAsOf = now - 1s;
+    const auto decision = this->choose({ .isRead = true, .maxStale = 2s });
+    CHECK_EQUAL(2U, decision.candidate);
+    CHECK_EQUAL(1, skips(decision, SkipReason::Stale));
+    this->views[2].freshAsOf = {};
+    CHECK_EQUAL(0U, this->choose({ .isRead = true, .maxStale = 2s }).candidate);
+    CHECK_EQUAL(1, skips(this->choose({ .isRead = true, .maxStale = 2s }), SkipReason::UnknownFreshness));
+}
+
+TEST(Route, AnUpstreamThatWronglyClaimsToBePrimaryServesNoReads)
+{
+    this->views[1].status.role = group::Role::Primary;
+    CHECK_EQUAL(2U, this->choose({ .isRead = true }).candidate);
+    CHECK_EQUAL(1, skips(this->choose({ .isRead = true }), SkipReason::NotReplica));
+}
+
+TEST(Route, AnUpstreamWithoutIdleConnectionsIsOpenedWithinItsAllowance)
+{
+    for (auto& candidate : this->candidates)
+        candidate.idle = 0;
+    const auto decision = this->choose({ .isRead = true });
+    CHECK(decision.step == Step::Open);
+    CHECK_EQUAL(1U, decision.candidate);
+    this->candidates[1].busy = 4;
+    CHECK_EQUAL(2U, this->choose({ .isRead = true }).candidate);
+}
