--- /dev/null
+++ b/src/amaranthhall/http/fwd.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace amaranthhall::http {
+
+class Client;
+class Server;
+struct Request;
+struct Response;
+
+}
--- /dev/null
+++ b/test/http/test_client_server.cpp
@@ -0,0 +1,105 @@
+#include "amaranthhall/http/client.hpp"
+#include "amaranthhall/http/server.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <optional>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto answerTimeout = 5s;
+
+struct Fixture {
+    kernel::Loop loop;
+    http::Server server { loop, { .listen = { .host = "127.0.0.1" }, .maximumBody = 1024 } };
+    http::Client client { loop };
+
+    kernel::Address address() const { return { .host = "127.0.0.1", .port = this->server.port() }; }
+
+    http::HttpResult fetch(const http::Request& request, Duration timeout = answerTimeout)
+    {
+        std::optional<http::HttpResult> result;
+        this->client.send(this->address(), request, timeout, [&](auto outcome) {
+            result = std::move(outcome);
+            this->loop.stop();
+        });
+        this->loop.run();
+        return *result;
+    }
+};
+
+}
+
+TEST_GROUP(HttpClientServer) {};
+
+TEST(HttpClientServer, CarriesMethodQueryHeadersAndBody)
+{
+    Fixture fixture;
+    fixture.server.route("/echo", [](const auto& request, const auto& reply) {
+        reply({ .status = 201, .headers = { { "X-Seen", request.method } }, .body = http::findQuery(request.query, "key") + "|" + request.body + "|" + std::string(http::findHeader(request.headers, "if-match")) });
+    });
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = fixture.fetch({ .method = "PUT", .path = "/echo", .query = "key=" + http::encodeQuery("a b&c"), .headers = { { "If-Match", "tag" } }, .body = "text" });
+        CHECK(answer.has_value());
+        CHECK_EQUAL(201, answer->status);
+        CHECK(answer->body == "a b&c|text|tag");
+        CHECK(http::findHeader(answer->headers, "x-seen") == "PUT");
+    }
+}
+
+TEST(HttpClientServer, AnAnswerMayComeLater)
+{
+    Fixture fixture;
+    kernel::Registration timer;
+    fixture.server.route("/later", [&](const auto&, const auto& reply) {
+        timer = fixture.loop.after(20ms, [reply] { reply({ .body = "late" }); });
+    });
+    for (int i = 0; i < 3; ++i)
+        CHECK(fixture.fetch({ .path = "/later" })->body == "late");
+}
+
+TEST(HttpClientServer, ATimeoutIsToldAndTheLateAnswerGoesNowhere)
+{
+    Fixture fixture;
+    http::Reply kept;
+    fixture.server.route("/never", [&](const auto&, const auto& reply) { kept = reply; });
+    fixture.server.route("/now", [&](const auto&, const auto& reply) { reply({ .body = "now" }); });
+    CHECK(fixture.fetch({ .path = "/never" }, 50ms).error() == http::HttpError::Timeout);
+    CHECK(fixture.fetch({ .path = "/now" })->body == "now");
+    kept({ .body = "too late" });
+    CHECK(fixture.fetch({ .path = "/now" })->body == "now");
+}
+
+TEST(HttpClientServer, AClosedPortIsUnreachable)
+{
+    Fixture fixture;
+    kernel::Loop& loop = fixture.loop;
+    std::optional<http::HttpResult> result;
+    fixture.client.send({ .host = "127.0.0.1", .port = 1 }, {}, answerTimeout, [&](auto outcome) {
+        result = std::move(outcome);
+        loop.stop();
+    });
+    loop.run();
+    CHECK(result->error() == http::HttpError::Unreachable);
+}
+
+TEST(HttpClientServer, RefusesABodyOverTheLimit)
+{
+    Fixture fixture;
+    fixture.server.route("/", [](const auto&, const auto& reply) { reply({}); });
+    const auto answer = fixture.fetch({ .method = "POST", .path = "/", .body = std::string(4096, 'x') });
+    CHECK(!answer.has_value() || answer->status == 413);
+    CHECK_EQUAL(200, fixture.fetch({ .path = "/" })->status);
+}
+
+TEST(HttpClientServer, TheLongestPrefixServesAPath)
+{
+    Fixture fixture;
+    fixture.server.route("/v1/", [](const auto&, const auto& reply) { reply({ .body = "short" }); });
+    fixture.server.route("/v1/objects/", [](const auto&, const auto& reply) { reply({ .body = "long" }); });
+    CHECK(fixture.fetch({ .path = "/v1/objects/table" })->body == "long");
+    CHECK(fixture.fetch({ .path = "/v1/rows" })->body == "short");
+    CHECK_EQUAL(404, fixture.fetch({ .path = "/v2" })->status);
+}
