Table: rows from CSV and JSON, checked whole, compared

An operator's edit came as unchecked JSON, and a wrong cell was silently read as a default. Columns are now described once and read from CSV, JSON and cell texts alike; an error names line, row and column, and nothing of the edit is taken.

--- a/src/amaranthhall/table/fwd.hpp
+++ b/src/amaranthhall/table/fwd.hpp
@@ -2,6 +2,8 @@
 
 namespace amaranthhall::table {
 
+struct Difference;
+struct Problem;
 struct ServiceRow;
 struct UpstreamRow;
 struct TableImage;
--- a/src/amaranthhall/table/table_json.cpp
+++ b/src/amaranthhall/table/table_json.cpp
@@ -1,70 +1,64 @@
 #include "amaranthhall/table/table_json.hpp"
 
+#include "amaranthhall/table/columns.hpp"
+#include "amaranthhall/table/row_reader.hpp"
+
+#include <array>
 #include <nlohmann/json.hpp>
+#include <openssl/evp.h>
 
 namespace amaranthhall::table {
 
 namespace {
 
-    using Json = nlohmann::json;
-    using Millis = std::chrono::milliseconds;
-
-    Json encodeService(const ServiceRow& row)
-    {
-        return {
-            { "name", row.name },
-            { "database", row.database },
-            { "max_stale_ms", row.maxStale.count() },
-            { "acknowledge", row.acknowledge == Acknowledge::Term ? "term" : "confirmed" },
-            { "statement_deadline_ms", row.statementDeadline.count() },
-            { "queue_deadline_ms", row.queueDeadline.count() },
-            { "queue_limit", row.queueLimit },
-            { "caller_limit", row.callerLimit },
-            { "safe_functions", row.safeFunctions },
-        };
-    }
+    using Json = nlohmann::ordered_json;
 
-    ServiceRow decodeService(const Json& json)
+    template <typename RowType>
+    Json encodeRow(const RowType& row, std::span<const Column<RowType>> columns)
     {
-        return {
-            .name = json.at("name").get<std::string>(),
-            .database = json.at("database").get<std::string>(),
-            .maxStale = Millis(json.at("max_stale_ms").get<std::int64_t>()),
-            .acknowledge = json.at("acknowledge").get<std::string>() == "term" ? Acknowledge::Term : Acknowledge::Confirmed,
-            .statementDeadline = Millis(json.at("statement_deadline_ms").get<std::int64_t>()),
-            .queueDeadline = Millis(json.at("queue_deadline_ms").get<std::int64_t>()),
-            .queueLimit = json.at("queue_limit").get<std::uint32_t>(),
-            .callerLimit = json.at("caller_limit").get<std::uint32_t>(),
-            .safeFunctions = json.at("safe_functions").get<std::vector<std::string>>(),
-        };
+        auto json = Json::object();
+        for (const auto& column : columns) {
+            const auto text = column.read(row);
+            if (column.isNumber)
+                json[std::string(column.name)] = std::stoul(text);
+            else
+                json[std::string(column.name)] = text;
+        }
+        return json;
     }
 
-    Json encodeUpstream(const UpstreamRow& row)
+    template <typename RowType>
+    std::vector<RowType> decodeRows(const Json& rows, std::span<const Column<RowType>> columns, Problems& problems)
     {
-        return {
-            { "service", row.id.group.service },
-            { "instance", row.id.group.instance },
-            { "name", row.id.name },
-            { "address", kernel::formatAddress(row.address) },
-            { "zone", row.zone },
-            { "weight", row.weight },
-            { "connection_limit", row.connectionLimit },
-            { "slots", row.slots },
-        };
+        std::vector<RowType> decoded;
+        for (const auto& json : rows) {
+            internal::RowReader<RowType> reader(columns, 0);
+            for (const auto& [name, value] : json.items()) {
+                if (value.is_string())
+                    reader.write(name, value.template get_ref<const std::string&>());
+                else if (value.is_number_unsigned())
+                    reader.write(name, value.dump());
+                else
+                    reader.report(name, value.dump() + " is neither text nor a whole number");
+            }
+            decoded.push_back(reader.finish(problems));
+        }
+        return decoded;
     }
 
-    UpstreamRow decodeUpstream(const Json& json)
+    tl::expected<TableImage, Problems> decodeImage(const Json& json)
     {
-        UpstreamRow row {
-            .id = { .group = { .service = json.at("service").get<std::string>(), .instance = json.at("instance").get<std::string>() }, .name = json.at("name").get<std::string>() },
-            .zone = json.at("zone").get<std::string>(),
-            .weight = json.at("weight").get<std::uint32_t>(),
-            .connectionLimit = json.at("connection_limit").get<std::uint32_t>(),
-            .slots = json.at("slots").get<std::uint32_t>(),
-        };
-        if (const auto address = kernel::parseAddress(json.at("address").get<std::string>()))
-            row.address = *address;
-        return row;
+        Problems problems;
+        for (const auto& [name, value] : json.items()) {
+            if (name != "version" && name != "services" && name != "upstreams")
+                problems.push_back({ .column = name, .text = "a table consists of version, services and upstreams" });
+        }
+        TableImage image { .version = json.value("version", Version { 0 }) };
+        image.services = decodeRows(json.at("services"), serviceColumns(), problems);
+        image.upstreams = decodeRows(json.at("upstreams"), upstreamColumns(), problems);
+        if (!problems.empty())
+            return tl::make_unexpected(std::move(problems));
+        return image;
     }
 
 }
@@ -73,26 +67,43 @@
 {
     auto services = Json::array();
     for (const auto& row : image.services)
-        services.push_back(encodeService(row));
+        services.push_back(encodeRow(row, serviceColumns()));
     auto upstreams = Json::array();
     for (const auto& row : image.upstreams)
-        upstreams.push_back(encodeUpstream(row));
+        upstreams.push_back(encodeRow(row, upstreamColumns()));
     return Json { { "version", image.version }, { "services", std::move(services) }, { "upstreams", std::move(upstreams) } }.dump();
 }
 
-std::optional<TableImage> decodeTable(std::string_view text)
+tl::expected<TableImage, Problems> readTableJson(std::string_view text)
 {
     try {
-        const auto json = Json::parse(text);
-        TableImage image { .version = json.at("version").get<Version>() };
-        for (const auto& row : json.at("services"))
-            image.services.push_back(decodeService(row));
-        for (const auto& row : json.at("upstreams"))
-            image.upstreams.push_back(decodeUpstream(row));
-        return image;
-    } catch (const Json::exception&) {
+        return decodeImage(Json::parse(text));
+    } catch (const Json::exception& exception) {
+        return tl::make_unexpected(Problems { { .text = std::string("not a table in JSON: ") + exception.what() } });
+    }
+}
+
+std::optional<TableImage> decodeTable(std::string_view text)
+{
+    auto image = readTableJson(text);
+    if (!image)
         return std::nullopt;
+    return *std::move(image);
+}
+
+std::string digestTable(const TableImage& image)
+{
+    constexpr auto digits = "0123456789abcdef";
+    const auto text = encodeTable(image);
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes {};
+    unsigned int length { 0 };
+    EVP_Digest(text.data(), text.size(), bytes.data(), &length, EVP_sha256(), nullptr);
+    std::string digest;
+    for (unsigned int i = 0; i < length; ++i) {
+        digest += digits[bytes.at(i) >> 4U];
+        digest += digits[bytes.at(i) & 15U];
     }
+    return digest;
 }
 
 }
