--- a/src/amaranthhall/upstream/group_dispatcher.cpp
+++ b/src/amaranthhall/upstream/group_dispatcher.cpp
@@ -243,11 +243,13 @@
 
 void GroupDispatcher::choose(const routing::Decision& decision, bool isRead)
 {
+    if (!isRead)
+        return; // all waiting writes count for the primary
     if (decision.step == routing::Step::Open) {
         this->findMember(this->candidates[decision.candidate].view->id.name)->isChosen = true;
         return;
     }
-    if (!isRead || decision.skipped[static_cast<std::size_t>(routing::SkipReason::NoConnection)] == 0)
+    if (decision.skipped[static_cast<std::size_t>(routing::SkipReason::NoConnection)] == 0)
         return;
     for (auto& member : this->members)
         member.isChosen = member.isChosen || member.row.id.name != this->primary;
--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -222,7 +222,7 @@
 {
     if (this->isRetired || std::exchange(this->isPlanning, true))
         return;
-    const auto wanted = this->tally.lent + this->tally.resetting + this->waiting;
+    const auto wanted = this->tally.lent + this->waiting; // one that is being reset is free sooner than a new one
     const auto plan = planPool(this->state, this->tally, wanted, this->allowance, this->loop.now());
     this->closeIdle(plan.closeIdle);
     for (std::uint32_t i = 0; i < plan.open; ++i)
