Classify statements by a walk of the parse tree that trusts known nodes only

Cause: the substring search took any call for a write and never saw control functions, temporary tables or advisory locks. Conclusion: a new node kind of the parser is a write until it is listed.

--- a/src/amaranthhall/statement/classification.cpp
+++ b/src/amaranthhall/statement/classification.cpp
@@ -1,66 +1,185 @@
 #include "amaranthhall/statement/classification.hpp"
 
-#include <memory>
-#include <nlohmann/json.hpp>
-#include <pg_query.h>
+#include "amaranthhall/statement/parse_tree.hpp"
+
+#include <algorithm>
+#include <cctype>
 
 namespace amaranthhall::statement {
 
 namespace {
 
-    using Json = nlohmann::json;
+    using internal::Json;
 
-    struct ParseCloser {
-        void operator()(PgQueryParseResult* result) const noexcept { pg_query_free_parse_result(*result); }
-    };
+    constexpr int cursorWithHold = 0x20;
+    constexpr std::string_view whitespace = " \t\r\n\f\v";
+
+    std::string trim(std::string_view text)
+    {
+        const auto begin = text.find_first_not_of(whitespace);
+        if (begin == std::string_view::npos)
+            return {};
+        return std::string(text.substr(begin, text.find_last_not_of(whitespace) - begin + 1));
+    }
+
+    std::string toLower(std::string text)
+    {
+        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+        return text;
+    }
 
     StatementKind transactionKind(const Json& statement)
     {
         const auto kind = statement.value("kind", "");
+        if (statement.value("chain", false))
+            return StatementKind::Unsupported;
         if (kind == "TRANS_STMT_BEGIN" || kind == "TRANS_STMT_START")
             return StatementKind::Begin;
-        if (kind == "TRANS_STMT_COMMIT")
+        if (kind == "TRANS_STMT_COMMIT" || kind == "TRANS_STMT_PREPARE")
             return StatementKind::Commit;
         if (kind == "TRANS_STMT_ROLLBACK")
             return StatementKind::Rollback;
-        return StatementKind::Savepoint;
+        if (kind == "TRANS_STMT_SAVEPOINT" || kind == "TRANS_STMT_RELEASE" || kind == "TRANS_STMT_ROLLBACK_TO")
+            return StatementKind::Savepoint;
+        return StatementKind::Write;
+    }
+
+    std::string constantText(const Json& argument)
+    {
+        if (argument.contains("TypeCast"))
+            return constantText(argument["TypeCast"]["arg"]);
+        if (!argument.contains("A_Const"))
+            return {};
+        const auto& constant = argument["A_Const"];
+        if (constant.contains("sval"))
+            return constant["sval"].value("sval", "");
+        if (constant.contains("ival"))
+            return std::to_string(constant["ival"].value("ival", 0));
+        if (constant.contains("fval"))
+            return constant["fval"].value("fval", "");
+        if (constant.contains("boolval"))
+            return constant["boolval"].value("boolval", false) ? "true" : "false";
+        return {};
+    }
+
+    Assignment readAssignment(const Json& statement)
+    {
+        const auto kind = statement.value("kind", "");
+        Assignment assignment {
+            .name = toLower(statement.value("name", "")),
+            .isLocal = statement.value("is_local", false),
+            .isReset = kind == "VAR_SET_DEFAULT" || kind == "VAR_RESET" || kind == "VAR_RESET_ALL",
+        };
+        if (kind == "VAR_RESET_ALL")
+            assignment.name = "all";
+        if (kind == "VAR_SET_MULTI" && assignment.name != "session characteristics")
+            assignment.isLocal = true;
+        if (const auto arguments = statement.find("args"); arguments != statement.end()) {
+            for (const auto& argument : *arguments)
+                assignment.value += (assignment.value.empty() ? "" : ", ") + constantText(argument);
+        }
+        return assignment;
+    }
+
+    bool hidesControlCall(const Json& statement)
+    {
+        if (!statement.contains("DoStmt") && !statement.contains("CreateFunctionStmt"))
+            return false;
+        return internal::mentionsControlFunction(statement.dump());
     }
 
-    StatementKind kindOf(const Json& statement)
+    bool isSessionState(const Json& statement, const std::vector<std::string>& functions)
     {
-        if (statement.contains("TransactionStmt"))
-            return transactionKind(statement["TransactionStmt"]);
-        if (statement.contains("VariableSetStmt"))
-            return StatementKind::Set;
-        if (statement.contains("VariableShowStmt"))
-            return StatementKind::Show;
-        if (statement.contains("CopyStmt"))
-            return StatementKind::Copy;
-        if (!statement.contains("SelectStmt"))
+        for (const auto* name : { "ListenStmt", "UnlistenStmt", "PrepareStmt", "LoadStmt" }) {
+            if (statement.contains(name))
+                return true;
+        }
+        if (const auto cursor = statement.find("DeclareCursorStmt"); cursor != statement.end())
+            return (static_cast<unsigned>(cursor->value("options", 0)) & cursorWithHold) != 0;
+        return internal::namesTemporary(statement) || std::any_of(functions.begin(), functions.end(), internal::leavesState);
+    }
+
+    StatementKind selectKind(const Json& statement, std::vector<std::string>& functions)
+    {
+        if (!internal::isPureSelect(statement))
             return StatementKind::Write;
-        const auto text = statement.dump();
-        const bool isPlain = text.find("FuncCall") == std::string::npos && text.find("LockingClause") == std::string::npos && text.find("InsertStmt") == std::string::npos && text.find("UpdateStmt") == std::string::npos && text.find("DeleteStmt") == std::string::npos && text.find("intoClause") == std::string::npos;
-        return isPlain ? StatementKind::Read : StatementKind::Write;
+        std::erase_if(functions, internal::isSafeFunction);
+        return StatementKind::Read;
+    }
+
+    void classifyNode(const Json& statement, Classification& result)
+    {
+        auto functions = internal::calledFunctions(statement);
+        if (std::any_of(functions.begin(), functions.end(), internal::isControlFunction) || hidesControlCall(statement)) {
+            result.kind = StatementKind::Forbidden;
+        } else if (statement.contains("TransactionStmt")) {
+            result.kind = transactionKind(statement["TransactionStmt"]);
+        } else if (statement.contains("VariableSetStmt")) {
+            result.kind = StatementKind::Set;
+            result.assignment = readAssignment(statement["VariableSetStmt"]);
+        } else if (statement.contains("DiscardStmt")) {
+            result.kind = StatementKind::Set;
+            result.assignment = { .name = "all", .isReset = true };
+        } else if (statement.contains("VariableShowStmt")) {
+            result.kind = StatementKind::Show;
+            result.assignment.name = toLower(statement["VariableShowStmt"].value("name", ""));
+        } else if (statement.contains("CopyStmt")) {
+            result.kind = StatementKind::Copy;
+            result.copiesIn = statement["CopyStmt"].value("is_from", false);
+        } else if (statement.contains("DeallocateStmt")) {
+            result.kind = StatementKind::Deallocate;
+            result.prepared = statement["DeallocateStmt"].value("name", "");
+        } else if (isSessionState(statement, functions)) {
+            result.kind = StatementKind::SessionState;
+        } else if (statement.contains("SelectStmt")) {
+            result.kind = selectKind(statement, functions);
+            if (result.kind == StatementKind::Read)
+                result.functions = std::move(functions);
+        }
+    }
+
+    Classification classifyUnparsable(std::string_view text)
+    {
+        const auto kind = internal::mentionsControlFunction(text) ? StatementKind::Forbidden : StatementKind::Unparsable;
+        return { .kind = kind, .text = std::string(text) };
     }
 
 }
 
-std::vector<Classification> classify(std::string_view text, std::span<const std::string>)
+std::vector<Classification> classifyShape(std::string_view text)
 {
     const std::string owned(text);
-    auto parsed = pg_query_parse(owned.c_str());
-    const std::unique_ptr<PgQueryParseResult, ParseCloser> closer(&parsed);
-    if (parsed.error)
-        return { { .kind = StatementKind::Unparsable, .text = owned } };
+    const auto tree = internal::parseTree(owned);
+    if (!tree)
+        return { classifyUnparsable(text) };
     std::vector<Classification> statements;
-    const auto tree = Json::parse(parsed.parse_tree);
-    for (const auto& item : tree["stmts"]) {
-        const auto begin = item.value("stmt_location", std::size_t { 0 });
-        const auto length = item.value("stmt_len", owned.size() - begin);
-        statements.push_back({ .kind = kindOf(item["stmt"]), .text = owned.substr(begin, length) });
+    if (const auto items = tree->find("stmts"); items != tree->end()) {
+        for (const auto& item : *items) {
+            const auto begin = item.value("stmt_location", std::size_t { 0 });
+            const auto length = item.value("stmt_len", owned.size() - begin);
+            auto& result = statements.emplace_back();
+            result.text = trim(text.substr(begin, length));
+            classifyNode(item["stmt"], result);
+        }
     }
     if (statements.empty())
-        statements.push_back({ .kind = StatementKind::Empty, .text = owned });
+        statements.push_back({ .kind = StatementKind::Empty });
+    return statements;
+}
+
+void resolveFunctions(std::span<Classification> statements, std::span<const std::string> safeFunctions)
+{
+    for (auto& item : statements) {
+        const auto isSafe = [&](const auto& name) { return std::find(safeFunctions.begin(), safeFunctions.end(), name) != safeFunctions.end(); };
+        if (!std::all_of(item.functions.begin(), item.functions.end(), isSafe))
+            item.kind = StatementKind::Write;
+    }
+}
+
+std::vector<Classification> classify(std::string_view text, std::span<const std::string> safeFunctions)
+{
+    auto statements = classifyShape(text);
+    resolveFunctions(statements, safeFunctions);
     return statements;
 }
 
--- a/src/amaranthhall/statement/classification.hpp
+++ b/src/amaranthhall/statement/classification.hpp
@@ -23,6 +23,7 @@
     SessionState, ///< Leaves state on the connection: temporary tables, LISTEN, advisory locks, cursors WITH HOLD.
     Empty,
     Forbidden, ///< Calls the upstreams' control functions, which are not for callers.
+    Unsupported, ///< Cannot be served through pooled links, such as COMMIT AND CHAIN.
     Unparsable,
 };
 
@@ -40,6 +41,8 @@
     std::string text; ///< The statement alone.
     Assignment assignment; ///< For Set; for Show the name only.
     std::string prepared; ///< For Deallocate: the statement's name; empty for ALL.
+    bool copiesIn { false }; ///< For Copy: the caller sends the data.
+    std::vector<std::string> functions; ///< For Read: called functions that are not known to be safe.
 };
 
 /**
@@ -50,4 +53,13 @@
  */
 [[nodiscard]] std::vector<Classification> classify(std::string_view text, std::span<const std::string> safeFunctions);
 
+/**
+ * @brief Classifies a text as if every function were safe, and lists those that are not known to be.
+ * @return The statements, whose reads have still to pass resolveFunctions().
+ */
+[[nodiscard]] std::vector<Classification> classifyShape(std::string_view text);
+
+/// @brief Turns each read that calls a function outside of a list into a write.
+void resolveFunctions(std::span<Classification> statements, std::span<const std::string> safeFunctions);
+
 }
--- a/src/amaranthhall/statement/fwd.hpp
+++ b/src/amaranthhall/statement/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace amaranthhall::statement {
 
+class Classifier;
 struct Classification;
 
 }
