--- a/src/amaranthhall/statement/parse_tree.cpp
+++ b/src/amaranthhall/statement/parse_tree.cpp
@@ -57,8 +57,7 @@
         "WindowDef",
     });
 
-    constexpr auto safeFunctions = std::to_array<std::string_view>({
-        "abs", "age", "array_agg", "array_length", "array_position", "array_to_string", "avg", "bit_length", "bool_and", "bool_or", "btrim", "cardinality",
+    constexpr auto safeFunctions = std::to_array<std::string_view>({ "abs", "age", "array_agg", "array_length", "array_position", "array_to_string", "avg", "bit_length", "bool_and", "bool_or", "btrim", "cardinality",
         "ceil", "ceiling", "char_length", "character_length", "chr", "coalesce", "concat", "concat_ws", "count", "cume_dist", "current_schema", "date_part",
         "date_trunc", "dense_rank", "every", "exp", "extract", "first_value", "floor", "format", "generate_series", "greatest", "initcap", "json_agg",
         "json_array_length", "json_build_object", "json_object_agg", "jsonb_agg", "jsonb_array_length", "jsonb_build_object", "lag", "last_value", "lead",
@@ -66,8 +65,7 @@
         "overlay", "percent_rank", "percentile_cont", "percentile_disc", "position", "power", "rank", "regexp_replace", "repeat", "replace", "reverse", "right",
         "round", "row_number", "row_to_json", "rpad", "rtrim", "sign", "split_part", "sqrt", "stddev", "string_agg", "string_to_array", "strpos", "substr",
         "substring", "sum", "to_char", "to_date", "to_json", "to_jsonb", "to_number", "to_timestamp", "translate", "trim", "trunc", "unnest", "upper",
-        "variance", "version"
-    });
+        "variance", "version" });
 
     struct ParseCloser {
         void operator()(PgQueryParseResult* result) const noexcept { pg_query_free_parse_result(*result); }
