--- a/src/amaranthhall/program/standin.cpp
+++ b/src/amaranthhall/program/standin.cpp
@@ -1,4 +1,5 @@
 #include "amaranthhall/kernel/duration_text.hpp"
+#include "amaranthhall/standin/fault_proxy.hpp"
 #include "amaranthhall/standin/upstream_server.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
@@ -52,6 +53,24 @@
     return 0;
 }
 
+int runFaultProxy(const std::vector<std::string>& arguments)
+{
+    options::options_description description("amaranthhall-standin fault-proxy");
+    description.add_options()("help", "shows this text")("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address for orders by HTTP")("seed", options::value<std::uint64_t>()->default_value(1), "seed of the jitter");
+    options::variables_map values;
+    options::store(options::command_line_parser(arguments).options(description).run(), values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    kernel::Loop loop;
+    standin::FaultProxy proxy(loop, { .listen = requireAddress(values["listen"].as<std::string>()), .seed = values["seed"].as<std::uint64_t>() });
+    telemetry::logEvent(telemetry::LogLevel::Info, "standin.listening", { { "role", "fault-proxy" }, { "port", proxy.port() } });
+    const auto terminate = loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
 }
 
 int main(int count, char** arguments)
@@ -61,7 +80,9 @@
         const std::vector<std::string> words(arguments + 1, arguments + count);
         if (!words.empty() && words.front() == "upstream")
             return runUpstream({ words.begin() + 1, words.end() });
-        std::cerr << "usage: amaranthhall-standin upstream [--help]\n";
+        if (!words.empty() && words.front() == "fault-proxy")
+            return runFaultProxy({ words.begin() + 1, words.end() });
+        std::cerr << "usage: amaranthhall-standin upstream|fault-proxy [--help]\n";
     } catch (const std::exception& exception) {
         std::cerr << "amaranthhall-standin: " << exception.what() << '\n';
     }
