--- a/src/amaranthhall/peer/peer_network.hpp
+++ b/src/amaranthhall/peer/peer_network.hpp
@@ -59,6 +59,9 @@
 
     /// @brief Gives the address on which calls are taken; the port is known once the service has started.
     [[nodiscard]] virtual kernel::Address listenAddress() const = 0;
+
+    /// @brief Takes calls that were sent to a further address, such as the one that the list of VMs tells.
+    virtual void acceptAs(const kernel::Address& address) { static_cast<void>(address); }
 };
 
 }
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/kernel/loop.hpp"
 #include "amaranthhall/kernel/registry.hpp"
 #include "amaranthhall/kernel/settings.hpp"
+#include "amaranthhall/peer/http_peer_network.hpp"
 #include "amaranthhall/session/caller_listener.hpp"
 #include "amaranthhall/table/static_table.hpp"
 #include "amaranthhall/table/table_json.hpp"
@@ -44,13 +45,14 @@
     kernel::Loop loop;
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
+    auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
     registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
     registry.add(std::make_unique<upstream::BasicDispatcher>(loop, registry, settings.upstreams));
     registry.add(std::make_unique<upstream::BasicConfirmer>(loop, registry));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
     registry.start();
-    telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() } });
+    telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port } });
     const auto terminate = loop.onSignal(SIGTERM, [&] { registry.drain([&loop] { loop.stop(); }); });
     loop.run();
     registry.stop();
