--- a/src/amaranthhall/peer/http_peer_network.cpp
+++ b/src/amaranthhall/peer/http_peer_network.cpp
@@ -222,7 +222,8 @@
 
 void HttpPeerNetwork::answer(const Proof& proof, std::string body, const http::Reply& respond)
 {
-    http::Response response { .headers = { { std::string(signatureHeader), signAnswer(this->options.keys.front(), proof.nonce, body) } }, .body = std::move(body) };
+    auto signature = signAnswer(this->options.keys.front(), proof.nonce, body);
+    http::Response response { .headers = { { std::string(signatureHeader), std::move(signature) } }, .body = std::move(body) };
     this->countBytes("out", measure(response.headers, response.body));
     respond(std::move(response));
 }
