Add membership by probes between daemons

Cause: new roles must leave out dead and leaving VMs within 5 s, at a constant cost per daemon. Change: SWIM-like failure detector as a decision (round-robin probe, indirect probes, suspicion, refutation by incarnation, changes carried along, a digest with pages of repair), its service over the peer network and the platform's list, which three daemons read for all.

--- a/src/amaranthhall/membership/fwd.hpp
+++ b/src/amaranthhall/membership/fwd.hpp
@@ -2,7 +2,14 @@
 
 namespace amaranthhall::membership {
 
-struct Member;
+class MemberService;
 class MemberSource;
+struct Detector;
+struct DetectorEntry;
+struct DetectorOptions;
+struct Gossip;
+struct ListedVm;
+struct Member;
+struct MemberOptions;
 
 }
--- /dev/null
+++ b/src/amaranthhall/membership/io/member_service.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/kernel/registry.hpp"
+#include "amaranthhall/kernel/service.hpp"
+#include "amaranthhall/kernel/settings.hpp"
+#include "amaranthhall/membership/failure_detector.hpp"
+#include "amaranthhall/membership/member_source.hpp"
+#include "amaranthhall/peer/peer_network.hpp"
+#include "amaranthhall/platform/platform.hpp"
+#include "amaranthhall/telemetry/metrics.hpp"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace amaranthhall::membership {
+
+/// @brief What the membership service is built from.
+struct MemberOptions {
+    kernel::VmSettings vm;
+    kernel::Address admin; ///< Where this daemon takes calls of operators.
+    DetectorOptions detector;
+};
+
+/// @brief Finds out which daemons are here, from the platform's list and by probes between daemons.
+class MemberService final : public kernel::Service, public MemberSource {
+public:
+    MemberService(kernel::Loop& loop, kernel::Registry& registry, MemberOptions options);
+
+    [[nodiscard]] std::string_view name() const noexcept override { return "members"; }
+    void start() override;
+    void drain(std::function<void()> done) override;
+    void stop() override;
+
+    [[nodiscard]] const Member& self() const noexcept override { return this->detector.self; }
+    [[nodiscard]] std::span<const Member> members() const noexcept override { return this->listed; }
+    [[nodiscard]] Epoch epoch() const noexcept override { return this->detector.changes; }
+    void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
+
+private:
+    struct IndirectProbe;
+
+    void probe();
+    void probeIndirectly(const Member& target);
+    void endIndirectProbe(const std::shared_ptr<IndirectProbe>& indirect, bool answered);
+    void relay(const peer::Json& parameters, const peer::PeerNetwork::Reply& reply);
+    [[nodiscard]] peer::Json writeGossip(const Gossip& gossip) const;
+    void readGossip(const peer::Json& message);
+    [[nodiscard]] peer::Json answerProbe(const peer::Json& parameters);
+    void scheduleList();
+    [[nodiscard]] bool mayList() const;
+    void readList();
+    void publish();
+
+    kernel::Loop& loop;
+    kernel::Registry& registry;
+    MemberOptions options;
+    peer::PeerNetwork* peers { nullptr };
+    platform::Platform* platform { nullptr };
+    telemetry::Metrics* metrics { nullptr };
+    Random random;
+    Detector detector;
+    std::vector<Member> listed;
+    Epoch published { 0 };
+    Time lastList;
+    kernel::Observers observers;
+    kernel::Registration probeTimer;
+    kernel::Registration listTimer;
+    std::shared_ptr<bool> running;
+};
+
+}
