Report silence of upstreams: connects and control queries that time out

Cause: a timed-out connect was reported as refused, and a control query that got no answer was not reported at all. Change: both are reported as silent. Conclusion: unit and integration tests pass.

--- a/src/amaranthhall/upstream/control_task.cpp
+++ b/src/amaranthhall/upstream/control_task.cpp
@@ -13,6 +13,7 @@
 {
     this->ended = std::move(whenEnded);
     this->timer = loop.after(deadline - loop.now(), [this] {
+        this->silent = static_cast<bool>(this->lease);
         this->lease.discard();
         this->finish(std::nullopt);
     });
--- a/src/amaranthhall/upstream/control_task.hpp
+++ b/src/amaranthhall/upstream/control_task.hpp
@@ -26,6 +26,9 @@
     [[nodiscard]] std::function<void()> takeFailure();
 
     [[nodiscard]] const std::string& upstreamName() const noexcept { return this->upstream; }
+    /// @brief Tells whether the upstream kept silent on a link that it had taken.
+    [[nodiscard]] bool wasSilent() const noexcept { return this->silent; }
+
     [[nodiscard]] bool isWaiting() const noexcept { return !this->lease && !this->hasEnded; }
 
 private:
@@ -39,6 +42,7 @@
     kernel::Registration timer;
     LinkLease lease;
     bool hasEnded { false };
+    bool silent { false };
 };
 
 }
--- a/src/amaranthhall/upstream/group_dispatcher.cpp
+++ b/src/amaranthhall/upstream/group_dispatcher.cpp
@@ -458,6 +458,8 @@
     const auto task = std::make_shared<internal::ControlTask>(upstream, query, std::move(done));
     this->controls.push_back(task);
     task->arm(this->environment.loop, deadline, [this](auto& ended) {
+        if (ended.wasSilent())
+            this->environment.groups.report({ .group = this->group, .name = ended.upstreamName() }, group::Symptom::Silent);
         std::erase_if(this->controls, [&](const auto& held) { return held.get() == &ended; });
     });
     if (member->pool->counts().idle > 0)
--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -197,7 +197,7 @@
         this->close(slot);
         // A full upstream answers, so it is neither down nor silent.
         if (!this->isRetired && error.sqlstate() == "08001")
-            this->hooks.symptom(group::Symptom::Refused);
+            this->hooks.symptom(slot.link.hasTimedOut() ? group::Symptom::Silent : group::Symptom::Refused);
         this->replan();
         return;
     }
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -57,7 +57,10 @@
     const std::array values { this->options.address.host.c_str(), port.c_str(), this->options.database.c_str(), this->options.user.c_str(), this->options.password.c_str(),
         this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), "disable", this->options.applicationName.c_str(), static_cast<const char*>(nullptr) };
     this->connection.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
-    this->connectTimer = this->loop.after(this->options.connectTimeout, [this] { this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time")); });
+    this->connectTimer = this->loop.after(this->options.connectTimeout, [this] {
+        this->timedOut = true;
+        this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time"));
+    });
     if (!this->connection || PQstatus(this->connection.get()) == CONNECTION_BAD) {
         this->loop.post([this, living = this->alive] {
             if (*living && this->opened)
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -64,6 +64,9 @@
     /// @brief Tells whether the connection has broken.
     [[nodiscard]] bool isBroken() const noexcept { return this->hasBroken; }
 
+    /// @brief Tells whether the upstream kept silent for the whole time allowed to connect.
+    [[nodiscard]] bool hasTimedOut() const noexcept { return this->timedOut; }
+
     /// @brief Tells whether an answer is half-read because reading is paused.
     [[nodiscard]] bool isPaused() const noexcept { return this->readingPaused; }
 
@@ -148,6 +151,7 @@
     bool inPosition { false };
     bool readingPaused { false };
     bool hasBroken { false };
+    bool timedOut { false };
     bool stateLeft { false };
     std::optional<std::string> heldTag; ///< Tag of the last query, held until its commit has succeeded.
     BatchEnd end;
--- a/test/upstream/test_pooled_dispatcher.cpp
+++ b/test/upstream/test_pooled_dispatcher.cpp
@@ -149,7 +149,7 @@
         this->registry.start();
     }
 
-    void addUpstream(const std::string& name, const FakeUpstream& fake, const std::string& zone)
+    void addUpstream(const std::string& name, const FakeUpstream& fake, const std::string& zone) const
     {
         const group::UpstreamId id { .group = groupId, .name = name };
         this->table->content.upstreams.push_back({ .id = id, .address = fake.server.address(), .zone = zone });
