--- a/src/amaranthhall/platform/fwd.hpp
+++ b/src/amaranthhall/platform/fwd.hpp
@@ -2,7 +2,9 @@
 
 namespace amaranthhall::platform {
 
+class HttpPlatform;
 class Platform;
+class ReadBudget;
 struct Row;
 struct Transaction;
 struct VmEntry;
--- a/src/amaranthhall/program/standin.cpp
+++ b/src/amaranthhall/program/standin.cpp
@@ -1,4 +1,5 @@
 #include "amaranthhall/kernel/duration_text.hpp"
+#include "amaranthhall/standin/platform_server.hpp"
 #include "amaranthhall/standin/upstream_server.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
@@ -52,6 +53,28 @@
     return 0;
 }
 
+int runPlatform(const std::vector<std::string>& arguments)
+{
+    options::options_description description("amaranthhall-standin platform");
+    description.add_options()("help", "shows this text")("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address to listen on; port 0 takes a free one")("writes-per-second", options::value<std::uint32_t>()->default_value(400), "writes admitted in a second")("reads-per-second", options::value<std::uint32_t>()->default_value(2000), "reads admitted in a second");
+    options::variables_map values;
+    options::store(options::command_line_parser(arguments).options(description).run(), values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    kernel::Loop loop;
+    const standin::PlatformServer server(loop,
+        {
+            .listen = requireAddress(values["listen"].as<std::string>()),
+            .limits = { .writesPerSecond = values["writes-per-second"].as<std::uint32_t>(), .readsPerSecond = values["reads-per-second"].as<std::uint32_t>() },
+        });
+    telemetry::logEvent(telemetry::LogLevel::Info, "standin.listening", { { "role", "platform" }, { "port", server.port() } });
+    const auto terminate = loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
+    return 0;
+}
+
 }
 
 int main(int count, char** arguments)
@@ -61,7 +84,9 @@
         const std::vector<std::string> words(arguments + 1, arguments + count);
         if (!words.empty() && words.front() == "upstream")
             return runUpstream({ words.begin() + 1, words.end() });
-        std::cerr << "usage: amaranthhall-standin upstream [--help]\n";
+        if (!words.empty() && words.front() == "platform")
+            return runPlatform({ words.begin() + 1, words.end() });
+        std::cerr << "usage: amaranthhall-standin upstream|platform [--help]\n";
     } catch (const std::exception& exception) {
         std::cerr << "amaranthhall-standin: " << exception.what() << '\n';
     }
