The state of a transaction behind a status query; near replicas are warmed

Cause: libpq says ACTIVE while a second query of the pipeline is under way, so each write that asked for its position looked like an open transaction: its session kept the link, and the write was never confirmed. A test with 24 callers on three connections showed it (53300 after 2 s for the others). Change: the state is read at the end of the batch. A read served by a far replica opens a link to the near one; links to an upstream that is down are closed, and one that answers again is tried at once; a new primary's pool is opened at once; a primary of an older term than the point serves nothing; the thin session asks for a barrier, as its reads now reach replicas. Gauges of connections for each upstream.

--- a/src/amaranthhall/routing/route.cpp
+++ b/src/amaranthhall/routing/route.cpp
@@ -55,12 +55,20 @@
         if (candidate.view->reach == group::Reach::Suspected)
             return SkipReason::Unreachable;
         if (candidate.view->status.role != group::Role::Replica)
-            return SkipReason::NotReplica;
+            return SkipReason::WrongRole;
         if (candidate.weight == 0)
             return SkipReason::ZeroWeight;
         return checkData(*candidate.view, work, now);
     }
 
+    std::optional<SkipReason> checkPrimary(const Candidate& candidate, const Work& work, const Situation& situation)
+    {
+        if (const auto reason = checkReach(candidate))
+            return reason;
+        // A primary of an older term than the point is superseded; its own log cannot lag behind its term.
+        return work.atLeast && situation.term < work.atLeast->term ? std::optional(SkipReason::Lag) : std::nullopt;
+    }
+
     /// Replicas that could serve, in a buffer without allocation.
     struct Eligible {
         std::array<std::size_t, mostCandidates> indices {};
@@ -110,15 +118,23 @@
         return near.count > 0 ? near : from;
     }
 
+    std::optional<std::size_t> findNear(std::span<const Candidate> candidates, const Eligible& from, std::string_view zone)
+    {
+        const auto near = keep(candidates, from, [&](const auto& candidate) { return candidate.view->zone == zone && load(candidate) < nearlyFull; });
+        return near.count > 0 ? std::optional(near.indices.front()) : std::nullopt;
+    }
+
     bool pick(Decision& decision, std::span<const Candidate> candidates, const Eligible& eligible, const Situation& situation, Random& random)
     {
+        const auto openable = keep(candidates, eligible, canOpen);
         const auto ready = keep(candidates, eligible, [](const auto& candidate) { return candidate.idle > 0; });
         if (ready.count > 0) {
             decision.step = Step::Serve;
             decision.candidate = drawWeighted(candidates, preferNear(candidates, ready, situation.zone), random);
+            if (candidates[decision.candidate].view->zone != situation.zone && openable.count > 0)
+                decision.warm = findNear(candidates, openable, situation.zone);
             return true;
         }
-        const auto openable = keep(candidates, eligible, canOpen);
         if (openable.count > 0) {
             decision.step = Step::Open;
             decision.candidate = drawWeighted(candidates, preferNear(candidates, openable, situation.zone), random);
@@ -132,12 +148,12 @@
         ++decision.skipped[static_cast<std::size_t>(reason)];
     }
 
-    void usePrimary(Decision& decision, std::span<const Candidate> candidates, const Situation& situation)
+    void usePrimary(Decision& decision, std::span<const Candidate> candidates, const Work& work, const Situation& situation)
     {
         if (!situation.primary)
             return;
         const auto& primary = candidates[*situation.primary];
-        if (const auto reason = checkReach(primary)) {
+        if (const auto reason = checkPrimary(primary, work, situation)) {
             skip(decision, *reason);
             return;
         }
@@ -178,14 +194,14 @@
             return;
         const bool primaryIsBusy = situation.primary && eligible.count > 0 && !hasSpare(candidates[*situation.primary]);
         if (!primaryIsBusy)
-            usePrimary(decision, candidates, situation);
+            usePrimary(decision, candidates, work, situation);
     }
 
 }
 
 std::string_view toText(SkipReason reason) noexcept
 {
-    constexpr std::array<std::string_view, skipReasonCount> names { "unreachable", "leaving", "not_replica", "zero_weight", "lag", "unknown_freshness", "stale", "no_connection" };
+    constexpr std::array<std::string_view, skipReasonCount> names { "unreachable", "leaving", "wrong_role", "zero_weight", "lag", "unknown_freshness", "stale", "no_connection" };
     return names[static_cast<std::size_t>(reason)];
 }
 
@@ -200,7 +216,7 @@
     if (work.isRead)
         useReplica(decision, candidates, work, situation, random);
     else
-        usePrimary(decision, candidates, situation);
+        usePrimary(decision, candidates, work, situation);
     return decision;
 }
 
--- a/src/amaranthhall/routing/route.hpp
+++ b/src/amaranthhall/routing/route.hpp
@@ -34,6 +34,7 @@
 /// @brief What is known of the group besides its upstreams.
 struct Situation {
     std::optional<std::size_t> primary; ///< Index of the primary of the highest term, if one is known.
+    group::Term term { 0 }; ///< That term.
     std::string_view zone; ///< Zone of this daemon.
     Time now;
 };
@@ -52,6 +53,7 @@
 struct Decision {
     Step step { Step::Wait };
     std::size_t candidate { 0 }; ///< Index; set for Serve and Open.
+    std::optional<std::size_t> warm; ///< A nearer candidate to open a connection to for work to come.
     bool isLagging { false }; ///< A replica would serve if it held the point.
     SkipCounts skipped {};
 };
--- a/src/amaranthhall/routing/skip_reason.hpp
+++ b/src/amaranthhall/routing/skip_reason.hpp
@@ -10,7 +10,7 @@
 enum class SkipReason : std::uint8_t {
     Unreachable, ///< It does not answer, or connecting to it has just failed.
     Leaving, ///< The platform is about to take it away.
-    NotReplica, ///< It claims to be primary, but is not the group's primary.
+    WrongRole, ///< It says that it has another role than the group's view gives it.
     ZeroWeight, ///< The table gives it no reads.
     Lag, ///< It does not show the point that the work needs.
     UnknownFreshness, ///< Nothing is known of the age of its data.
--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -129,6 +129,7 @@
     const upstream::WorkRequest work {
         .group = this->group,
         .need = this->isWrite ? upstream::Need::Primary : upstream::Need::Read,
+        .barrier = !this->isWrite,
         .deadline = this->loop.now() + service->queueDeadline,
     };
     this->ticket = this->dispatcher.request(work, [this](auto result) { this->runOn(std::move(result)); });
--- a/src/amaranthhall/upstream/dispatch_metrics.cpp
+++ b/src/amaranthhall/upstream/dispatch_metrics.cpp
@@ -12,7 +12,8 @@
 }
 
 DispatchMetrics::DispatchMetrics(telemetry::Metrics& metrics)
-    : timeouts(&metrics.counter("amaranthhall_dispatch_timeouts_total", "Work that got no connection by its deadline."))
+    : registry(metrics)
+    , timeouts(&metrics.counter("amaranthhall_dispatch_timeouts_total", "Work that got no connection by its deadline."))
 {
     for (std::size_t i = 0; i < this->grants.size(); ++i)
         this->grants[i] = &metrics.counter("amaranthhall_dispatch_grants_total", "Links granted, by kind of work and target.", { { "kind", grantNames[i] } });
@@ -22,6 +23,18 @@
         this->skipped[i] = &metrics.counter("amaranthhall_route_skips_total", "Upstreams not used for a piece of work, by reason.", { { "reason", routing::toText(static_cast<routing::SkipReason>(i)) } });
 }
 
+prometheus::Gauge& DispatchMetrics::openGauge(const group::UpstreamId& id)
+{
+    const auto name = group::formatId(id);
+    return this->registry.gauge("amaranthhall_upstream_connections", "Connections that are open or being opened.", { { "upstream", name } });
+}
+
+prometheus::Gauge& DispatchMetrics::busyGauge(const group::UpstreamId& id)
+{
+    const auto name = group::formatId(id);
+    return this->registry.gauge("amaranthhall_upstream_connections_busy", "Connections that are lent.", { { "upstream", name } });
+}
+
 void DispatchMetrics::countSkips(const std::array<std::uint8_t, routing::skipReasonCount>& skips)
 {
     for (std::size_t i = 0; i < skips.size(); ++i) {
--- a/src/amaranthhall/upstream/dispatcher.hpp
+++ b/src/amaranthhall/upstream/dispatcher.hpp
@@ -92,7 +92,7 @@
     group::GroupId group;
     Need need { Need::Primary };
     std::optional<group::LogPoint> atLeast; ///< Read-your-writes: the least point that the upstream must hold.
-    bool barrier { false }; ///< Read-your-writes without a token: asks the primary for the point first.
+    bool barrier { false }; ///< Read-your-writes without a token: the newest point is asked for first, and proven by a second upstream.
     std::chrono::milliseconds maxStale { 0 }; ///< If over 0, an upstream this fresh serves; atLeast holds besides.
     Time deadline; ///< A link not had by then is refused.
 };
--- a/src/amaranthhall/upstream/group_dispatcher.hpp
+++ b/src/amaranthhall/upstream/group_dispatcher.hpp
@@ -105,6 +105,7 @@
     [[nodiscard]] Member* findMember(const std::string& name) noexcept;
     [[nodiscard]] std::shared_ptr<Pool> makePool(const table::UpstreamRow& row, const LinkOptions& options);
     [[nodiscard]] std::uint32_t allowanceOf(const Member& member) const;
+    void noteReach(const group::GroupView* view);
     [[nodiscard]] Lane& laneOf(const WaitingWork& work) noexcept;
     [[nodiscard]] routing::Decision decide(const WaitingWork& work);
     Attempt attempt(WaitingWork& work, bool isFirst);
--- a/src/amaranthhall/upstream/group_pulse.cpp
+++ b/src/amaranthhall/upstream/group_pulse.cpp
@@ -9,7 +9,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr auto answerTimeout = 500ms;
+    constexpr auto answerTimeout = 250ms;
     constexpr auto retryDelay = 10ms; // between rounds that proved nothing
 
 }
@@ -68,8 +68,10 @@
     this->current = std::move(this->next);
     this->next.clear();
     if (const auto* view = this->groups.view(this->group)) {
-        for (const auto& upstream : view->upstreams)
-            this->ask(upstream.id);
+        for (const auto& upstream : view->upstreams) {
+            if (upstream.reach != group::Reach::Down)
+                this->ask(upstream.id);
+        }
     }
     if (this->outstanding == 0)
         this->endRound();
--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -245,6 +245,26 @@
     });
 }
 
+void Pool::expect(std::uint32_t connections)
+{
+    if (this->state.recentPeak >= connections)
+        return;
+    expectDemand(this->state, connections);
+    this->replan();
+}
+
+void Pool::noteReach(group::Reach newReach)
+{
+    if (std::exchange(this->reach, newReach) == newReach)
+        return;
+    if (newReach == group::Reach::Down)
+        this->closeIdle(this->tally.idle);
+    if (newReach != group::Reach::Up || this->state.failures == 0)
+        return;
+    allowTrial(this->state, this->loop.now());
+    this->replan();
+}
+
 void Pool::retire()
 {
     this->isRetired = true;
--- a/src/amaranthhall/upstream/pool.hpp
+++ b/src/amaranthhall/upstream/pool.hpp
@@ -43,7 +43,10 @@
     void noteTerm(group::Term term) noexcept { this->term = term; }
 
     /// @brief Opens connections ahead of demand that is about to come.
-    void expect(std::uint32_t connections) noexcept { expectDemand(this->state, connections); }
+    void expect(std::uint32_t connections);
+
+    /// @brief Takes in whether the upstream answers: an upstream that is down loses its idle links, and one that answers again is tried at once.
+    void noteReach(group::Reach reach);
 
     /// @brief Closes idle links, and lent ones on their return; the pool calls no hook from now on.
     void retire();
@@ -79,6 +82,7 @@
     std::uint32_t allowance { 0 };
     std::uint32_t waiting { 0 };
     group::Term term { 0 };
+    group::Reach reach { group::Reach::Unknown };
     bool isRetired { false };
     bool isPlanning { false };
     pgwire::ErrorFields lastError;
--- a/src/amaranthhall/upstream/pool_policy.cpp
+++ b/src/amaranthhall/upstream/pool_policy.cpp
@@ -101,6 +101,11 @@
     state.recentPeak = std::max(state.recentPeak, connections);
 }
 
+void allowTrial(PoolState& state, Time now) noexcept
+{
+    state.retryAt = std::min(state.retryAt, now);
+}
+
 bool isBackingOff(const PoolState& state, Time now) noexcept
 {
     return state.failures > 0 && now < state.retryAt;
--- a/src/amaranthhall/upstream/pool_policy.hpp
+++ b/src/amaranthhall/upstream/pool_policy.hpp
@@ -55,6 +55,9 @@
 /// @brief Takes in demand that is about to come, so that connections are opened ahead of it.
 void expectDemand(PoolState& state, std::uint32_t connections) noexcept;
 
+/// @brief Lets the next trial begin at once, since the upstream is known to answer again.
+void allowTrial(PoolState& state, Time now) noexcept;
+
 /// @brief Tells whether connecting has failed and no trial is due yet.
 [[nodiscard]] bool isBackingOff(const PoolState& state, Time now) noexcept;
 
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -379,7 +379,6 @@
         this->endBatch(false);
         return false;
     }
-    this->end.transaction = internal::readTransaction(this->connection.get());
     this->inPosition = true;
     this->beginQuery();
     return true;
@@ -467,8 +466,8 @@
     this->copyPhase = CopyPhase::None;
     if (lost)
         this->markBroken();
-    else if (!this->inPosition)
-        this->end.transaction = internal::readTransaction(this->connection.get());
+    else
+        this->end.transaction = internal::readTransaction(this->connection.get()); // known only once nothing is under way
     if (!lost && this->stateLeft)
         this->reportParameters();
     if (this->end.status && this->statusObserver)
--- /dev/null
+++ b/test/integration/test_upstream_pool.cpp
@@ -0,0 +1,50 @@
+#include "integration/test_cluster.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+#include <vector>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Gives the SQLSTATE of an answer that was sent for before; empty for success.
+std::string awaitAnswer(PGconn* connection)
+{
+    std::string sqlstate;
+    while (PGresult* result = PQgetResult(connection)) {
+        if (const char* state = PQresultErrorField(result, PG_DIAG_SQLSTATE))
+            sqlstate = state;
+        PQclear(result);
+    }
+    return sqlstate;
+}
+
+}
+
+TEST_GROUP(UpstreamPool) {};
+
+TEST(UpstreamPool, ManyCallersShareFewConnectionsThatAreSlowToOpen)
+{
+    constexpr int callers = 24;
+    constexpr int rounds = 5;
+    auto options = integration::makeOptions("upstream-pool");
+    options.connectDelay = 20ms;
+    options.connectionLimit = 3;
+    rig::Cluster cluster(options);
+    rig::Caller first(cluster.daemons().front().callerPort, "coach-ledger");
+    CHECK(first.run("CREATE TABLE orders (id integer primary key, coach text)").succeeded);
+    std::vector<std::unique_ptr<rig::Caller>> all;
+    for (int i = 0; i < callers; ++i)
+        all.push_back(std::make_unique<rig::Caller>(cluster.daemons().front().callerPort, "coach-ledger"));
+    for (int round = 0; round < rounds; ++round) {
+        for (int i = 0; i < callers; ++i)
+            CHECK_EQUAL(1, PQsendQuery(all[static_cast<std::size_t>(i)]->raw(), ("INSERT INTO orders VALUES (" + std::to_string(round * callers + i) + ", 'hearse')").c_str()));
+        for (const auto& caller : all)
+            STRCMP_EQUAL("", awaitAnswer(caller->raw()).c_str());
+    }
+    const auto counted = first.run("SELECT count(*) AS number FROM orders");
+    CHECK(counted.succeeded);
+    STRCMP_EQUAL(std::to_string(rounds * callers).c_str(), counted.rows.at(0).at(0).c_str());
+}
--- a/test/routing/test_route.cpp
+++ b/test/routing/test_route.cpp
@@ -28,7 +28,7 @@
         makeView(group::Role::Replica, "ba", { 3, 90 }),
     };
     std::vector<Candidate> candidates;
-    Situation situation { .primary = 0, .zone = "nadi", .now = now };
+    Situation situation { .primary = 0, .term = 3, .zone = "nadi", .now = now };
 
     void setup() override
     {
@@ -59,6 +59,12 @@
     CHECK_EQUAL(1, skips(this->choose({}), SkipReason::Leaving));
 }
 
+TEST(Route, ASupersededPrimaryServesNothing)
+{
+    CHECK(this->choose({ .atLeast = group::LogPoint { 3, 200 } }).step == Step::Serve);
+    CHECK(this->choose({ .atLeast = group::LogPoint { 4, 1 } }).step == Step::Wait);
+}
+
 TEST(Route, AReadStaysInItsZoneUnlessTheReplicaThereIsNearlyFull)
 {
     for (int i = 0; i < 50; ++i)
@@ -152,7 +158,7 @@
 {
     this->views[1].status.role = group::Role::Primary;
     CHECK_EQUAL(2U, this->choose({ .isRead = true }).candidate);
-    CHECK_EQUAL(1, skips(this->choose({ .isRead = true }), SkipReason::NotReplica));
+    CHECK_EQUAL(1, skips(this->choose({ .isRead = true }), SkipReason::WrongRole));
 }
 
 TEST(Route, AnUpstreamWithoutIdleConnectionsIsOpenedWithinItsAllowance)
@@ -165,3 +171,12 @@
     this->candidates[1].busy = 4;
     CHECK_EQUAL(2U, this->choose({ .isRead = true }).candidate);
 }
+
+TEST(Route, AFarReplicaWithALinkAtHandServesWhileTheNearOneIsWarmed)
+{
+    this->candidates[1].idle = 0;
+    const auto decision = this->choose({ .isRead = true });
+    CHECK(decision.step == Step::Serve);
+    CHECK_EQUAL(2U, decision.candidate);
+    CHECK(decision.warm == 1U);
+}
--- a/test/upstream/test_pooled_dispatcher.cpp
+++ b/test/upstream/test_pooled_dispatcher.cpp
@@ -319,6 +319,31 @@
     CHECK((*this->ask(this->makeWork(Need::Read)))->upstream.name == "c");
 }
 
+TEST(PooledDispatcher, ANewPrimaryIsWarmedToTheDemandOfTheFormerOne)
+{
+    std::vector<AssignmentResult> held;
+    for (int i = 0; i < 2; ++i)
+        this->tickets.push_back(this->dispatcher->request(this->makeWork(Need::Primary), [&](auto result) { held.push_back(std::move(result)); }));
+    this->runUntil([&] { return held.size() == 2; });
+    this->groups->content.term = 4;
+    this->groups->content.primary = "c";
+    this->groups->observers.notify();
+    this->runUntil([&] { return this->c.server.untyped().size() == 2; });
+}
+
+TEST(PooledDispatcher, AnUpstreamThatIsDownLosesItsIdleLinksAndTheNearOneIsOpenedAgain)
+{
+    CHECK((*this->ask(this->makeWork(Need::Read)))->upstream.name == "b");
+    this->groups->content.upstreams[1].reach = group::Reach::Down;
+    this->groups->observers.notify();
+    CHECK((*this->ask(this->makeWork(Need::Read)))->upstream.name == "c");
+    this->groups->content.upstreams[1].reach = group::Reach::Up;
+    this->groups->observers.notify();
+    // The far replica has a link at hand and serves at once; the near one is opened for the reads to come.
+    CHECK((*this->ask(this->makeWork(Need::Read)))->upstream.name == "c");
+    this->runUntil([&] { return this->b.server.untyped().size() == 2; });
+}
+
 TEST(PooledDispatcher, AnAllowanceThatShrinksClosesIdleLinks)
 {
     for (int i = 0; i < 2; ++i)
--- a/test/upstream/test_pq_link.cpp
+++ b/test/upstream/test_pq_link.cpp
@@ -87,6 +87,26 @@
     STRCMP_EQUAL("error 0 42601|end whole sent I", this->runBatch({ .queries = { { .text = "wrong" }, { .text = "SELECT 1" } } }).c_str());
 }
 
+TEST(PqLink, TheStateOfTheTransactionIsKnownBehindAStatusQuery)
+{
+    auto state = pgwire::TransactionStatus::Idle;
+    const ScriptedUpstream upstream(this->loop, [&state](const auto& frame, auto& answer) {
+        if (frame.type == 'E')
+            ScriptedUpstream::complete(answer, "SELECT 0");
+        if (frame.type == 'S')
+            answer.addReady(state);
+    });
+    this->connect(upstream);
+    const Batch batch { .queries = { { .text = "SELECT" } }, .withPosition = true };
+    STRCMP_EQUAL("completed 0 SELECT 0|end whole sent I", this->runBatch(batch).c_str());
+    this->sink.lines.clear();
+    state = pgwire::TransactionStatus::Active;
+    STRCMP_EQUAL("completed 0 SELECT 0|end whole sent T", this->runBatch(batch).c_str());
+    this->sink.lines.clear();
+    state = pgwire::TransactionStatus::Failed;
+    STRCMP_EQUAL("completed 0 SELECT 0|end whole sent E", this->runBatch(batch).c_str());
+}
+
 TEST(PqLink, ANoticeAndAChangedParameterReachTheSink)
 {
     const ScriptedUpstream upstream(this->loop, [](const auto& frame, auto& answer) {
