Traces: W3C context and spans as JSON lines behind OpenTracing; style, glossary, unit

Cause: an operator has to follow one statement across daemons from files. Change: context taken from sqlcommenter comments, spans by a recorder of our own; service 'tracer' in the daemon; pages on house style and the users' words; a systemd unit with limits and hardening. Measured: 6 unit tests of context and tracer pass. Conclusion: the hops themselves are wired by the modules that own them.

--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -7,6 +7,7 @@
 #include "amaranthhall/table/table_json.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
+#include "amaranthhall/telemetry/tracer.hpp"
 #include "amaranthhall/upstream/batched_confirmer.hpp"
 #include "amaranthhall/upstream/group_monitor.hpp"
 #include "amaranthhall/upstream/pooled_dispatcher.hpp"
@@ -45,6 +46,7 @@
     kernel::Loop loop;
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
+    registry.add(std::make_unique<telemetry::Tracer>(settings.traceFile));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
     registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
--- a/src/amaranthhall/rig/cluster.cpp
+++ b/src/amaranthhall/rig/cluster.cpp
@@ -107,7 +107,7 @@
     }
 }
 
-kernel::Address Cluster::addRoute(const std::string& name, std::uint16_t port)
+kernel::Address Cluster::addRoute(const std::string& name, std::uint16_t port) const
 {
     const kernel::Address target { .host = "127.0.0.1", .port = port };
     if (!this->proxy)
@@ -191,13 +191,13 @@
         this->resume(node);
 }
 
-void Cluster::hold(const std::string& route, const std::string& match)
+void Cluster::hold(const std::string& route, const std::string& match) const
 {
     const standin::DirectionFault held { .hold = true };
     postJson(this->proxyPort, "/rules", nlohmann::json::parse(standin::encodeRule({ .route = route, .match = match, .toTarget = held, .toSource = held })));
 }
 
-void Cluster::cutReplication(const UpstreamNode& node)
+void Cluster::cutReplication(const UpstreamNode& node) const
 {
     for (const auto& other : this->upstreamNodes) {
         if (other.row.id.group != node.row.id.group || other.row.id == node.row.id)
@@ -207,13 +207,13 @@
     }
 }
 
-void Cluster::cutFromHalfTheDaemons(const UpstreamNode& node)
+void Cluster::cutFromHalfTheDaemons(const UpstreamNode& node) const
 {
     for (std::size_t i = 0; i < this->daemonNodes.size(); i += 2)
         this->hold(daemonRoute(node.row.id), this->daemonNodes[i].vm);
 }
 
-void Cluster::healNetwork()
+void Cluster::healNetwork() const
 {
     if (this->proxy)
         static_cast<void>(callHttp(this->proxyPort, { .method = "DELETE", .path = "/rules" }));
@@ -227,13 +227,13 @@
     }
 }
 
-void Cluster::setStoreDown(bool isDown)
+void Cluster::setStoreDown(bool isDown) const
 {
     if (this->platformPort != 0)
         postJson(this->platformPort, "/admin/faults", { { "down", isDown } });
 }
 
-void Cluster::removeVm(const DaemonNode& node)
+void Cluster::removeVm(const DaemonNode& node) const
 {
     if (this->platformPort != 0)
         static_cast<void>(callHttp(this->platformPort, { .method = "DELETE", .path = "/admin/vms", .query = "id=" + node.vm }));
--- a/src/amaranthhall/rig/cluster.hpp
+++ b/src/amaranthhall/rig/cluster.hpp
@@ -70,30 +70,30 @@
     void resumeAll();
 
     /// @brief Holds back all bytes between an upstream and the others of its group.
-    void cutReplication(const UpstreamNode& node);
+    void cutReplication(const UpstreamNode& node) const;
 
     /// @brief Holds back all bytes between an upstream and every other daemon.
-    void cutFromHalfTheDaemons(const UpstreamNode& node);
+    void cutFromHalfTheDaemons(const UpstreamNode& node) const;
 
     /// @brief Ends all partitions; what was held back arrives.
-    void healNetwork();
+    void healNetwork() const;
 
     /// @brief Lets the replicas of an instance receive and apply records late.
     void setLag(std::size_t instance, std::chrono::milliseconds feed, std::chrono::milliseconds apply);
 
     /// @brief Takes the platform's store down, or up again.
-    void setStoreDown(bool isDown);
+    void setStoreDown(bool isDown) const;
 
     /// @brief Takes a daemon's VM off the platform's list.
-    void removeVm(const DaemonNode& node);
+    void removeVm(const DaemonNode& node) const;
 
 private:
     void startFaultProxy();
     void startGroup(std::size_t instance);
     [[nodiscard]] UpstreamNode startUpstream(std::size_t instance, std::size_t index);
     void connectPeers(std::size_t first);
-    [[nodiscard]] kernel::Address addRoute(const std::string& name, std::uint16_t port);
-    void hold(const std::string& route, const std::string& match);
+    [[nodiscard]] kernel::Address addRoute(const std::string& name, std::uint16_t port) const;
+    void hold(const std::string& route, const std::string& match) const;
     [[nodiscard]] UpstreamNode* askForPrimary(std::size_t instance);
     [[nodiscard]] std::string writeSettings(const DaemonNode& node) const;
     [[nodiscard]] std::string writeTable() const;
--- a/src/amaranthhall/telemetry/fwd.hpp
+++ b/src/amaranthhall/telemetry/fwd.hpp
@@ -2,7 +2,11 @@
 
 namespace amaranthhall::telemetry {
 
+class JsonTracer;
 class Metrics;
+class Span;
+class Tracer;
 struct LogField;
+struct TraceContext;
 
 }
--- /dev/null
+++ b/src/amaranthhall/telemetry/json_tracer.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "amaranthhall/kernel/random.hpp"
+#include "amaranthhall/telemetry/trace_context.hpp"
+
+#include <functional>
+#include <memory>
+#include <opentracing/tracer.h>
+#include <string>
+#include <string_view>
+
+namespace amaranthhall::telemetry {
+
+/// @brief A span's context for the OpenTracing interface.
+class JsonSpanContext final : public opentracing::SpanContext {
+public:
+    explicit JsonSpanContext(TraceContext place)
+        : place(std::move(place))
+    {
+    }
+
+    void ForeachBaggageItem(std::function<bool(const std::string&, const std::string&)>) const override { }
+    [[nodiscard]] std::unique_ptr<opentracing::SpanContext> Clone() const noexcept override { return std::make_unique<JsonSpanContext>(this->place); }
+    [[nodiscard]] std::string ToTraceID() const noexcept override { return this->place.traceId; }
+    [[nodiscard]] std::string ToSpanID() const noexcept override { return this->place.spanId; }
+
+    [[nodiscard]] const TraceContext& context() const noexcept { return this->place; }
+
+private:
+    TraceContext place;
+};
+
+/// @brief Records spans as JSON lines, behind the OpenTracing interface.
+class JsonTracer final : public opentracing::Tracer, public std::enable_shared_from_this<JsonTracer> {
+public:
+    /// @brief Takes one finished span as a JSON line without its end of line.
+    using Recorder = std::function<void(std::string_view line)>;
+
+    JsonTracer(Recorder recorder, Random random);
+
+    [[nodiscard]] std::unique_ptr<opentracing::Span> StartSpanWithOptions(opentracing::string_view operation, const opentracing::StartSpanOptions& options) const noexcept override;
+
+    opentracing::expected<void> Inject(const opentracing::SpanContext& context, std::ostream& writer) const override;
+    opentracing::expected<void> Inject(const opentracing::SpanContext& context, const opentracing::TextMapWriter& writer) const override;
+    opentracing::expected<void> Inject(const opentracing::SpanContext& context, const opentracing::HTTPHeadersWriter& writer) const override;
+    opentracing::expected<std::unique_ptr<opentracing::SpanContext>> Extract(std::istream& reader) const override;
+    opentracing::expected<std::unique_ptr<opentracing::SpanContext>> Extract(const opentracing::TextMapReader& reader) const override;
+    opentracing::expected<std::unique_ptr<opentracing::SpanContext>> Extract(const opentracing::HTTPHeadersReader& reader) const override;
+
+    /// @brief Writes a finished span.
+    void record(std::string_view line) const { this->recorder(line); }
+
+private:
+    Recorder recorder;
+    mutable Random random;
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/telemetry/trace_context.cpp
@@ -0,0 +1,60 @@
+#include "amaranthhall/telemetry/trace_context.hpp"
+
+#include <algorithm>
+
+namespace amaranthhall::telemetry {
+
+namespace {
+
+    constexpr std::string_view versionPrefix = "00-";
+    constexpr std::string_view commentKey = "traceparent='";
+    constexpr std::size_t traceDigits = 32;
+    constexpr std::size_t spanDigits = 16;
+    constexpr std::size_t wholeLength = 55;
+    constexpr std::size_t spanAt = 36;
+    constexpr std::size_t flagsAt = 53;
+
+    bool isLowerHex(std::string_view text)
+    {
+        return std::all_of(text.begin(), text.end(), [](char digit) { return (digit >= '0' && digit <= '9') || (digit >= 'a' && digit <= 'f'); });
+    }
+
+    bool isValidId(std::string_view text)
+    {
+        return isLowerHex(text) && text.find_first_not_of('0') != std::string_view::npos;
+    }
+
+}
+
+std::optional<TraceContext> parseTraceparent(std::string_view text)
+{
+    const bool hasShape = text.size() == wholeLength && text.starts_with(versionPrefix) && text[spanAt - 1] == '-' && text[flagsAt - 1] == '-';
+    if (!hasShape)
+        return std::nullopt;
+    const auto traceId = text.substr(versionPrefix.size(), traceDigits);
+    const auto spanId = text.substr(spanAt, spanDigits);
+    const auto flags = text.substr(flagsAt);
+    if (!isValidId(traceId) || !isValidId(spanId) || !isLowerHex(flags))
+        return std::nullopt;
+    constexpr std::string_view oddDigits = "13579bdf";
+    return TraceContext { .traceId = std::string(traceId), .spanId = std::string(spanId), .isSampled = oddDigits.find(flags.back()) != std::string_view::npos };
+}
+
+std::string formatTraceparent(const TraceContext& context)
+{
+    return std::string(versionPrefix) + context.traceId + "-" + context.spanId + (context.isSampled ? "-01" : "-00");
+}
+
+std::optional<TraceContext> findTraceparent(std::string_view statement)
+{
+    // A sqlcommenter comment ends the statement, so the last one counts.
+    const auto comment = statement.rfind("/*");
+    if (comment == std::string_view::npos)
+        return std::nullopt;
+    const auto key = statement.find(commentKey, comment);
+    if (key == std::string_view::npos)
+        return std::nullopt;
+    return parseTraceparent(statement.substr(key + commentKey.size(), wholeLength));
+}
+
+}
