Add connection shares as a decision

Cause: the table's connection limit has to hold over all daemons together, whatever fails. Change: shares are tokens that peers hand over by subtracting before adding; leases by a majority of few grantors; epochs numbered by one row of the store; the dealer of an epoch takes over the holders that answer and deals the rest once their leases have lapsed and their connections are ended.

--- a/src/amaranthhall/share/fwd.hpp
+++ b/src/amaranthhall/share/fwd.hpp
@@ -2,7 +2,17 @@
 
 namespace amaranthhall::share {
 
-struct ShareUse;
+class ShareService;
 class ShareSource;
+struct Dealer;
+struct EpochMembers;
+struct EpochRecord;
+struct Holding;
+struct LeaseGrantor;
+struct Ledger;
+struct Process;
+struct ShareNode;
+struct ShareOptions;
+struct ShareUse;
 
 }
--- /dev/null
+++ b/test/share/test_share_node.cpp
@@ -0,0 +1,183 @@
+#include "amaranthhall/share/share_node.hpp"
+
+#include "share/share_simulation.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+using share::test::Simulation;
+
+namespace {
+
+const group::UpstreamId upstreamA { { "coach-ledger", "1" }, "a" };
+
+void start(Simulation& simulation, int daemons)
+{
+    for (int i = 0; i < daemons; ++i)
+        simulation.addDaemon();
+    simulation.run(10s);
+}
+
+std::uint32_t countAllowed(const Simulation& simulation)
+{
+    std::uint32_t total = 0;
+    for (const auto& daemon : simulation.daemons)
+        total += daemon->paused ? 0 : simulation.allowance(*daemon, upstreamA);
+    return total;
+}
+
+/// Runs random faults, then checks that the limit held throughout; gives what is allowed after a quiet time.
+std::uint32_t runStorm(std::uint64_t seed, int& broken)
+{
+    Simulation simulation(seed, 30, { .lost = 5, .doubled = 5, .late = 3, .lostWrites = 10, .wrongMembers = 5 });
+    start(simulation, 5);
+    for (int i = 0; i < 120; ++i) {
+        auto& daemon = *simulation.daemons[static_cast<std::size_t>(simulation.roll(static_cast<int>(simulation.daemons.size())))];
+        const auto event = simulation.roll(20);
+        if (event == 0 && simulation.daemons.size() < 12)
+            simulation.addDaemon();
+        else if (event == 1 && daemon.alive && !daemon.paused)
+            Simulation::pause(daemon, simulation.elapsed);
+        else if (event <= 4 && daemon.alive && daemon.paused)
+            simulation.resume(daemon);
+        else if (event == 5 && daemon.alive && simulation.daemons.size() > 6)
+            simulation.kill(daemon);
+        else if (event == 6)
+            simulation.storeDown = !simulation.storeDown;
+        else {
+            for (auto& [id, pool] : daemon.pools)
+                pool.demand = static_cast<std::uint32_t>(simulation.roll(3) == 0 ? simulation.roll(40) : 0);
+        }
+        simulation.run(std::chrono::milliseconds(10 * simulation.roll(120)));
+    }
+    simulation.storeDown = false;
+    simulation.faults = {};
+    for (auto& daemon : simulation.daemons) {
+        if (daemon->paused)
+            simulation.resume(*daemon);
+        for (auto& [id, pool] : daemon->pools)
+            pool.demand = 0;
+    }
+    simulation.run(100s);
+    broken = simulation.broken;
+    return countAllowed(simulation);
+}
+
+}
+
+TEST_GROUP(ShareNode) {};
+
+TEST(ShareNode, OneBusyDaemonMayUseNineTenthsOfTheLimit)
+{
+    Simulation simulation(1, 30, {});
+    start(simulation, 15);
+    simulation.daemons[7]->pools[upstreamA].demand = 40;
+    simulation.run(2s);
+    CHECK(simulation.daemons[7]->pools[upstreamA].busy >= 27);
+    CHECK_EQUAL(0, simulation.broken);
+}
+
+TEST(ShareNode, IdleShareMovesWellWithinTheQueueDeadline)
+{
+    Simulation simulation(2, 30, {});
+    start(simulation, 15);
+    simulation.daemons[7]->pools[upstreamA].demand = 40;
+    simulation.run(2s);
+    simulation.daemons[7]->pools[upstreamA].demand = 0;
+    simulation.run(1s);
+    simulation.daemons[3]->pools[upstreamA].demand = 5;
+    simulation.run(500ms);
+    CHECK_EQUAL(5U, simulation.daemons[3]->pools[upstreamA].busy);
+}
+
+TEST(ShareNode, NobodyStarvesBesideABusyDaemon)
+{
+    Simulation simulation(3, 30, {});
+    start(simulation, 15);
+    simulation.daemons[7]->pools[upstreamA].demand = 40;
+    simulation.run(2s);
+    for (auto& daemon : simulation.daemons)
+        daemon->pools[upstreamA].demand = std::max(daemon->pools[upstreamA].demand, 2U);
+    simulation.run(10s);
+    for (const auto& daemon : simulation.daemons)
+        CHECK(simulation.allowance(*daemon, upstreamA) >= 1);
+    CHECK_EQUAL(0, simulation.broken);
+}
+
+TEST(ShareNode, ADeadDaemonsShareIsDealtAgain)
+{
+    Simulation simulation(4, 30, {});
+    start(simulation, 5);
+    simulation.daemons[2]->pools[upstreamA].demand = 40;
+    simulation.run(2s);
+    CHECK(simulation.allowance(*simulation.daemons[2], upstreamA) >= 27);
+    simulation.kill(*simulation.daemons[2]);
+    simulation.run(20s);
+    CHECK_EQUAL(27U, countAllowed(simulation));
+    CHECK_EQUAL(0, simulation.broken);
+}
+
+TEST(ShareNode, APausedDaemonsConnectionsAreEndedBeforeItsShareIsDealt)
+{
+    Simulation simulation(5, 30, {});
+    start(simulation, 5);
+    simulation.daemons[2]->pools[upstreamA].demand = 20;
+    simulation.run(2s);
+    Simulation::pause(*simulation.daemons[2], simulation.elapsed);
+    simulation.daemons[1]->pools[upstreamA].demand = 40;
+    simulation.run(20s);
+    CHECK_EQUAL(27U, simulation.daemons[1]->pools[upstreamA].busy);
+    simulation.resume(*simulation.daemons[2]);
+    simulation.run(10s);
+    CHECK_EQUAL(0, simulation.broken);
+    CHECK_EQUAL(27U, countAllowed(simulation));
+}
+
+TEST(ShareNode, SharesLastThroughALongOutageOfTheStore)
+{
+    Simulation simulation(6, 30, {});
+    start(simulation, 5);
+    simulation.storeDown = true;
+    simulation.run(120s);
+    CHECK_EQUAL(27U, countAllowed(simulation));
+    simulation.kill(*simulation.daemons[0]);
+    simulation.run(60s);
+    const auto left = countAllowed(simulation);
+    CHECK(left >= 15);
+    simulation.daemons[3]->pools[upstreamA].demand = 40;
+    simulation.run(2s);
+    CHECK_EQUAL(left, simulation.daemons[3]->pools[upstreamA].busy);
+    simulation.storeDown = false;
+    simulation.run(30s);
+    CHECK_EQUAL(27U, countAllowed(simulation));
+    CHECK_EQUAL(0, simulation.broken);
+}
+
+TEST(ShareNode, ALowerLimitTakesHoldAndAHigherOneIsDealt)
+{
+    Simulation simulation(7, 30, {});
+    start(simulation, 5);
+    for (const auto limit : { 13U, 60U }) {
+        simulation.limits[upstreamA] = limit;
+        for (auto& daemon : simulation.daemons)
+            daemon->node.limits = simulation.limits;
+        simulation.run(10s);
+        CHECK_EQUAL(limit - 3, countAllowed(simulation));
+    }
+}
+
+TEST(ShareNode, TheLimitHoldsUnderAnyFaults)
+{
+    setenv("RC_PARAMS", "seed=11 max_success=25", 0);
+    const auto holds = rc::check("the limit holds", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        int broken = 0;
+        const auto allowed = runStorm(seed, broken);
+        RC_ASSERT(broken == 0);
+        RC_ASSERT(allowed == 27U);
+    });
+    CHECK(holds);
+}
