--- a/src/amaranthhall/upstream/group_dispatcher.cpp
+++ b/src/amaranthhall/upstream/group_dispatcher.cpp
@@ -243,11 +243,13 @@
 
 void GroupDispatcher::choose(const routing::Decision& decision, bool isRead)
 {
+    if (!isRead)
+        return; // all waiting writes count for the primary
     if (decision.step == routing::Step::Open) {
         this->findMember(this->candidates[decision.candidate].view->id.name)->isChosen = true;
         return;
     }
-    if (!isRead || decision.skipped[static_cast<std::size_t>(routing::SkipReason::NoConnection)] == 0)
+    if (decision.skipped[static_cast<std::size_t>(routing::SkipReason::NoConnection)] == 0)
         return;
     for (auto& member : this->members)
         member.isChosen = member.isChosen || member.row.id.name != this->primary;
@@ -456,6 +458,8 @@
     const auto task = std::make_shared<internal::ControlTask>(upstream, query, std::move(done));
     this->controls.push_back(task);
     task->arm(this->environment.loop, deadline, [this](auto& ended) {
+        if (ended.wasSilent())
+            this->environment.groups.report({ .group = this->group, .name = ended.upstreamName() }, group::Symptom::Silent);
         std::erase_if(this->controls, [&](const auto& held) { return held.get() == &ended; });
     });
     if (member->pool->counts().idle > 0)
