--- /dev/null
+++ b/src/amaranthhall/group/attempt.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "amaranthhall/group/log_point.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhall::group {
+
+/// @brief How far an attempt to replace a primary has come.
+enum class AttemptPhase : std::uint8_t {
+    Fencing,
+    Promoting, ///< The candidate is chosen; nothing else may be chosen in this term.
+};
+
+/// @brief An upstream that accepted the fence of an attempt, with its last record.
+struct FenceVote {
+    std::string upstream;
+    LogPoint last;
+    bool leaving { false };
+
+    friend bool operator==(const FenceVote&, const FenceVote&) = default;
+};
+
+/// @brief One attempt to make an upstream primary, in a term of its own.
+struct Attempt {
+    Term term { 0 };
+    std::size_t groupSize { 0 };
+    std::string excluded; ///< An upstream that must not be chosen, since it reaches no replica; empty for none.
+    AttemptPhase phase { AttemptPhase::Fencing };
+    std::vector<FenceVote> votes;
+    std::string candidate;
+
+    friend bool operator==(const Attempt&, const Attempt&) = default;
+};
+
+/**
+ * @brief Takes an upstream's acceptance of the fence.
+ *
+ * The first majority decides: of its members the one with the highest last record (term first) is
+ * the candidate, and the choice stays for the whole term. Later answers change nothing.
+ *
+ * @return The candidate to promote, given once.
+ */
+[[nodiscard]] std::optional<std::string> takeFence(Attempt& attempt, FenceVote vote);
+
+/// @brief Tells whether an answer to an order of a term still belongs to the attempt.
+[[nodiscard]] bool isCurrent(const Attempt& attempt, Term term, AttemptPhase phase) noexcept;
+
+}
--- a/src/amaranthhall/group/fwd.hpp
+++ b/src/amaranthhall/group/fwd.hpp
@@ -9,5 +9,8 @@
 struct UpstreamStatus;
 struct UpstreamView;
 class GroupSource;
+struct Attempt;
+struct FreshnessHistory;
+struct GroupState;
 
 }
--- /dev/null
+++ b/src/amaranthhall/group/group_step.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "amaranthhall/group/group_event.hpp"
+#include "amaranthhall/group/group_state.hpp"
+#include "amaranthhall/kernel/random.hpp"
+
+namespace amaranthhall::group {
+
+/// @brief Interval of Ticked.
+constexpr auto tickInterval = std::chrono::milliseconds(50);
+
+/// @brief Interval of probes to an upstream that answers.
+constexpr auto probeInterval = std::chrono::milliseconds(200); // longer misses the failover target
+
+/**
+ * @brief Decides what follows from one event.
+ *
+ * A watcher suspects the primary when it refuses connections, leaves a probe unanswered for the
+ * suspicion time, reaches no replica, or is unknown. An attempt begins when a second watcher
+ * agrees; a watcher that is alone waits longer instead.
+ *
+ * @param now The present moment; must not be earlier than in the call before.
+ */
+[[nodiscard]] GroupActions step(GroupState& state, const GroupEvent& event, Time now, Random& random);
+
+}
--- a/src/amaranthhall/kernel/registry.hpp
+++ b/src/amaranthhall/kernel/registry.hpp
@@ -38,6 +38,13 @@
         throw std::logic_error("no such service: " + std::string(name));
     }
 
+    /// @brief Finds a service by name; gives nullptr if none of this name and type is registered.
+    template <typename Type>
+    [[nodiscard]] Type* tryFind(std::string_view name) const noexcept
+    {
+        return dynamic_cast<Type*>(this->lookUp(name));
+    }
+
     /// @brief Starts the services in the order in which they were added.
     void start();
 
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -45,7 +45,7 @@
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
     registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
-    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
+    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BasicDispatcher>(loop, registry, settings.upstreams));
     registry.add(std::make_unique<upstream::BasicConfirmer>(loop, registry));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
--- a/src/amaranthhall/program/standin.cpp
+++ b/src/amaranthhall/program/standin.cpp
@@ -30,7 +30,7 @@
 int runUpstream(const std::vector<std::string>& arguments)
 {
     options::options_description description("amaranthhall-standin upstream");
-    description.add_options()("help", "shows this text")("name", options::value<std::string>()->default_value("a"), "name of the upstream")("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address to listen on; port 0 takes a free one")("primary", options::bool_switch(), "starts as primary of term 1")("connect-delay", options::value<std::string>()->default_value("0ms"), "time that a new connection takes")("connection-limit", options::value<std::uint32_t>()->default_value(100), "connections taken at most");
+    description.add_options()("help", "shows this text")("name", options::value<std::string>()->default_value("a"), "name of the upstream")("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address to listen on; port 0 takes a free one")("primary", options::bool_switch(), "starts as primary of term 1")("connect-delay", options::value<std::string>()->default_value("0ms"), "time that a new connection takes")("connection-limit", options::value<std::uint32_t>()->default_value(100), "connections taken at most")("slots", options::value<std::uint32_t>()->default_value(2), "replicas that may follow")("password", options::value<std::string>()->default_value(""), "password asked for; none if empty");
     options::variables_map values;
     options::store(options::command_line_parser(arguments).options(description).run(), values);
     if (values.count("help") != 0) {
@@ -44,7 +44,9 @@
             .listen = requireAddress(values["listen"].as<std::string>()),
             .connectDelay = requireDuration(values["connect-delay"].as<std::string>()),
             .connectionLimit = values["connection-limit"].as<std::uint32_t>(),
+            .slots = values["slots"].as<std::uint32_t>(),
             .startsAsPrimary = values["primary"].as<bool>(),
+            .password = values["password"].as<std::string>(),
         });
     telemetry::logEvent(telemetry::LogLevel::Info, "standin.listening", { { "role", "upstream" }, { "port", server.port() } });
     const auto terminate = loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
--- a/src/amaranthhall/standin/control_function.cpp
+++ b/src/amaranthhall/standin/control_function.cpp
@@ -8,6 +8,12 @@
 namespace {
 
     constexpr std::string_view confirmFunction = "ah_confirm";
+    constexpr std::string_view waitAppliedFunction = "ah_wait_applied";
+
+    bool isWait(const ControlCall& call)
+    {
+        return call.function == confirmFunction || call.function == waitAppliedFunction;
+    }
 
     std::string trim(std::string text)
     {
@@ -69,8 +75,9 @@
         return result;
     }
 
-    std::vector<Cell> statusCells(const group::UpstreamStatus& status)
+    std::vector<Cell> statusCells(const UpstreamServer& server)
     {
+        const auto status = server.status();
         return {
             { "role", status.role == group::Role::Primary ? "primary" : "replica" },
             { "term", std::to_string(status.term) },
@@ -78,26 +85,30 @@
             { "position", std::to_string(status.last.position) },
             { "applied", std::to_string(status.applied) },
             { "leaving", status.leaving ? "1" : "0" },
+            { "feed_age", std::to_string(server.feedAge().count()) },
         };
     }
 
-    std::vector<Cell> withOutcome(std::string_view column, bool outcome, const group::UpstreamStatus& status)
+    std::vector<Cell> withOutcome(std::string_view column, bool outcome, const UpstreamServer& server)
     {
         std::vector<Cell> cells { { std::string(column), outcome ? "1" : "0" } };
-        const auto rest = statusCells(status);
+        const auto rest = statusCells(server);
         cells.insert(cells.end(), rest.begin(), rest.end());
         return cells;
     }
 
-    std::optional<ControlResult> tryConfirm(UpstreamServer& server, const ControlCall& call, bool isLast)
+    /// Waits until the log, or what reads show of it, has come to a position in a term.
+    std::optional<ControlResult> tryReach(UpstreamServer& server, const ControlCall& call, bool isLast)
     {
         const auto status = server.status();
-        const auto wantedTerm = number(call, 0);
-        const bool isReached = status.term == wantedTerm && status.last.position >= number(call, 1);
-        const bool isHopeless = status.term > wantedTerm;
+        const auto term = number(call, 0);
+        const auto position = number(call, 1);
+        const bool isShown = call.function != waitAppliedFunction || status.applied >= position;
+        const bool isReached = isShown && server.log().confirms(term, position);
+        const bool isHopeless = status.term > term;
         if (!isReached && !isHopeless && !isLast)
             return std::nullopt;
-        return selectCells(call, withOutcome("reached", isReached, status));
+        return selectCells(call, withOutcome("reached", isReached, server));
     }
 
 }
@@ -115,22 +126,34 @@
 
 std::chrono::milliseconds waitLimit(const ControlCall& call)
 {
-    return std::chrono::milliseconds(call.function == confirmFunction ? number(call, 2) : 0);
+    return std::chrono::milliseconds(isWait(call) ? number(call, 2) : 0);
 }
 
 std::optional<ControlResult> tryControlCall(UpstreamServer& server, const ControlCall& call, bool isLast)
 {
     if (call.function == "ah_status")
-        return selectCells(call, statusCells(server.status()));
-    if (call.function == confirmFunction)
-        return tryConfirm(server, call, isLast);
+        return selectCells(call, statusCells(server));
+    if (isWait(call))
+        return tryReach(server, call, isLast);
     if (call.function == "ah_fence") {
         const bool accepted = server.fence(number(call, 0));
-        return selectCells(call, withOutcome("accepted", accepted, server.status()));
+        return selectCells(call, withOutcome("accepted", accepted, server));
     }
     if (call.function == "ah_promote") {
         const bool promoted = server.promote(number(call, 0));
-        return selectCells(call, withOutcome("promoted", promoted, server.status()));
+        return selectCells(call, withOutcome("promoted", promoted, server));
+    }
+    if (call.function == "ah_release") {
+        const auto released = server.release("amaranthhall/" + (call.arguments.empty() ? "" : call.arguments.front()));
+        return selectCells(call, { { "released", std::to_string(released) } });
+    }
+    if (call.function == "standin_lag") {
+        server.setLag({ .feed = std::chrono::milliseconds(number(call, 0)), .apply = std::chrono::milliseconds(number(call, 1)) });
+        return selectCells(call, { { "ok", "1" } });
+    }
+    if (call.function == "standin_connections") {
+        const auto count = server.connections().count(call.arguments.empty() ? "" : call.arguments.front());
+        return selectCells(call, { { "open", std::to_string(count.open) }, { "most", std::to_string(count.most) } });
     }
     if (call.function == "standin_peers") {
         server.setPeers(call.arguments);
--- a/src/amaranthhall/standin/control_function.hpp
+++ b/src/amaranthhall/standin/control_function.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "amaranthhall/standin/sql_database.hpp"
+#include "amaranthhall/pgwire/error_fields.hpp"
+#include "amaranthhall/pgwire/frame_writer.hpp"
 #include "amaranthhall/standin/upstream_server.hpp"
 
 #include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tl/expected.hpp>
 #include <vector>
 
 namespace amaranthhall::standin {
@@ -21,6 +23,13 @@
 /// @brief Recognises a control call; gives nothing for any other statement.
 [[nodiscard]] std::optional<ControlCall> parseControlCall(std::string_view text);
 
+/// @brief Result of a control call, its values as text.
+struct SqlResult {
+    std::vector<pgwire::Column> columns;
+    std::vector<std::vector<std::optional<std::string>>> rows;
+    std::string tag;
+};
+
 /// @brief Answer of a control call.
 using ControlResult = tl::expected<SqlResult, pgwire::ErrorFields>;
 
--- a/src/amaranthhall/standin/group_log.cpp
+++ b/src/amaranthhall/standin/group_log.cpp
@@ -10,6 +10,12 @@
     return { .role = this->role, .term = this->term, .last = this->pointAt(this->log.size()) };
 }
 
+bool GroupLog::confirms(group::Term wanted, group::Position position) const noexcept
+{
+    const auto known = this->role == group::Role::Primary ? this->log.size() : this->matched;
+    return wanted == this->term && position <= known;
+}
+
 group::LogPoint GroupLog::pointAt(group::Position position) const noexcept
 {
     if (position == 0 || position > this->log.size())
@@ -29,6 +35,7 @@
         return false;
     this->term = wanted;
     this->role = group::Role::Replica;
+    this->matched = 0;
     return true;
 }
 
@@ -45,6 +52,8 @@
     const auto isOwnTerm = feed.term == this->term && this->role == group::Role::Primary;
     if (feed.term < this->term || isOwnTerm)
         return { .term = this->term, .position = this->log.size() };
+    if (feed.term > this->term)
+        this->matched = 0;
     this->term = feed.term;
     this->role = group::Role::Replica;
     if (feed.previous.position > this->log.size())
@@ -62,15 +71,27 @@
             this->log.push_back(record);
         ++position;
     }
+    answer.truncated = this->dropTail(feed, position) || answer.truncated;
+    this->matched = std::max(this->matched, position);
     answer.position = position;
     return answer;
 }
 
+bool GroupLog::dropTail(const Feed& feed, group::Position position)
+{
+    // A feed that was overtaken by a later one of its term says nothing of that term's records.
+    const bool isWhole = position == feed.end && position < this->log.size();
+    if (!isWhole || this->log[position].term == feed.term)
+        return false;
+    this->log.resize(position);
+    return true;
+}
+
 Feed GroupLog::makeFeed(group::Position after, std::size_t most) const
 {
     const auto from = std::min<std::size_t>(after, this->log.size());
     const auto to = std::min(from + most, this->log.size());
-    Feed feed { .term = this->term, .previous = this->pointAt(from) };
+    Feed feed { .term = this->term, .previous = this->pointAt(from), .end = this->log.size() };
     feed.records.assign(this->log.begin() + static_cast<std::ptrdiff_t>(from), this->log.begin() + static_cast<std::ptrdiff_t>(to));
     return feed;
 }
--- a/src/amaranthhall/standin/group_log.hpp
+++ b/src/amaranthhall/standin/group_log.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/group/upstream_status.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -11,10 +12,16 @@
 
 namespace amaranthhall::standin {
 
+/// @brief A parameter in text format; nothing is NULL.
+struct LoggedParameter {
+    std::optional<std::string> value;
+    std::int32_t type { 0 }; ///< Object id of its type; 0 if it was left open.
+};
+
 /// @brief A statement as the log keeps it.
 struct LoggedStatement {
     std::string text;
-    std::vector<std::optional<std::string>> parameters;
+    std::vector<LoggedParameter> parameters;
 };
 
 /// @brief One committed transaction.
@@ -27,6 +34,7 @@
 struct Feed {
     group::Term term { 0 };
     group::LogPoint previous; ///< The record before the first one sent.
+    group::Position end { 0 }; ///< End of the primary's log.
     std::vector<LogRecord> records;
 };
 
@@ -44,6 +52,9 @@
     /// @brief Gives the role, term and last record.
     [[nodiscard]] group::UpstreamStatus status() const noexcept;
 
+    /// @brief Tells whether the log up to a position is known to be that of a term's primary, and the term is still the highest accepted.
+    [[nodiscard]] bool confirms(group::Term term, group::Position position) const noexcept;
+
     /// @brief Gives the point of a record; position 0 is the empty log.
     [[nodiscard]] group::LogPoint pointAt(group::Position position) const noexcept;
 
@@ -66,9 +77,13 @@
     [[nodiscard]] Feed makeFeed(group::Position after, std::size_t most) const;
 
 private:
+    /// Drops records after the end of the primary's log, if they are of an earlier term.
+    bool dropTail(const Feed& feed, group::Position position);
+
     std::vector<LogRecord> log;
     group::Term term { 0 };
     group::Role role { group::Role::Replica };
+    group::Position matched { 0 }; ///< Records that are known to be those of the present term's primary.
 };
 
 }
--- a/src/amaranthhall/standin/replica_feed.cpp
+++ b/src/amaranthhall/standin/replica_feed.cpp
@@ -33,7 +33,7 @@
         this->stream.reset();
         return;
     }
-    if (!this->stream)
+    if (!this->stream && this->server.hasFreeSlot())
         this->connect();
     this->wake();
 }
--- a/src/amaranthhall/standin/replica_feed.hpp
+++ b/src/amaranthhall/standin/replica_feed.hpp
@@ -18,6 +18,9 @@
     /// @brief Sends what is new, if the server is primary and the last feed has been answered.
     void wake();
 
+    /// @brief Tells whether it takes up a slot.
+    [[nodiscard]] bool isConnected() const noexcept { return this->stream != nullptr; }
+
 private:
     void tick();
     void connect();
--- a/src/amaranthhall/standin/sql_database.cpp
+++ b/src/amaranthhall/standin/sql_database.cpp
@@ -1,7 +1,7 @@
 #include "amaranthhall/standin/sql_database.hpp"
 
-#include <algorithm>
-#include <cctype>
+#include "amaranthhall/standin/sql_value.hpp"
+
 #include <charconv>
 #include <sqlite3.h>
 #include <stdexcept>
@@ -10,104 +10,185 @@
 
 namespace {
 
-    constexpr std::int32_t textType = 25;
-    constexpr std::int32_t bigintType = 20;
-    constexpr std::int32_t doubleType = 701;
+    std::string_view constraintSqlstate(int code)
+    {
+        switch (code) {
+        case SQLITE_CONSTRAINT_UNIQUE:
+        case SQLITE_CONSTRAINT_PRIMARYKEY:
+        case SQLITE_CONSTRAINT_ROWID:
+            return "23505";
+        case SQLITE_CONSTRAINT_NOTNULL:
+            return "23502";
+        case SQLITE_CONSTRAINT_CHECK:
+            return "23514";
+        case SQLITE_CONSTRAINT_FOREIGNKEY:
+            return "23503";
+        default:
+            return "23000";
+        }
+    }
 
-    struct StatementCloser {
-        void operator()(sqlite3_stmt* statement) const noexcept { sqlite3_finalize(statement); }
-    };
-    using Statement = std::unique_ptr<sqlite3_stmt, StatementCloser>;
+    std::string_view messageSqlstate(std::string_view message)
+    {
+        const auto says = [&](std::string_view part) { return message.find(part) != std::string_view::npos; };
+        if (says("no such table"))
+            return "42P01";
+        if (says("no such column"))
+            return "42703";
+        if (says("no such function"))
+            return "42883";
+        return says("already exists") ? "42P07" : "42601";
+    }
 
-    std::string_view toSqlstate(int code)
+    std::string_view toSqlstate(int code, std::string_view message)
     {
         switch (code & 0xff) {
         case SQLITE_CONSTRAINT:
-            return code == SQLITE_CONSTRAINT_UNIQUE || code == SQLITE_CONSTRAINT_PRIMARYKEY ? "23505" : "23000";
+            return constraintSqlstate(code);
         case SQLITE_BUSY:
         case SQLITE_LOCKED:
             return "40001";
-        case SQLITE_READONLY:
-            return "25006";
+        case SQLITE_MISMATCH:
+            return "22P02";
         case SQLITE_FULL:
         case SQLITE_NOMEM:
             return "53200";
         default:
-            return "42601";
+            return messageSqlstate(message);
         }
     }
 
-    pgwire::ErrorFields readError(sqlite3* handle)
+    bool isInteger(std::int32_t id)
     {
-        return pgwire::makeError("ERROR", toSqlstate(sqlite3_extended_errcode(handle)), sqlite3_errmsg(handle));
+        return id == type::int2 || id == type::int4 || id == type::int8 || id == type::boolean;
     }
 
-    std::string firstWord(std::string_view text)
+    /// An integer whose type was left open is bound as one only if its text is the usual one, so that `007` stays text.
+    std::optional<std::int64_t> readInteger(const LoggedParameter& parameter)
     {
-        std::string word;
-        for (const char letter : text) {
-            if (std::isalpha(static_cast<unsigned char>(letter)) == 0) {
-                if (word.empty())
-                    continue;
-                break;
-            }
-            word.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(letter))));
-        }
-        return word;
+        const auto& text = *parameter.value;
+        std::int64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        if (isInteger(parameter.type) || (parameter.type == 0 && std::to_string(value) == text))
+            return value;
+        return std::nullopt;
     }
 
-    std::string makeTag(std::string_view text, std::size_t rows, int changes)
+    std::optional<double> readDouble(const LoggedParameter& parameter)
     {
-        const auto word = firstWord(text);
-        if (word == "SELECT" || word == "WITH" || word == "VALUES")
-            return "SELECT " + std::to_string(rows);
-        if (word == "INSERT")
-            return "INSERT 0 " + std::to_string(changes);
-        if (word == "UPDATE" || word == "DELETE")
-            return word + " " + std::to_string(changes);
-        return word;
+        if (parameter.type != type::float4 && parameter.type != type::float8)
+            return std::nullopt;
+        const auto& text = *parameter.value;
+        double value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        return error == std::errc() && end == text.data() + text.size() ? std::optional(value) : std::nullopt;
     }
 
-    void bindParameters(sqlite3_stmt* statement, std::span<const std::optional<std::string>> parameters)
+    void bindOne(sqlite3_stmt* statement, int index, const LoggedParameter& parameter)
     {
-        for (int i = 1; i <= sqlite3_bind_parameter_count(statement); ++i) {
-            const char* name = sqlite3_bind_parameter_name(statement, i);
-            std::size_t number = static_cast<std::size_t>(i);
-            if (name && name[0] == '$')
-                std::from_chars(name + 1, name + std::char_traits<char>::length(name), number);
-            if (number == 0 || number > parameters.size() || !parameters[number - 1])
-                continue;
-            const auto& value = *parameters[number - 1];
-            std::int64_t integer = 0;
-            const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), integer);
-            if (error == std::errc() && end == value.data() + value.size() && !value.empty())
-                sqlite3_bind_int64(statement, i, integer);
-            else
-                sqlite3_bind_text(statement, i, value.data(), static_cast<int>(value.size()), SQLITE_TRANSIENT);
-        }
+        if (!parameter.value)
+            sqlite3_bind_null(statement, index);
+        else if (const auto integer = readInteger(parameter))
+            sqlite3_bind_int64(statement, index, *integer);
+        else if (const auto number = readDouble(parameter))
+            sqlite3_bind_double(statement, index, *number);
+        else
+            sqlite3_bind_text(statement, index, parameter.value->data(), static_cast<int>(parameter.value->size()), SQLITE_TRANSIENT);
     }
 
-    std::vector<std::optional<std::string>> readRow(sqlite3_stmt* statement, std::vector<pgwire::Column>& columns)
+    std::size_t parameterNumber(sqlite3_stmt* statement, int index)
     {
-        std::vector<std::optional<std::string>> row;
-        for (int i = 0; i < sqlite3_column_count(statement); ++i) {
-            const auto type = sqlite3_column_type(statement, i);
-            if (type == SQLITE_NULL) {
-                row.emplace_back();
-                continue;
-            }
-            if (type == SQLITE_INTEGER)
-                columns[static_cast<std::size_t>(i)].type = bigintType;
-            if (type == SQLITE_FLOAT)
-                columns[static_cast<std::size_t>(i)].type = doubleType;
-            const auto* text = reinterpret_cast<const char*>(sqlite3_column_text(statement, i));
-            row.emplace_back(std::string(text, static_cast<std::size_t>(sqlite3_column_bytes(statement, i))));
+        std::size_t number = static_cast<std::size_t>(index);
+        const char* name = sqlite3_bind_parameter_name(statement, index);
+        if (name && name[0] == '$')
+            std::from_chars(name + 1, name + std::char_traits<char>::length(name), number);
+        return number;
+    }
+
+    std::int32_t typeOfValue(sqlite3_stmt* statement, int column)
+    {
+        switch (sqlite3_column_type(statement, column)) {
+        case SQLITE_INTEGER:
+            return type::int8;
+        case SQLITE_FLOAT:
+            return type::float8;
+        default:
+            return type::text;
         }
-        return row;
     }
 
 }
 
+void SqlStatement::Closer::operator()(sqlite3_stmt* statement) const noexcept
+{
+    sqlite3_finalize(statement);
+}
+
+SqlStatement::SqlStatement(SqlDatabase& usedDatabase, sqlite3_stmt* prepared)
+    : database(&usedDatabase)
+    , handle(prepared)
+{
+}
+
+bool SqlStatement::isReadOnly() const noexcept
+{
+    return sqlite3_stmt_readonly(this->handle.get()) != 0;
+}
+
+bool SqlStatement::hasColumns() const noexcept
+{
+    return sqlite3_column_count(this->handle.get()) > 0;
+}
+
+std::size_t SqlStatement::parameterCount() const noexcept
+{
+    std::size_t most = 0;
+    for (int i = 1; i <= sqlite3_bind_parameter_count(this->handle.get()); ++i)
+        most = std::max(most, parameterNumber(this->handle.get(), i));
+    return most;
+}
+
+void SqlStatement::bind(std::span<const LoggedParameter> parameters)
+{
+    for (int i = 1; i <= sqlite3_bind_parameter_count(this->handle.get()); ++i) {
+        const auto number = parameterNumber(this->handle.get(), i);
+        if (number > 0 && number <= parameters.size())
+            bindOne(this->handle.get(), i, parameters[number - 1]);
+    }
+}
+
+SqlExpected<bool> SqlStatement::step()
+{
+    const auto code = sqlite3_step(this->handle.get());
+    if (code == SQLITE_ROW || code == SQLITE_DONE)
+        return code == SQLITE_ROW;
+    return tl::unexpected(this->database->readFailure());
+}
+
+std::vector<pgwire::Column> SqlStatement::columns() const
+{
+    std::vector<pgwire::Column> described;
+    for (int i = 0; i < sqlite3_column_count(this->handle.get()); ++i) {
+        const char* declared = sqlite3_column_decltype(this->handle.get(), i);
+        const auto id = declared ? typeOfDeclaration(declared) : typeOfValue(this->handle.get(), i);
+        described.push_back({ .name = sqlite3_column_name(this->handle.get(), i), .type = id, .typeLength = lengthOfType(id) });
+    }
+    return described;
+}
+
+std::optional<std::string> SqlStatement::value(std::size_t column, std::int32_t id) const
+{
+    const auto index = static_cast<int>(column);
+    if (sqlite3_column_type(this->handle.get(), index) == SQLITE_NULL)
+        return std::nullopt;
+    if (id == type::boolean && sqlite3_column_type(this->handle.get(), index) == SQLITE_INTEGER)
+        return sqlite3_column_int(this->handle.get(), index) != 0 ? "t" : "f";
+    const auto* text = reinterpret_cast<const char*>(sqlite3_column_text(this->handle.get(), index));
+    return std::string(text, static_cast<std::size_t>(sqlite3_column_bytes(this->handle.get(), index)));
+}
+
 void SqlDatabase::Closer::operator()(sqlite3* handle) const noexcept
 {
     sqlite3_close_v2(handle);
@@ -121,30 +202,30 @@
     this->handle.reset(opened);
     if (status != SQLITE_OK)
         throw std::runtime_error("the in-memory database cannot be opened");
+    sqlite3_extended_result_codes(opened, 1);
 }
 
-tl::expected<SqlResult, pgwire::ErrorFields> SqlDatabase::run(std::string_view text, std::span<const std::optional<std::string>> parameters)
+SqlExpected<SqlStatement> SqlDatabase::prepare(std::string_view text)
 {
     sqlite3_stmt* prepared = nullptr;
     if (sqlite3_prepare_v2(this->handle.get(), text.data(), static_cast<int>(text.size()), &prepared, nullptr) != SQLITE_OK)
-        return tl::unexpected(readError(this->handle.get()));
-    const Statement statement(prepared);
-    SqlResult result;
-    if (!prepared)
-        return result;
-    bindParameters(prepared, parameters);
-    result.wrote = sqlite3_stmt_readonly(prepared) == 0;
-    for (int i = 0; i < sqlite3_column_count(prepared); ++i)
-        result.columns.push_back({ .name = sqlite3_column_name(prepared, i), .type = textType });
-    int step = sqlite3_step(prepared);
-    while (step == SQLITE_ROW) {
-        result.rows.push_back(readRow(prepared, result.columns));
-        step = sqlite3_step(prepared);
+        return tl::unexpected(this->readFailure());
+    return SqlStatement(*this, prepared);
+}
+
+SqlExpected<void> SqlDatabase::run(std::string_view text, std::span<const LoggedParameter> parameters)
+{
+    auto statement = this->prepare(text);
+    if (!statement)
+        return tl::unexpected(statement.error());
+    statement->bind(parameters);
+    while (true) {
+        const auto row = statement->step();
+        if (!row)
+            return tl::unexpected(row.error());
+        if (!*row)
+            return {};
     }
-    if (step != SQLITE_DONE)
-        return tl::unexpected(readError(this->handle.get()));
-    result.tag = makeTag(text, result.rows.size(), sqlite3_changes(this->handle.get()));
-    return result;
 }
 
 bool SqlDatabase::inTransaction() const noexcept
@@ -152,29 +233,20 @@
     return sqlite3_get_autocommit(this->handle.get()) == 0;
 }
 
-std::vector<std::string_view> splitStatements(std::string_view text)
+int SqlDatabase::changes() const noexcept
 {
-    std::vector<std::string_view> statements;
-    std::size_t begin = 0;
-    char quote = 0;
-    for (std::size_t i = 0; i <= text.size(); ++i) {
-        if (i < text.size() && quote != 0) {
-            if (text[i] == quote)
-                quote = 0;
-            continue;
-        }
-        if (i < text.size() && (text[i] == '\'' || text[i] == '"')) {
-            quote = text[i];
-            continue;
-        }
-        if (i == text.size() || text[i] == ';') {
-            const auto statement = text.substr(begin, i - begin);
-            if (!firstWord(statement).empty())
-                statements.push_back(statement);
-            begin = i + 1;
-        }
-    }
-    return statements;
+    return sqlite3_changes(this->handle.get());
+}
+
+SqlFailure SqlDatabase::readFailure() const
+{
+    const auto code = sqlite3_extended_errcode(this->handle.get());
+    const std::string_view message = sqlite3_errmsg(this->handle.get());
+    const auto primary = code & 0xff;
+    return {
+        .error = pgwire::makeError("ERROR", toSqlstate(code, message), message),
+        .isBusy = primary == SQLITE_BUSY || primary == SQLITE_LOCKED,
+    };
 }
 
 }
--- a/src/amaranthhall/standin/upstream_session.cpp
+++ b/src/amaranthhall/standin/upstream_session.cpp
@@ -2,9 +2,11 @@
 
 #include "amaranthhall/pgwire/fields.hpp"
 #include "amaranthhall/standin/feed_codec.hpp"
+#include "amaranthhall/standin/sql_text.hpp"
+#include "amaranthhall/standin/sql_value.hpp"
+#include "amaranthhall/standin/upstream_server.hpp"
 
-#include <algorithm>
-#include <cctype>
+#include <random>
 
 namespace amaranthhall::standin {
 
@@ -13,32 +15,39 @@
     constexpr std::size_t maximumFrameBytes = 64U << 20U;
     constexpr std::int32_t sslRequestCode = 80877103;
     constexpr std::int32_t gssRequestCode = 80877104;
+    constexpr std::int32_t cancelRequestCode = 80877102;
+    constexpr std::int32_t cleartextPassword = 3;
 
-    std::string firstWord(std::string_view text)
+    std::vector<std::int16_t> readFormats(pgwire::FieldReader& fields)
     {
-        std::string word;
-        for (const char letter : text) {
-            if (std::isalpha(static_cast<unsigned char>(letter)) != 0)
-                word.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(letter))));
-            else if (!word.empty())
-                break;
-        }
-        return word;
-    }
-
-    bool isBegin(const std::string& word)
-    {
-        return word == "BEGIN" || word == "START";
+        std::vector<std::int16_t> formats;
+        const auto count = fields.int16().value_or(0);
+        for (int i = 0; i < count; ++i)
+            formats.push_back(fields.int16().value_or(0));
+        return formats;
     }
 
-    bool isCommit(const std::string& word)
+    std::int16_t formatOf(const std::vector<std::int16_t>& formats, std::size_t index)
     {
-        return word == "COMMIT" || word == "END";
+        if (formats.empty())
+            return 0;
+        return formats.size() == 1 ? formats.front() : formats[std::min(index, formats.size() - 1)];
     }
 
-    bool isRollback(const std::string& word)
+    /// Splits `-c name=value` options.
+    std::vector<std::pair<std::string, std::string>> readOptions(const std::string& options)
     {
-        return word == "ROLLBACK" || word == "ABORT";
+        std::vector<std::pair<std::string, std::string>> settings;
+        std::size_t begin = 0;
+        while ((begin = options.find("-c", begin)) != std::string::npos) {
+            begin = options.find_first_not_of(' ', begin + 2);
+            const auto end = std::min(options.find(' ', begin), options.size());
+            const auto setting = begin == std::string::npos ? std::string() : options.substr(begin, end - begin);
+            if (const auto sign = setting.find('='); sign != std::string::npos)
+                settings.emplace_back(setting.substr(0, sign), setting.substr(sign + 1));
+            begin = end;
+        }
+        return settings;
     }
 
 }
@@ -48,22 +57,61 @@
     , stream(usedServer.eventLoop(), std::move(socket),
           kernel::ByteStream::Callbacks {
               .received = [this](auto bytes) { this->received(bytes); },
-              .closed = [this] { this->server.drop(*this); },
+              .closed = [this] {
+                  this->phase = Phase::Closed;
+                  this->server.drop(*this); },
+              .drained = [this] { this->resume(); },
           })
     , reader(maximumFrameBytes)
-    , database(std::make_unique<SqlDatabase>(usedServer.databaseName()))
+    , transaction(usedServer)
 {
+    static std::mt19937 random(std::random_device {}());
+    static std::int32_t nextProcess = 1;
+    this->processKey = nextProcess++;
+    this->secretKey = static_cast<std::int32_t>(random());
     this->stream.pauseReading();
 }
 
+UpstreamSession::~UpstreamSession()
+{
+    if (this->isCounted)
+        this->server.connections().giveBack(this->applicationName);
+}
+
 void UpstreamSession::start()
 {
     this->waitTimer = this->server.eventLoop().after(this->server.settings().connectDelay, [this] { this->stream.resumeReading(); });
 }
 
+bool UpstreamSession::hasKeys(std::int32_t process, std::int32_t secret) const noexcept
+{
+    return this->phase == Phase::Ready && this->processKey == process && this->secretKey == secret;
+}
+
+void UpstreamSession::cancel()
+{
+    if (this->copyIn)
+        this->fail(pgwire::makeError("ERROR", "57014", "canceling statement due to user request"));
+    else if (this->current)
+        this->isCancelled = true;
+    this->resume();
+}
+
 void UpstreamSession::terminate()
 {
-    this->writer.addErrorFields('E', pgwire::makeError("FATAL", "57P01", "terminating connection due to administrator command"));
+    if (this->phase == Phase::Feed || this->phase == Phase::Closed)
+        return;
+    this->closeNow(pgwire::makeError("FATAL", "57P01", "terminating connection due to administrator command"));
+}
+
+void UpstreamSession::closeNow(const pgwire::ErrorFields& error)
+{
+    this->phase = Phase::Closed;
+    this->current.reset();
+    this->steps.clear();
+    this->portals.clear();
+    this->transaction.rollBack();
+    this->writer.addErrorFields('E', error);
     this->flush();
     this->stream.closeAfterWrite();
 }
@@ -71,68 +119,141 @@
 void UpstreamSession::received(std::string_view bytes)
 {
     this->reader.append(bytes);
-    this->processFrames();
+    this->resume();
 }
 
-void UpstreamSession::processFrames()
+void UpstreamSession::resume()
 {
+    if (std::exchange(this->isResuming, true))
+        return;
     const auto held = this->shared_from_this();
-    while (!this->isBlocked) {
-        const auto frame = this->isStarted || this->isFeed ? this->reader.nextTyped() : this->reader.nextUntyped();
-        if (!frame) {
-            this->stream.closeAfterWrite();
-            break;
+    while (this->phase != Phase::Closed) {
+        if (this->copyIn) {
+            if (!this->processNext())
+                break;
+            continue;
+        }
+        if (!this->current && !this->steps.empty()) {
+            this->current = std::move(this->steps.front());
+            this->steps.pop_front();
+            this->stepBegan = this->server.eventLoop().now();
         }
-        if (!*frame)
+        if (!this->current) {
+            if (!this->processNext())
+                break;
+            continue;
+        }
+        if ((*this->current)() == Progress::Waiting)
             break;
-        if (this->isStarted || this->isFeed)
-            this->processFrame(**frame);
-        else
-            this->processStartup((*frame)->body);
+        this->current.reset();
+        this->waitTimer.reset();
     }
+    this->isResuming = false;
     this->flush();
 }
 
+bool UpstreamSession::processNext()
+{
+    const bool isTyped = this->phase != Phase::Startup;
+    const auto frame = isTyped ? this->reader.nextTyped() : this->reader.nextUntyped();
+    if (!frame) {
+        this->phase = Phase::Closed;
+        this->stream.closeAfterWrite();
+        return false;
+    }
+    if (!*frame)
+        return false;
+    if (isTyped)
+        this->processFrame(**frame);
+    else
+        this->processStartup((*frame)->body);
+    return true;
+}
+
 void UpstreamSession::processStartup(std::string_view body)
 {
-    const auto code = pgwire::FieldReader(body).int32().value_or(0);
-    if (code == sslRequestCode || code == gssRequestCode) {
+    pgwire::FieldReader fields(body);
+    const auto code = fields.int32().value_or(0);
+    switch (code) {
+    case sslRequestCode:
+    case gssRequestCode:
         this->stream.write("N");
         return;
+    case feedStartupCode:
+        this->phase = Phase::Feed;
+        return;
+    case cancelRequestCode: {
+        const auto process = fields.int32().value_or(0);
+        const auto secret = fields.int32().value_or(0);
+        this->phase = Phase::Closed;
+        this->stream.closeAfterWrite();
+        this->server.cancel(process, secret);
+        return;
+    }
+    default:
+        this->takeStartupParameters(fields.rest());
+    }
+}
+
+void UpstreamSession::takeStartupParameters(std::string_view body)
+{
+    pgwire::FieldReader fields(body);
+    while (const auto name = fields.text()) {
+        const auto value = fields.text();
+        if (name->empty() || !value)
+            break;
+        if (*name == "options") {
+            for (const auto& [option, setting] : readOptions(std::string(*value)))
+                this->parameters.preset(option, setting);
+        } else if (*name != "user" && *name != "database") {
+            this->parameters.preset(std::string(*name), std::string(*value));
+        }
+    }
+    this->applicationName = this->parameters.find("application_name");
+    if (!this->server.connections().take(this->applicationName)) {
+        this->closeNow(pgwire::makeError("FATAL", "53300", "sorry, too many clients already"));
+        return;
     }
-    if (code == feedStartupCode) {
-        this->isFeed = true;
+    this->isCounted = true;
+    if (this->server.settings().password.empty()) {
+        this->welcome();
         return;
     }
-    this->welcome();
+    this->phase = Phase::Password;
+    this->writer.begin('R');
+    this->writer.addInt32(cleartextPassword);
+    this->writer.end();
 }
 
 void UpstreamSession::welcome()
 {
-    this->isStarted = true;
+    this->phase = Phase::Ready;
     this->writer.begin('R');
     this->writer.addInt32(0);
     this->writer.end();
-    this->writer.addParameterStatus("server_version", "15.0");
-    this->writer.addParameterStatus("server_encoding", "UTF8");
-    this->writer.addParameterStatus("client_encoding", "UTF8");
-    this->writer.addParameterStatus("standard_conforming_strings", "on");
-    this->writer.addParameterStatus("integer_datetimes", "on");
-    this->writer.addParameterStatus("DateStyle", "ISO, MDY");
+    this->reportParameters();
     this->writer.begin('K');
-    this->writer.addInt32(1);
-    this->writer.addInt32(1);
+    this->writer.addInt32(this->processKey);
+    this->writer.addInt32(this->secretKey);
     this->writer.end();
     this->writer.addReady(pgwire::TransactionStatus::Idle);
 }
 
 void UpstreamSession::processFrame(const pgwire::Frame& frame)
 {
-    if (this->isFeed) {
-        if (const auto feed = decodeFeed(frame.body)) {
-            const auto answer = this->server.takeFeed(*feed);
-            this->writer.add(feedFrameType, encodeAnswer(answer));
-        }
+    if (this->phase == Phase::Feed) {
+        this->processFeed(frame.body);
+        return;
+    }
+    if (this->phase == Phase::Password) {
+        if (frame.type == 'p' && frame.body.substr(0, frame.body.size() - 1) == this->server.settings().password)
+            this->welcome();
+        else
+            this->closeNow(pgwire::makeError("FATAL", "28P01", "password authentication failed"));
+        return;
+    }
+    if (this->copyIn) {
+        this->processCopyFrame(frame);
         return;
     }
     if (this->isSkipping && frame.type != 'S' && frame.type != 'X')
@@ -154,54 +275,65 @@
         this->processExecute(frame.body);
         break;
     case 'C':
-        this->writer.add('3', "");
+        this->processClose(frame.body);
         break;
     case 'S':
         this->processSync();
         break;
     case 'X':
+        this->phase = Phase::Closed;
         this->stream.closeAfterWrite();
         break;
-    default:
+    default: // Flush needs nothing, and COPY messages after an error are to be ignored.
         break;
     }
 }
 
-void UpstreamSession::processQuery(std::string_view text)
+void UpstreamSession::processFeed(std::string_view body)
 {
-    for (const auto statement : splitStatements(text))
-        this->simpleLeft.emplace_back(statement);
-    if (this->simpleLeft.empty())
-        this->writer.add('I', "");
-    this->runNextSimple();
+    auto feed = decodeFeed(body);
+    if (!feed)
+        return;
+    this->server.noteFeed();
+    const auto due = this->server.eventLoop().now() + this->server.lag().feed;
+    this->steps.emplace_back([this, due, feed = std::move(*feed)] {
+        const auto now = this->server.eventLoop().now();
+        if (now < due)
+            return this->waitFor(due - now);
+        this->writer.add(feedFrameType, encodeAnswer(this->server.takeFeed(feed)));
+        return Progress::Done;
+    });
 }
 
-void UpstreamSession::runNextSimple()
+void UpstreamSession::processQuery(std::string_view text)
 {
-    if (this->simpleLeft.empty() || this->isSkipping) {
-        this->simpleLeft.clear();
-        this->processSync();
-        return;
+    const auto statements = splitStatements(text);
+    if (statements.empty())
+        this->writer.add('I', "");
+    for (const auto statement : statements) {
+        auto portal = std::make_shared<Portal>(Portal { .text = std::string(statement), .describes = true });
+        this->steps.emplace_back([this, portal] { return this->runPortal(*portal); });
     }
-    auto text = std::move(this->simpleLeft.front());
-    this->simpleLeft.pop_front();
-    this->run(std::move(text), {}, [this](const auto& result) {
-        if (!result) {
-            this->fail(result.error());
-        } else {
-            if (!result->columns.empty())
-                this->writer.addRowDescription(result->columns);
-            this->sendRows(*result);
-        }
-        this->runNextSimple();
-    });
+    this->processSync();
 }
 
 void UpstreamSession::processParse(std::string_view body)
 {
     pgwire::FieldReader fields(body);
     const std::string name(fields.text().value_or(""));
-    this->prepared[name] = { .text = std::string(fields.text().value_or("")) };
+    Prepared statement { .text = std::string(fields.text().value_or("")) };
+    const auto count = fields.int16().value_or(0);
+    for (int i = 0; i < count; ++i)
+        statement.types.push_back(fields.int32().value_or(0));
+    if (splitStatements(statement.text).size() > 1) {
+        this->fail(pgwire::makeError("ERROR", "42601", "cannot insert multiple commands into a prepared statement"));
+        return;
+    }
+    if (!name.empty() && this->prepared.contains(name)) {
+        this->fail(pgwire::makeError("ERROR", "42P05", "prepared statement \"" + name + "\" already exists"));
+        return;
+    }
+    this->prepared[name] = std::move(statement);
     this->writer.add('1', "");
 }
 
@@ -215,18 +347,24 @@
         this->fail(pgwire::makeError("ERROR", "26000", "prepared statement \"" + statementName + "\" does not exist"));
         return;
     }
-    Portal portal { .text = statement->second.text };
-    const auto formats = fields.int16().value_or(0);
-    for (int i = 0; i < formats; ++i)
-        static_cast<void>(fields.int16());
+    auto portal = std::make_shared<Portal>(Portal { .text = statement->second.text });
+    const auto formats = readFormats(fields);
     const auto count = fields.int16().value_or(0);
-    for (int i = 0; i < count; ++i) {
+    for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
+        const auto& types = statement->second.types;
+        LoggedParameter parameter { .type = i < types.size() ? types[i] : 0 };
         const auto length = fields.int32().value_or(-1);
-        if (length < 0)
-            portal.parameters.emplace_back();
-        else
-            portal.parameters.emplace_back(std::string(fields.bytes(static_cast<std::size_t>(length)).value_or("")));
+        if (length >= 0) {
+            const auto bytes = fields.bytes(static_cast<std::size_t>(length)).value_or("");
+            parameter.value = formatOf(formats, i) == 1 ? decodeBinary(parameter.type, bytes) : std::string(bytes);
+            if (!parameter.value || !isUtf8(*parameter.value)) {
+                this->fail(pgwire::makeError("ERROR", parameter.value ? "22021" : "22P03", "a parameter's bytes do not fit its type"));
+                return;
+            }
+        }
+        portal->parameters.push_back(std::move(parameter));
     }
+    portal->formats = readFormats(fields);
     this->portals[portalName] = std::move(portal);
     this->writer.add('2', "");
 }
@@ -237,180 +375,78 @@
     const auto kind = fields.byte().value_or('P');
     const std::string name(fields.text().value_or(""));
     if (kind == 'S') {
-        this->writer.begin('t');
-        this->writer.addInt16(0);
-        this->writer.end();
-        this->writer.add('n', "");
+        const auto statement = this->prepared.find(name);
+        if (statement == this->prepared.end())
+            this->fail(pgwire::makeError("ERROR", "26000", "prepared statement \"" + name + "\" does not exist"));
+        else
+            this->steps.emplace_back([this, described = statement->second] { return this->describeStatement(described); });
         return;
     }
-    auto& portal = this->portals[name];
-    this->runPortal(portal, [this, &portal] {
-        if (portal.result->columns.empty())
-            this->writer.add('n', "");
-        else
-            this->writer.addRowDescription(portal.result->columns);
-    });
-}
-
-void UpstreamSession::processExecute(std::string_view body)
-{
-    pgwire::FieldReader fields(body);
-    auto& portal = this->portals[std::string(fields.text().value_or(""))];
-    this->runPortal(portal, [this, &portal] {
-        this->sendRows(*portal.result);
-        portal.result.reset();
-    });
-}
-
-void UpstreamSession::runPortal(Portal& portal, std::function<void()> then)
-{
-    if (portal.result) {
-        then();
+    const auto portal = this->portals.find(name);
+    if (portal == this->portals.end()) {
+        this->fail(pgwire::makeError("ERROR", "34000", "portal \"" + name + "\" does not exist"));
         return;
     }
-    this->run(portal.text, portal.parameters, [this, &portal, then = std::move(then)](auto result) {
-        if (!result) {
-            this->fail(result.error());
-            return;
-        }
-        portal.result = std::move(*result);
-        then();
+    this->steps.emplace_back([this, described = portal->second] {
+        if (this->beginPortal(*described) == Progress::Waiting)
+            return Progress::Waiting;
+        if (!this->isSkipping)
+            this->describePortal(*described);
+        return Progress::Done;
     });
 }
 
-void UpstreamSession::run(std::string text, std::vector<std::optional<std::string>> parameters, std::function<void(tl::expected<SqlResult, pgwire::ErrorFields>)> done)
+void UpstreamSession::processExecute(std::string_view body)
 {
-    const auto call = parseControlCall(text);
-    if (!call) {
-        done(this->runSql(text, parameters));
-        return;
-    }
-    if (auto answer = tryControlCall(this->server, *call, false)) {
-        done(std::move(*answer));
+    pgwire::FieldReader fields(body);
+    const std::string name(fields.text().value_or(""));
+    const auto portal = this->portals.find(name);
+    if (portal == this->portals.end()) {
+        this->fail(pgwire::makeError("ERROR", "34000", "portal \"" + name + "\" does not exist"));
         return;
     }
-    this->isBlocked = true;
-    const auto isDone = std::make_shared<bool>(false);
-    const auto finish = [this, call = *call, isDone, done = std::move(done), held = std::weak_ptr(this->shared_from_this())](bool isLast) {
-        const auto session = held.lock();
-        if (!session || *isDone)
-            return true;
-        auto answer = tryControlCall(this->server, call, isLast);
-        if (!answer)
-            return false;
-        *isDone = true;
-        this->waitTimer.reset();
-        this->isBlocked = false;
-        done(std::move(*answer));
-        this->processFrames();
-        return true;
-    };
-    this->waitTimer = this->server.eventLoop().after(waitLimit(*call), [finish] { finish(true); });
-    this->server.awaitChange([finish] { return finish(false); });
+    this->steps.emplace_back([this, running = portal->second] { return this->runPortal(*running); });
 }
 
-tl::expected<SqlResult, pgwire::ErrorFields> UpstreamSession::runSql(const std::string& text, const std::vector<std::optional<std::string>>& parameters)
+void UpstreamSession::processClose(std::string_view body)
 {
-    const auto word = firstWord(text);
-    if (this->isFailed && !isRollback(word) && !isCommit(word))
-        return tl::unexpected(pgwire::makeError("ERROR", "25P02", "current transaction is aborted, commands ignored until end of transaction block"));
-    if (isBegin(word)) {
-        this->isExplicit = true;
-        if (!this->database->inTransaction())
-            static_cast<void>(this->database->run("BEGIN", {}));
-        return SqlResult { .tag = "BEGIN" };
-    }
-    if (isRollback(word) || (isCommit(word) && this->isFailed)) {
-        static_cast<void>(this->database->run("ROLLBACK", {}));
-        this->uncommitted.clear();
-        this->isExplicit = false;
-        this->isFailed = false;
-        return SqlResult { .tag = "ROLLBACK" };
-    }
-    if (isCommit(word))
-        return this->commit("COMMIT");
-    if (word == "SET" || word == "DISCARD" || word == "RESET")
-        return SqlResult { .tag = word };
-    if (!this->database->inTransaction())
-        static_cast<void>(this->database->run("BEGIN", {}));
-    auto result = this->database->run(text, parameters);
-    if (!result)
-        return result;
-    if (result->wrote) {
-        if (this->server.status().role != group::Role::Primary)
-            return tl::unexpected(pgwire::makeError("ERROR", "25006", "cannot execute " + word + " in a read-only transaction"));
-        this->uncommitted.push_back({ .text = text, .parameters = parameters });
-    }
-    return result;
-}
-
-tl::expected<SqlResult, pgwire::ErrorFields> UpstreamSession::commit(const std::string& tag)
-{
-    this->isExplicit = false;
-    const bool mayWrite = this->server.status().role == group::Role::Primary;
-    if (!this->uncommitted.empty() && !mayWrite) {
-        static_cast<void>(this->database->run("ROLLBACK", {}));
-        this->uncommitted.clear();
-        return tl::unexpected(pgwire::makeError("ERROR", "25006", "cannot commit: this upstream is no longer primary"));
-    }
-    if (this->database->inTransaction()) {
-        if (auto committed = this->database->run("COMMIT", {}); !committed) {
-            static_cast<void>(this->database->run("ROLLBACK", {}));
-            this->uncommitted.clear();
-            return tl::unexpected(committed.error());
-        }
-    }
-    if (!this->uncommitted.empty())
-        this->server.logCommit(std::move(this->uncommitted));
-    this->uncommitted.clear();
-    return SqlResult { .tag = tag };
+    pgwire::FieldReader fields(body);
+    const auto kind = fields.byte().value_or('P');
+    const std::string name(fields.text().value_or(""));
+    if (kind == 'S')
+        this->prepared.erase(name);
+    else
+        this->portals.erase(name);
+    this->writer.add('3', "");
 }
 
 void UpstreamSession::processSync()
 {
-    this->finishImplicit();
-    this->isSkipping = false;
-    this->writer.addReady(this->transactionStatus());
-}
-
-void UpstreamSession::finishImplicit()
-{
-    if (this->isExplicit)
-        return;
-    if (this->isSkipping) {
-        static_cast<void>(this->database->run("ROLLBACK", {}));
-        this->uncommitted.clear();
-        return;
-    }
-    if (const auto committed = this->commit("COMMIT"); !committed)
-        this->writer.addErrorFields('E', committed.error());
+    this->steps.emplace_back([this] { return this->finishTransaction(); });
 }
 
-void UpstreamSession::fail(const pgwire::ErrorFields& error)
+void UpstreamSession::processCopyFrame(const pgwire::Frame& frame)
 {
-    this->isSkipping = true;
-    if (this->isExplicit)
-        this->isFailed = true;
-    this->writer.addErrorFields('E', error);
-}
-
-void UpstreamSession::sendRows(const SqlResult& result)
-{
-    std::vector<pgwire::Value> values;
-    for (const auto& row : result.rows) {
-        values.clear();
-        for (const auto& cell : row)
-            values.push_back(cell ? pgwire::Value(*cell) : pgwire::Value());
-        this->writer.addDataRow(values);
+    switch (frame.type) {
+    case 'd':
+        this->copyBuffer.append(frame.body);
+        this->addCopyLines(false);
+        break;
+    case 'c':
+        this->addCopyLines(true);
+        if (this->copyIn)
+            this->endCopyIn();
+        break;
+    case 'f':
+        this->fail(pgwire::makeError("ERROR", "57014", "COPY from stdin failed: " + std::string(frame.body.substr(0, frame.body.size() - 1))));
+        break;
+    case 'X':
+        this->phase = Phase::Closed;
+        this->stream.closeAfterWrite();
+        break;
+    default: // Flush and Sync are to be ignored here.
+        break;
     }
-    this->writer.addCommandComplete(result.tag);
-}
-
-pgwire::TransactionStatus UpstreamSession::transactionStatus() const
-{
-    if (!this->isExplicit)
-        return pgwire::TransactionStatus::Idle;
-    return this->isFailed ? pgwire::TransactionStatus::Failed : pgwire::TransactionStatus::Active;
 }
 
 void UpstreamSession::flush()
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -95,7 +95,7 @@
     const auto port = std::to_string(this->options.address.port);
     const std::array<const char*, 9> keywords { "hostaddr", "port", "dbname", "user", "password", "sslmode", "sslrootcert", "application_name", nullptr };
     const std::array<const char*, 9> values { this->options.address.host.c_str(), port.c_str(), this->options.database.c_str(), this->options.user.c_str(),
-        this->options.password.c_str(), this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), "amaranthhall", nullptr };
+        this->options.password.c_str(), this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), this->options.applicationName.c_str(), nullptr };
     this->connection.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
     this->connectTimer = this->loop.after(this->options.connectTimeout, [this] { this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time")); });
     if (!this->connection || PQstatus(this->connection.get()) == CONNECTION_BAD) {
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -21,6 +21,7 @@
     std::string tlsMode;
     std::string tlsRootCertificate;
     Duration connectTimeout;
+    std::string applicationName { "amaranthhall" };
 };
 
 /// @brief A link over libpq's non-blocking interface, in pipeline and single-row mode.
