--- /dev/null
+++ b/src/amaranthhall/retry/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace amaranthhall::retry {
+
+struct Budget;
+struct Outcome;
+
+}
--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -1,248 +1,504 @@
 #include "amaranthhall/session/caller_session.hpp"
 
-#include "amaranthhall/pgwire/fields.hpp"
-#include "amaranthhall/session/caller_listener.hpp"
+#include "amaranthhall/session/refused_kinds.hpp"
+#include "amaranthhall/session/session_parameters.hpp"
+#include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace amaranthhall::session {
 
 namespace {
 
+    using namespace std::chrono_literals;
+
     constexpr std::size_t maximumFrameBytes = 64U << 20U;
-    constexpr std::int32_t protocolVersion = 196608;
-    constexpr std::int32_t sslRequestCode = 80877103;
-    constexpr std::int32_t gssRequestCode = 80877104;
+    constexpr std::size_t maximumStartupBytes = 10000;
+    constexpr std::size_t pendingBytes = 1U << 20U; // what may pile up while a statement runs
+    constexpr auto startupTimeout = 10s;
+
+    constexpr auto serverParameters = std::to_array<std::pair<std::string_view, std::string_view>>({
+        { "server_version", "15.0" },
+        { "server_encoding", "UTF8" },
+        { "client_encoding", "UTF8" },
+        { "DateStyle", "ISO, MDY" },
+        { "IntervalStyle", "postgres" },
+        { "TimeZone", "UTC" },
+        { "integer_datetimes", "on" },
+        { "standard_conforming_strings", "on" },
+    });
+
+    bool isLoopback(const std::string& host)
+    {
+        return host.starts_with("127.") || host == "::1";
+    }
+
+    std::string quoteLiteral(std::string_view value)
+    {
+        std::string text = "'";
+        for (const char letter : value) {
+            text += letter;
+            if (letter == '\'')
+                text += letter;
+        }
+        return text + "'";
+    }
 
-    bool isRead(const std::vector<statement::Classification>& statements)
+    std::string quoteName(std::string_view value)
     {
-        return std::all_of(statements.begin(), statements.end(), [](const auto& item) { return item.kind == statement::StatementKind::Read; });
+        std::string text = "\"";
+        for (const char letter : value) {
+            text += letter;
+            if (letter == '"')
+                text += letter;
+        }
+        return text + "\"";
     }
 
 }
 
-CallerSession::CallerSession(kernel::Loop& usedLoop, kernel::Registry& registry, CallerListener& usedOwner, kernel::Socket socket)
-    : loop(usedLoop)
+CallerSession::CallerSession(SessionContext& usedContext, SessionOwner& usedOwner, kernel::Socket socket)
+    : context(usedContext)
     , owner(usedOwner)
-    , table(registry.find<table::TableSource>("table"))
-    , dispatcher(registry.find<upstream::Dispatcher>("dispatch"))
-    , confirmer(registry.find<upstream::Confirmer>("confirm"))
-    , stream(usedLoop, std::move(socket),
+    , stream(usedContext.loop, std::move(socket),
           kernel::ByteStream::Callbacks {
               .received = [this](auto bytes) { this->received(bytes); },
-              .closed = [this] { this->owner.remove(*this); },
+              .closed = [this] { this->closed(); },
+              .drained = [this] {
+                  if (this->runner)
+                      this->runner->resumeReading(); },
           })
-    , reader(maximumFrameBytes)
+    , reader(maximumStartupBytes)
+{
+    this->context.metrics.open.Increment();
+}
+
+CallerSession::~CallerSession()
 {
+    this->context.metrics.open.Decrement();
+    if (this->runner)
+        this->runner->abandon();
+}
+
+void CallerSession::start()
+{
+    this->startupTimer = this->context.loop.after(startupTimeout, [this] { this->endWithError({ .sqlstate = "08P01", .message = "the session was not started in time" }); });
+}
+
+void CallerSession::cancel()
+{
+    if (this->isBusy && this->runner)
+        this->runner->cancel();
+}
+
+void CallerSession::drain()
+{
+    this->isDraining = true;
+    this->closeIfDraining();
+}
+
+bool CallerSession::cut()
+{
+    const bool hasWork = this->isBusy || this->state.transaction != pgwire::TransactionStatus::Idle;
+    if (this->runner)
+        this->runner->abandon();
+    this->endWithError({ .sqlstate = "57P01", .message = "terminating connection due to administrator command" });
+    return hasWork;
+}
+
+void CallerSession::closeIfDraining()
+{
+    const bool isAtBoundary = !this->isBusy && !this->isSkipping && this->state.transaction == pgwire::TransactionStatus::Idle && this->reader.pending() == 0 && (!this->extended || this->extended->empty());
+    if (this->isDraining && isAtBoundary && !this->isClosing)
+        this->endWithError({ .sqlstate = "57P01", .message = "terminating connection due to administrator command" });
+}
+
+void CallerSession::closed()
+{
+    this->isClosing = true;
+    this->startupTimer.reset();
+    this->copyTimer.reset();
+    if (this->runner)
+        this->runner->abandon();
+    this->owner.remove(*this);
+}
+
+void CallerSession::endWithError(const StartupError& error)
+{
+    if (std::exchange(this->isClosing, true))
+        return;
+    this->startupTimer.reset();
+    auto fields = pgwire::makeError("FATAL", error.sqlstate, error.message);
+    if (!error.hint.empty())
+        fields.fields.push_back({ 'H', error.hint });
+    pgwire::FrameWriter writer;
+    writer.addErrorFields('E', fields);
+    this->stream.write(writer.bytes());
+    this->stream.closeAfterWrite();
 }
 
 void CallerSession::received(std::string_view bytes)
 {
     this->reader.append(bytes);
     this->processFrames();
+    if (this->isBusy && this->reader.pending() > pendingBytes)
+        this->stream.pauseReading();
 }
 
 void CallerSession::processFrames()
 {
-    while (!this->isBusy) {
+    const auto held = this->shared_from_this();
+    while (!this->isClosing && (!this->isBusy || (this->runner && this->runner->isCopyingIn() && this->copyData.empty()))) {
         const auto frame = this->isStarted ? this->reader.nextTyped() : this->reader.nextUntyped();
         if (!frame) {
-            this->refuseStartup("08P01", "the message is malformed");
-            break;
+            const bool isOversized = frame.error() == pgwire::WireError::Oversized;
+            this->endWithError({ .sqlstate = "08P01", .message = isOversized ? "the message is too long" : "the message is malformed" });
+            return;
         }
         if (!*frame)
             break;
         if (!this->isStarted)
             this->processStartup((*frame)->body);
-        else if ((*frame)->type == 'Q')
-            this->processQuery((*frame)->body.substr(0, (*frame)->body.size() - 1));
-        else if ((*frame)->type == 'X')
-            this->stream.closeAfterWrite();
+        else
+            this->processFrame(**frame);
+    }
+    if (this->isClosing)
+        return;
+    if (!this->isBusy) {
+        this->stream.resumeReading();
+        this->releaseMemory();
     }
-    this->flush();
+    this->closeIfDraining();
 }
 
-void CallerSession::refuseStartup(std::string_view sqlstate, std::string_view message)
+// An idle caller keeps no buffer and no state of a query.
+void CallerSession::releaseMemory()
 {
-    this->writer.addErrorFields('E', pgwire::makeError("FATAL", sqlstate, message));
-    this->flush();
-    this->stream.closeAfterWrite();
+    if (!this->isStarted || this->reader.pending() > 0)
+        return;
+    this->reader = pgwire::FrameReader(maximumFrameBytes);
+    if (this->extended && this->extended->isDisposable())
+        this->extended.reset();
+    if (this->runner && !this->runner->hasPortals())
+        this->runner.reset();
 }
 
 void CallerSession::processStartup(std::string_view body)
 {
-    pgwire::FieldReader fields(body);
-    const auto code = fields.int32().value_or(0);
-    if (code == sslRequestCode || code == gssRequestCode) {
+    const auto message = parseStartup(body);
+    if (!message) {
+        this->endWithError(message.error());
+        return;
+    }
+    switch (message->kind) {
+    case StartupKind::Ssl:
+    case StartupKind::Gss:
         this->stream.write("N");
+        break;
+    case StartupKind::Cancel:
+        this->owner.cancel(message->cancel);
+        this->isClosing = true;
+        this->stream.closeAfterWrite();
+        break;
+    case StartupKind::Session:
+        this->openSession(*message);
+        break;
+    }
+}
+
+void CallerSession::openSession(const StartupMessage& message)
+{
+    const auto group = resolveGroup(this->context.table.image(), message.database);
+    if (!group) {
+        this->endWithError(group.error());
+        return;
+    }
+    const auto* service = table::findService(this->context.table.image(), group->service);
+    if (service && !this->owner.mayOpen(*service)) {
+        this->endWithError({ .sqlstate = "53300", .message = "not run: the service has as many callers on this daemon as its limit allows", .hint = "Come back after 1000 ms." });
         return;
     }
-    if (code != protocolVersion) {
-        this->refuseStartup("0A000", "only protocol 3.0 is supported");
+    if (const auto error = this->authenticate()) {
+        this->endWithError(*error);
         return;
     }
-    std::string database;
-    while (!fields.atEnd()) {
-        const auto name = fields.text().value_or("");
-        const auto value = fields.text().value_or("");
-        if (name == "database")
-            database = value;
-    }
-    const auto colon = database.find(':');
-    this->group.service = database.substr(0, colon);
-    this->group.instance = colon == std::string::npos ? "1" : database.substr(colon + 1);
-    const auto* service = table::findService(this->table.image(), this->group.service);
-    if (!service) {
-        this->refuseStartup("3D000", "the service \"" + this->group.service + "\" does not exist");
+    this->state.group = *group;
+    if (const auto error = this->applyParameters(message)) {
+        this->endWithError(*error);
         return;
     }
     this->welcome();
 }
 
-void CallerSession::welcome()
+std::optional<StartupError> CallerSession::authenticate() const
 {
-    this->isStarted = true;
-    this->writer.begin('R');
-    this->writer.addInt32(0);
-    this->writer.end();
-    this->writer.addParameterStatus("server_version", "15.0");
-    this->writer.addParameterStatus("client_encoding", "UTF8");
-    this->writer.addParameterStatus("standard_conforming_strings", "on");
-    this->writer.addReady(this->transaction);
+    const auto& callers = this->context.settings.callers;
+    if (callers.trustLoopback && isLoopback(kernel::peerAddress(this->stream.connection()).host))
+        return std::nullopt;
+    return StartupError { .sqlstate = "28000", .message = "password authentication needs TLS, which this daemon does not offer" };
 }
 
-void CallerSession::processQuery(std::string_view text)
+std::optional<StartupError> CallerSession::applyParameters(const StartupMessage& message)
 {
-    const auto* service = table::findService(this->table.image(), this->group.service);
-    if (!service) {
-        this->refuseStartup("57P01", "the service has been removed");
-        return;
-    }
-    this->isBusy = true;
-    this->statements = statement::classify(text, service->safeFunctions);
-    this->isWrite = !isRead(this->statements);
-    this->deadline = this->loop.now() + service->statementDeadline;
-    if (this->assignment.lease) {
-        this->runOn(std::move(this->assignment));
-        return;
-    }
-    const upstream::WorkRequest work {
-        .group = this->group,
-        .need = this->isWrite ? upstream::Need::Primary : upstream::Need::Read,
-        .deadline = this->loop.now() + service->queueDeadline,
-    };
-    this->ticket = this->dispatcher.request(work, [this](auto result) { this->runOn(std::move(result)); });
-}
-
-void CallerSession::runOn(upstream::AssignmentResult result)
-{
-    if (!result) {
-        this->writer.addErrorFields('E', pgwire::makeError("ERROR", result.error().sqlstate, result.error().message));
-        this->finishQuery();
-        return;
+    for (const auto& [name, value] : message.parameters) {
+        if (isOwnParameter(name)) {
+            if (const auto error = setOwnParameter(this->state, this->context.settings, { .name = name, .value = value }))
+                return StartupError { .sqlstate = std::string(error->sqlstate()), .message = std::string(error->message()) };
+            continue;
+        }
+        const bool isKnown = name == "application_name" || name.starts_with("_pq_.") || (name == "client_encoding" && (value == "UTF8" || value == "UTF-8" || value == "utf8" || value == "auto"));
+        if (isKnown)
+            continue;
+        if (name == "replication")
+            return StartupError { .sqlstate = "0A000", .message = "replication connections are not supported" };
+        this->state.settings.apply({ .kind = statement::StatementKind::Set, .text = "SET " + quoteName(name) + " = " + quoteLiteral(value), .assignment = { .name = name, .value = value } });
     }
-    this->assignment = std::move(*result);
-    upstream::Batch batch { .withPosition = this->isWrite };
-    for (const auto& item : this->statements)
-        batch.queries.push_back({ .text = item.text });
-    this->assignment.lease->run(batch, *this);
+    return std::nullopt;
 }
 
-void CallerSession::finishQuery()
+void CallerSession::welcome()
 {
-    this->writer.addReady(this->transaction);
-    this->flush();
-    this->isBusy = false;
-    this->loop.post([held = this->weak_from_this()] {
-        if (const auto session = held.lock())
-            session->processFrames();
-    });
+    this->isStarted = true;
+    this->startupTimer.reset();
+    this->key = this->owner.makeCancelKey(*this);
+    pgwire::FrameWriter writer;
+    writer.begin('R');
+    writer.addInt32(0);
+    writer.end();
+    for (const auto& [name, value] : serverParameters)
+        writer.addParameterStatus(name, value);
+    writer.begin('K');
+    writer.addInt32(this->key.process);
+    writer.addInt32(this->key.secret);
+    writer.end();
+    writer.addReady(this->state.transaction);
+    this->stream.write(writer.bytes());
 }
 
-void CallerSession::flush()
+void CallerSession::processFrame(const pgwire::Frame& frame)
 {
-    if (this->writer.empty())
-        return;
-    this->stream.write(this->writer.bytes());
-    this->writer.clear();
+    this->receivedAt = this->context.loop.now();
+    switch (frame.type) {
+    case 'X':
+        this->isClosing = true;
+        this->stream.closeAfterWrite();
+        break;
+    case 'd':
+    case 'c':
+    case 'f':
+        if (this->isBusy)
+            this->processCopyData(frame);
+        break;
+    case 'S':
+        this->sync();
+        break;
+    case 'Q':
+        if (this->isSkipping)
+            break;
+        if (frame.body.empty() || frame.body.back() != '\0')
+            this->endWithError({ .sqlstate = "08P01", .message = "the message is malformed" });
+        else
+            this->processQuery(frame.body.substr(0, frame.body.size() - 1));
+        break;
+    case 'P':
+    case 'B':
+    case 'D':
+    case 'E':
+    case 'C':
+    case 'H':
+        if (!this->isSkipping)
+            this->processExtended(frame);
+        break;
+    default:
+        this->endWithError({ .sqlstate = "08P01", .message = "the message type is unknown" });
+        break;
+    }
 }
 
-void CallerSession::onParameterTypes(std::size_t, std::span<const std::uint32_t>)
+std::span<const std::string> CallerSession::safeFunctions() const noexcept
 {
+    const auto* service = table::findService(this->context.table.image(), this->state.group.service);
+    return service ? std::span<const std::string>(service->safeFunctions) : std::span<const std::string>();
 }
 
-void CallerSession::onColumns(std::size_t, std::span<const pgwire::Column> columns)
+ExtendedQuery& CallerSession::extendedQuery()
 {
-    this->writer.addRowDescription(columns);
+    if (!this->extended)
+        this->extended = std::make_unique<ExtendedQuery>();
+    return *this->extended;
 }
 
-void CallerSession::onRow(std::size_t, std::span<const pgwire::Value> values)
+tl::expected<std::optional<std::string>, pgwire::ErrorFields> CallerSession::answerLocally(const statement::Classification& statement)
 {
-    this->writer.addDataRow(values);
+    using statement::StatementKind;
+    const bool inTransaction = this->state.transaction != pgwire::TransactionStatus::Idle;
+    if (auto refused = refuseKind(statement, inTransaction))
+        return tl::unexpected(std::move(*refused));
+    pgwire::FrameWriter writer;
+    if (statement.kind == StatementKind::Empty) {
+        writer.add('I', "");
+        return writer.bytes();
+    }
+    if (statement.kind == StatementKind::Set && statement.assignment.name == "all")
+        this->state.maxStale.reset();
+    if (!isOwnStatement(statement))
+        return std::nullopt;
+    if (statement.kind == StatementKind::Deallocate) {
+        if (this->extended)
+            this->extended->deallocate(statement.prepared);
+        writer.addCommandComplete(statement.prepared.empty() ? "DEALLOCATE ALL" : "DEALLOCATE");
+    } else if (statement.kind == StatementKind::Set) {
+        if (auto refused = setOwnParameter(this->state, this->context.settings, statement.assignment))
+            return tl::unexpected(std::move(*refused));
+        writer.addCommandComplete(statement.assignment.isReset ? "RESET" : "SET");
+    } else {
+        const auto value = showOwnParameter(this->state, this->context.settings, statement.assignment.name);
+        const std::array<pgwire::Column, 1> columns { { { .name = statement.assignment.name } } };
+        const std::array<pgwire::Value, 1> values { value };
+        writer.addRowDescription(columns);
+        writer.addDataRow(values);
+        writer.addCommandComplete("SHOW");
+    }
+    return writer.bytes();
 }
 
-void CallerSession::onCompleted(std::size_t, std::string_view tag)
+void CallerSession::processQuery(std::string_view text)
 {
-    this->writer.addCommandComplete(tag);
+    this->isSimple = true;
+    const auto statements = this->context.classifier.classify(text, this->safeFunctions());
+    Work work;
+    std::string frames;
+    bool inTransaction = this->state.transaction != pgwire::TransactionStatus::Idle;
+    for (const auto& item : *statements) {
+        if (auto refused = refuseKind(item, inTransaction)) {
+            this->failStatement(*refused);
+            return;
+        }
+        inTransaction = inTransaction || item.kind == statement::StatementKind::Begin;
+    }
+    for (const auto& item : *statements) {
+        const bool isChecked = item.kind == statement::StatementKind::SessionState;
+        const auto local = isChecked ? tl::expected<std::optional<std::string>, pgwire::ErrorFields>() : this->answerLocally(item);
+        if (!local) {
+            this->failStatement(local.error());
+            return;
+        }
+        if (*local) {
+            frames += **local;
+            continue;
+        }
+        work.isCopy = work.isCopy || item.kind == statement::StatementKind::Copy;
+        work.steps.push_back({ .query = { .text = item.text }, .statement = item, .prefix = std::exchange(frames, {}), .describesRows = true });
+    }
+    if (work.isCopy && statements->size() > 1) {
+        this->failStatement(pgwire::makeError("ERROR", "0A000", "not run: COPY is supported as the only statement of a query"));
+        return;
+    }
+    work.suffix = std::move(frames);
+    this->awaitsSync = true;
+    this->startWork(std::move(work));
 }
 
-void CallerSession::onError(std::size_t, const pgwire::ErrorFields& error)
+void CallerSession::startWork(Work work)
 {
-    this->writer.addErrorFields('E', error);
+    if (work.steps.empty()) {
+        this->give(work.suffix);
+        if (this->awaitsSync)
+            this->endCycle();
+        return;
+    }
+    if (this->state.transaction == pgwire::TransactionStatus::Failed && !this->state.assignment.lease) {
+        this->finishFailedTransaction(work);
+        return;
+    }
+    this->isBusy = true;
+    if (!this->runner)
+        this->runner = std::make_shared<StatementRunner>(this->context, this->state, static_cast<RunnerClient&>(*this));
+    this->runner->start(std::move(work), this->receivedAt);
 }
 
-void CallerSession::onNotice(const pgwire::ErrorFields& notice)
+// The upstream has rolled the transaction back already, with the connection on which it ran.
+void CallerSession::finishFailedTransaction(const Work& work)
 {
-    this->writer.addErrorFields('N', notice);
+    const auto kind = work.steps.front().statement.kind;
+    if (kind != statement::StatementKind::Rollback && kind != statement::StatementKind::Commit) {
+        this->failStatement(pgwire::makeError("ERROR", "25P02", "not run: current transaction is aborted, commands ignored until end of transaction block"));
+        return;
+    }
+    this->state.transaction = pgwire::TransactionStatus::Idle;
+    this->state.settings.endTransaction(false);
+    this->state.key = {};
+    pgwire::FrameWriter writer;
+    writer.addBytes(work.steps.front().prefix);
+    if (runs(work.steps.front()))
+        writer.addCommandComplete("ROLLBACK");
+    writer.addBytes(work.suffix);
+    this->give(writer.bytes());
+    if (this->awaitsSync)
+        this->endCycle();
 }
 
-void CallerSession::onParameterStatus(std::string_view name, std::string_view value)
+void CallerSession::failStatement(const pgwire::ErrorFields& error)
 {
-    this->writer.addParameterStatus(name, value);
+    pgwire::FrameWriter writer;
+    writer.addErrorFields('E', error);
+    this->give(writer.bytes());
+    this->context.metrics.notRun.Increment();
+    if (this->state.transaction != pgwire::TransactionStatus::Idle) {
+        this->state.transaction = pgwire::TransactionStatus::Failed;
+        this->state.wrote = false;
+        this->state.assignment.lease.discard();
+    }
+    if (this->extended)
+        this->extended->dropWork();
+    if (this->isSimple)
+        this->endCycle();
+    else
+        this->isSkipping = true;
 }
 
-void CallerSession::onCopyIn(std::size_t, std::span<const std::int16_t>, std::int16_t)
+void CallerSession::endCycle()
 {
+    this->awaitsSync = false;
+    this->isSkipping = false;
+    if (this->state.transaction == pgwire::TransactionStatus::Idle) {
+        this->isWrapped = false;
+        if (this->extended)
+            this->extended->closePortals();
+        if (this->runner)
+            this->runner->closePortals();
+    }
+    pgwire::FrameWriter writer;
+    writer.addReady(this->state.transaction);
+    this->give(writer.bytes());
 }
 
-void CallerSession::onCopyOut(std::size_t, std::span<const std::int16_t>, std::int16_t)
+void CallerSession::give(std::string_view frames)
 {
+    if (!frames.empty() && !this->isClosing)
+        this->stream.write(frames);
 }
 
-void CallerSession::onCopyData(std::size_t, std::string_view)
+std::size_t CallerSession::backlog() const noexcept
 {
+    return this->stream.buffered();
 }
 
-void CallerSession::onEnd(const upstream::BatchEnd& end)
+void CallerSession::workDone(bool succeeded)
 {
-    if (end.lost) {
-        this->assignment.lease.discard();
-        this->transaction = pgwire::TransactionStatus::Idle;
-        this->writer.clear();
-        this->writer.addErrorFields('E', pgwire::makeError("ERROR", "08007", "outcome unknown: the connection to the upstream broke"));
-        this->finishQuery();
-        return;
-    }
-    this->transaction = end.transaction;
-    if (this->transaction != pgwire::TransactionStatus::Idle) {
-        this->finishQuery();
-        return;
-    }
-    const auto writerId = this->assignment.upstream;
-    this->assignment.lease.release();
-    if (!this->isWrite || !end.status) {
-        this->finishQuery();
-        return;
-    }
-    this->confirmer.confirm(writerId, end.status->last, this->deadline, [held = this->weak_from_this()](auto confirmation) {
-        const auto session = held.lock();
-        if (!session)
-            return;
-        if (confirmation != upstream::Confirmation::Confirmed) {
-            session->writer.clear();
-            session->writer.addErrorFields('E', pgwire::makeError("ERROR", "08007", "outcome unknown: no second upstream confirmed the write in time"));
-        }
-        session->finishQuery();
+    this->isBusy = false;
+    this->copyData.clear();
+    this->copyTimer.reset();
+    if (!succeeded && !this->isSimple && this->extended)
+        this->extended->dropWork();
+    if (this->awaitsSync)
+        this->endCycle();
+    else if (!succeeded)
+        this->isSkipping = true;
+    this->context.loop.post([held = this->weak_from_this()] {
+        if (const auto session = held.lock())
+            session->processFrames();
     });
 }
 
--- a/src/amaranthhall/statement/parse_tree.cpp
+++ b/src/amaranthhall/statement/parse_tree.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    constexpr std::size_t maximumTextBytes = 65536; // longer chains of operators overflow the parser's stack
+    constexpr std::size_t maximumDepth = 1500; // brackets of the tree
     constexpr std::string_view builtinSchema = "pg_catalog.";
 
     // Sorted, for binary search.
@@ -57,8 +59,7 @@
         "WindowDef",
     });
 
-    constexpr auto safeFunctions = std::to_array<std::string_view>({
-        "abs", "age", "array_agg", "array_length", "array_position", "array_to_string", "avg", "bit_length", "bool_and", "bool_or", "btrim", "cardinality",
+    constexpr auto safeFunctions = std::to_array<std::string_view>({ "abs", "age", "array_agg", "array_length", "array_position", "array_to_string", "avg", "bit_length", "bool_and", "bool_or", "btrim", "cardinality",
         "ceil", "ceiling", "char_length", "character_length", "chr", "coalesce", "concat", "concat_ws", "count", "cume_dist", "current_schema", "date_part",
         "date_trunc", "dense_rank", "every", "exp", "extract", "first_value", "floor", "format", "generate_series", "greatest", "initcap", "json_agg",
         "json_array_length", "json_build_object", "json_object_agg", "jsonb_agg", "jsonb_array_length", "jsonb_build_object", "lag", "last_value", "lead",
@@ -66,8 +67,7 @@
         "overlay", "percent_rank", "percentile_cont", "percentile_disc", "position", "power", "rank", "regexp_replace", "repeat", "replace", "reverse", "right",
         "round", "row_number", "row_to_json", "rpad", "rtrim", "sign", "split_part", "sqrt", "stddev", "string_agg", "string_to_array", "strpos", "substr",
         "substring", "sum", "to_char", "to_date", "to_json", "to_jsonb", "to_number", "to_timestamp", "translate", "trim", "trunc", "unnest", "upper",
-        "variance", "version"
-    });
+        "variance", "version" });
 
     struct ParseCloser {
         void operator()(PgQueryParseResult* result) const noexcept { pg_query_free_parse_result(*result); }
@@ -116,6 +116,26 @@
             visitObjects(child, visit);
     }
 
+    // Counts brackets outside of strings, so that a tree too deep for recursion is never walked.
+    std::size_t nestingDepth(std::string_view json) noexcept
+    {
+        std::size_t depth = 0;
+        std::size_t deepest = 0;
+        bool isQuoted = false;
+        for (std::size_t i = 0; i < json.size(); ++i) {
+            const char letter = json[i];
+            if (letter == '\\')
+                ++i;
+            else if (letter == '"')
+                isQuoted = !isQuoted;
+            else if (!isQuoted && (letter == '{' || letter == '['))
+                deepest = std::max(deepest, ++depth);
+            else if (!isQuoted && (letter == '}' || letter == ']'))
+                --depth;
+        }
+        return deepest;
+    }
+
     bool isNodeName(std::string_view key) noexcept
     {
         return !key.empty() && std::isupper(static_cast<unsigned char>(key.front())) != 0;
@@ -130,9 +150,11 @@
 
 std::optional<Json> parseTree(const std::string& text)
 {
+    if (text.size() > maximumTextBytes)
+        return std::nullopt;
     auto parsed = pg_query_parse(text.c_str());
     const std::unique_ptr<PgQueryParseResult, ParseCloser> closer(&parsed);
-    if (parsed.error)
+    if (parsed.error || nestingDepth(parsed.parse_tree) > maximumDepth)
         return std::nullopt;
     return Json::parse(parsed.parse_tree);
 }
--- a/src/amaranthhall/statement/parse_tree.hpp
+++ b/src/amaranthhall/statement/parse_tree.hpp
@@ -11,7 +11,7 @@
 /// @brief A parse tree as libpg_query writes it.
 using Json = nlohmann::json;
 
-/// @brief Parses a text; gives nothing if the parser refuses it.
+/// @brief Parses a text; gives nothing if the parser refuses it, or if it is over 64 KB or nested too deeply.
 [[nodiscard]] std::optional<Json> parseTree(const std::string& text);
 
 /// @brief Lists the names of all functions that a tree calls, qualified as written and in lower case.
--- a/test/statement/test_classification.cpp
+++ b/test/statement/test_classification.cpp
@@ -91,3 +91,12 @@
     CHECK(kindOf(" ; -- nothing") == StatementKind::Empty);
     CHECK(kindOf("selec 1") == StatementKind::Unparsable);
 }
+
+TEST(Classification, DeepAndLongTextsAreNeverReads)
+{
+    std::string deep = "select 1";
+    for (int i = 0; i < 20'000; ++i)
+        deep += "+1";
+    CHECK(kindOf(deep) == StatementKind::Unparsable);
+    CHECK(kindOf("select '" + std::string(100'000, 'x') + "'") == StatementKind::Unparsable);
+}
