--- a/src/amaranthhall/session/statement_runner.cpp
+++ b/src/amaranthhall/session/statement_runner.cpp
@@ -133,7 +133,7 @@
 void StatementRunner::run(Phase next, const upstream::Batch& batch)
 {
     this->phase = next;
-    this->attempt = std::make_shared<Attempt>(*this);
+    this->attempt = std::make_shared<Attempt>(static_cast<upstream::ResultSink&>(*this));
     const auto held = this->attempt;
     this->state.assignment.lease->run(batch, *held);
 }
@@ -160,7 +160,7 @@
 {
     this->phase = Phase::Main;
     this->offset = 0;
-    this->attempt = std::make_shared<Attempt>(*this);
+    this->attempt = std::make_shared<Attempt>(static_cast<upstream::ResultSink&>(*this));
     const auto held = this->attempt;
     this->state.assignment.lease->runCopy(this->work.steps.front().query.text, *held);
 }
