--- a/src/amaranthhall/session/attempt.hpp
+++ b/src/amaranthhall/session/attempt.hpp
@@ -60,6 +60,11 @@
         if (this->target)
             this->target->onCopyIn(query, columnFormats, format);
     }
+    void onCopyReady() override
+    {
+        if (this->target)
+            this->target->onCopyReady();
+    }
     void onCopyOut(std::size_t query, std::span<const std::int16_t> columnFormats, std::int16_t format) override
     {
         if (this->target)
--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -118,7 +118,6 @@
 {
     this->isClosing = true;
     this->startupTimer.reset();
-    this->copyTimer.reset();
     if (this->runner)
         this->runner->abandon();
     this->owner.remove(*this);
@@ -149,7 +148,7 @@
 void CallerSession::processFrames()
 {
     const auto held = this->shared_from_this();
-    while (!this->isClosing && (!this->isBusy || (this->runner && this->runner->isCopyingIn() && this->copyData.empty()))) {
+    while (!this->isClosing && (!this->isBusy || (this->runner && this->runner->isCopyingIn() && !this->isCopyBlocked))) {
         const auto frame = this->isStarted ? this->reader.nextTyped() : this->reader.nextUntyped();
         if (!frame) {
             const bool isOversized = frame.error() == pgwire::WireError::Oversized;
@@ -488,8 +487,7 @@
 void CallerSession::workDone(bool succeeded)
 {
     this->isBusy = false;
-    this->copyData.clear();
-    this->copyTimer.reset();
+    this->isCopyBlocked = false;
     if (!succeeded && !this->isSimple && this->extended)
         this->extended->dropWork();
     if (this->awaitsSync)
--- a/src/amaranthhall/session/caller_session.hpp
+++ b/src/amaranthhall/session/caller_session.hpp
@@ -81,13 +81,13 @@
     void endWithError(const StartupError& error);
     void closeIfDraining();
     void releaseMemory();
-    void retryCopyData();
     [[nodiscard]] tl::expected<std::optional<std::string>, pgwire::ErrorFields> answerLocally(const statement::Classification& statement);
     [[nodiscard]] std::span<const std::string> safeFunctions() const noexcept;
     [[nodiscard]] ExtendedQuery& extendedQuery();
 
     void give(std::string_view frames) override;
     [[nodiscard]] std::size_t backlog() const noexcept override;
+    void copyReady() override;
     void workDone(bool succeeded) override;
 
     SessionContext& context;
@@ -99,11 +99,10 @@
     std::shared_ptr<StatementRunner> runner;
     std::unique_ptr<ExtendedQuery> extended;
     kernel::Registration startupTimer;
-    kernel::Registration copyTimer;
-    std::string copyData; ///< Data that the upstream has not taken yet.
     Time receivedAt;
     bool isStarted { false };
     bool isBusy { false };
+    bool isCopyBlocked { false }; ///< The upstream is not taking COPY data now.
     bool isSimple { false }; ///< The running work came by the simple protocol.
     bool isSkipping { false }; ///< Messages are dropped until Sync.
     bool awaitsSync { false }; ///< ReadyForQuery follows the running work.
--- a/src/amaranthhall/session/caller_session_extended.cpp
+++ b/src/amaranthhall/session/caller_session_extended.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-    using namespace std::chrono_literals;
-
-    constexpr auto copyRetryInterval = 2ms;
-
     Step makeSilentStep(statement::StatementKind kind, const std::string& text)
     {
         return { .query = { .text = text }, .statement = { .kind = kind, .text = text }, .reply = ReplyKind::Nothing };
@@ -108,11 +104,9 @@
 void CallerSession::processCopyData(const pgwire::Frame& frame)
 {
     if (frame.type == 'd') {
-        if (!this->runner->sendCopyData(frame.body)) {
-            this->copyData = frame.body;
-            this->copyTimer = this->context.loop.every(copyRetryInterval, [this] { this->retryCopyData(); });
+        this->isCopyBlocked = !this->runner->sendCopyData(frame.body);
+        if (this->isCopyBlocked)
             this->stream.pauseReading();
-        }
         return;
     }
     if (frame.type == 'c') {
@@ -123,12 +117,9 @@
     this->runner->endCopy("COPY from stdin failed: " + std::string(fields.text().value_or("")));
 }
 
-void CallerSession::retryCopyData()
+void CallerSession::copyReady()
 {
-    if (!this->runner || !this->runner->isCopyingIn() || !this->runner->sendCopyData(this->copyData))
-        return;
-    this->copyData.clear();
-    this->copyTimer.reset();
+    this->isCopyBlocked = false;
     this->stream.resumeReading();
     this->processFrames();
 }
--- a/src/amaranthhall/session/statement_runner.cpp
+++ b/src/amaranthhall/session/statement_runner.cpp
@@ -167,7 +167,7 @@
 
 bool StatementRunner::commitsAtEnd() const noexcept
 {
-    if (this->phase == Phase::KeyClosing || this->phase == Phase::CopyPosition)
+    if (this->phase == Phase::KeyClosing)
         return true;
     if (this->phase != Phase::Main || this->keyed)
         return false;
@@ -280,10 +280,6 @@
             this->complete();
         return;
     }
-    if (mayHaveWritten && hasCommitted && this->work.isCopy && this->phase == Phase::Main) {
-        this->run(Phase::CopyPosition, { .withPosition = true });
-        return;
-    }
     const auto point = this->state.assignment.point;
     if (mayHaveWritten && hasCommitted) {
         this->confirm(end.status);
--- a/src/amaranthhall/session/statement_runner.hpp
+++ b/src/amaranthhall/session/statement_runner.hpp
@@ -26,6 +26,9 @@
     /// @brief Gives the number of bytes that wait for the caller to take them.
     [[nodiscard]] virtual std::size_t backlog() const noexcept = 0;
 
+    /// @brief The upstream takes COPY data again.
+    virtual void copyReady() = 0;
+
     /// @brief Takes the end of a work; all its frames were given.
     virtual void workDone(bool succeeded) = 0;
 };
@@ -51,7 +54,7 @@
     /// @brief Goes on reading the answer, the caller having taken what waited for it.
     void resumeReading();
 
-    /// @brief Hands data of a COPY on; gives false while the upstream is not taking it.
+    /// @brief Hands data of a COPY on; gives false if more should wait for RunnerClient::copyReady().
     [[nodiscard]] bool sendCopyData(std::string_view data);
     void endCopy(const std::optional<std::string>& error);
     [[nodiscard]] bool isCopyingIn() const noexcept { return this->copyingIn; }
@@ -72,7 +75,6 @@
         KeyRollback,
         KeyReplay,
         Main,
-        CopyPosition,
         KeyClosing,
         Confirming,
     };
@@ -118,6 +120,7 @@
     void onNotice(const pgwire::ErrorFields& notice) override;
     void onParameterStatus(std::string_view name, std::string_view value) override;
     void onCopyIn(std::size_t query, std::span<const std::int16_t> columnFormats, std::int16_t format) override;
+    void onCopyReady() override;
     void onCopyOut(std::size_t query, std::span<const std::int16_t> columnFormats, std::int16_t format) override;
     void onCopyData(std::size_t query, std::string_view data) override;
     void onEnd(const upstream::BatchEnd& end) override;
--- a/src/amaranthhall/session/statement_runner_events.cpp
+++ b/src/amaranthhall/session/statement_runner_events.cpp
@@ -178,6 +178,11 @@
     this->client.give(this->answer.take());
 }
 
+void StatementRunner::onCopyReady()
+{
+    this->client.copyReady();
+}
+
 void StatementRunner::onCopyOut(std::size_t, std::span<const std::int16_t> columnFormats, std::int16_t format)
 {
     this->copyingOut = true;
@@ -223,12 +228,6 @@
     case Phase::Main:
         this->finishMain(end);
         break;
-    case Phase::CopyPosition:
-        if (end.lost)
-            this->judge(end, "");
-        else
-            this->settle(end);
-        break;
     case Phase::KeyClosing:
         this->finishKeyClosing(end);
         break;
