Read a link's transaction status once its last answer is in

Cause: libpq reports an active transaction while the position query is still queued, so every write looked as if its transaction stayed open. Change: the status is read at the end of the batch; the position query does not change it.

--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -376,7 +376,6 @@
         this->endBatch(false);
         return false;
     }
-    this->end.transaction = internal::readTransaction(this->connection.get());
     this->inPosition = true;
     this->beginQuery();
     return true;
@@ -464,7 +463,7 @@
     this->copyPhase = CopyPhase::None;
     if (lost)
         this->markBroken();
-    else if (!this->inPosition)
+    else
         this->end.transaction = internal::readTransaction(this->connection.get());
     if (!lost && this->stateLeft)
         this->reportParameters();
