--- a/src/amaranthhall/session/statement_runner.hpp
+++ b/src/amaranthhall/session/statement_runner.hpp
@@ -55,7 +55,7 @@
     void resumeReading();
 
     /// @brief Hands data of a COPY on; gives false if more should wait for RunnerClient::copyReady().
-    [[nodiscard]] bool sendCopyData(std::string_view data);
+    [[nodiscard]] bool sendCopyData(std::string_view data) const;
     void endCopy(const std::optional<std::string>& error);
     [[nodiscard]] bool isCopyingIn() const noexcept { return this->copyingIn; }
 
--- a/src/amaranthhall/session/statement_runner_events.cpp
+++ b/src/amaranthhall/session/statement_runner_events.cpp
@@ -47,7 +47,7 @@
     this->state.assignment.lease->resumeReading();
 }
 
-bool StatementRunner::sendCopyData(std::string_view data)
+bool StatementRunner::sendCopyData(std::string_view data) const
 {
     return this->state.assignment.lease->sendCopyData(data);
 }
