--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -57,7 +57,10 @@
     const std::array values { this->options.address.host.c_str(), port.c_str(), this->options.database.c_str(), this->options.user.c_str(), this->options.password.c_str(),
         this->options.tlsMode.c_str(), this->options.tlsRootCertificate.c_str(), "disable", this->options.applicationName.c_str(), static_cast<const char*>(nullptr) };
     this->connection.reset(PQconnectStartParams(keywords.data(), values.data(), 0));
-    this->connectTimer = this->loop.after(this->options.connectTimeout, [this] { this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time")); });
+    this->connectTimer = this->loop.after(this->options.connectTimeout, [this] {
+        this->timedOut = true;
+        this->finishOpen(pgwire::makeError("FATAL", "08001", "the upstream did not take the connection in time"));
+    });
     if (!this->connection || PQstatus(this->connection.get()) == CONNECTION_BAD) {
         this->loop.post([this, living = this->alive] {
             if (*living && this->opened)
@@ -376,7 +379,6 @@
         this->endBatch(false);
         return false;
     }
-    this->end.transaction = internal::readTransaction(this->connection.get());
     this->inPosition = true;
     this->beginQuery();
     return true;
@@ -464,7 +466,7 @@
     this->copyPhase = CopyPhase::None;
     if (lost)
         this->markBroken();
-    else if (!this->inPosition)
+    else
         this->end.transaction = internal::readTransaction(this->connection.get());
     if (!lost && this->stateLeft)
         this->reportParameters();
