--- a/src/amaranthhall/statement/parse_tree.cpp
+++ b/src/amaranthhall/statement/parse_tree.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+    constexpr std::size_t maximumTextBytes = 65536; // longer chains of operators overflow the parser's stack
+    constexpr std::size_t maximumDepth = 1500; // brackets of the tree
     constexpr std::string_view builtinSchema = "pg_catalog.";
 
     // Sorted, for binary search.
@@ -114,6 +116,26 @@
             visitObjects(child, visit);
     }
 
+    // Counts brackets outside of strings, so that a tree too deep for recursion is never walked.
+    std::size_t nestingDepth(std::string_view json) noexcept
+    {
+        std::size_t depth = 0;
+        std::size_t deepest = 0;
+        bool isQuoted = false;
+        for (std::size_t i = 0; i < json.size(); ++i) {
+            const char letter = json[i];
+            if (letter == '\\')
+                ++i;
+            else if (letter == '"')
+                isQuoted = !isQuoted;
+            else if (!isQuoted && (letter == '{' || letter == '['))
+                deepest = std::max(deepest, ++depth);
+            else if (!isQuoted && (letter == '}' || letter == ']'))
+                --depth;
+        }
+        return deepest;
+    }
+
     bool isNodeName(std::string_view key) noexcept
     {
         return !key.empty() && std::isupper(static_cast<unsigned char>(key.front())) != 0;
@@ -128,9 +150,11 @@
 
 std::optional<Json> parseTree(const std::string& text)
 {
+    if (text.size() > maximumTextBytes)
+        return std::nullopt;
     auto parsed = pg_query_parse(text.c_str());
     const std::unique_ptr<PgQueryParseResult, ParseCloser> closer(&parsed);
-    if (parsed.error)
+    if (parsed.error || nestingDepth(parsed.parse_tree) > maximumDepth)
         return std::nullopt;
     return Json::parse(parsed.parse_tree);
 }
