--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -49,7 +49,7 @@
     registry.add(std::make_unique<telemetry::Tracer>(settings.traceFile));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
     registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
-    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
+    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings));
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
