--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -77,8 +77,7 @@
 CallerSession::~CallerSession()
 {
     this->context.metrics.open.Decrement();
-    if (this->runner)
-        this->runner->abandon();
+    this->giveUpWork();
 }
 
 void CallerSession::start()
@@ -101,12 +100,18 @@
 bool CallerSession::cut()
 {
     const bool hasWork = this->isBusy || this->state.transaction != pgwire::TransactionStatus::Idle;
-    if (this->runner)
-        this->runner->abandon();
+    this->giveUpWork();
     this->endWithError({ .sqlstate = "57P01", .message = "terminating connection due to administrator command" });
     return hasWork;
 }
 
+void CallerSession::giveUpWork()
+{
+    if (this->runner)
+        this->runner->abandon();
+    this->state.assignment.lease.discard();
+}
+
 void CallerSession::closeIfDraining()
 {
     const bool isAtBoundary = !this->isBusy && !this->isSkipping && this->state.transaction == pgwire::TransactionStatus::Idle && this->reader.pending() == 0 && (!this->extended || this->extended->empty());
@@ -118,8 +123,7 @@
 {
     this->isClosing = true;
     this->startupTimer.reset();
-    if (this->runner)
-        this->runner->abandon();
+    this->giveUpWork();
     this->owner.remove(*this);
 }
 
@@ -490,6 +494,8 @@
     this->isCopyBlocked = false;
     if (!succeeded && !this->isSimple && this->extended)
         this->extended->dropWork();
+    if (this->awaitsSync && this->isWrapped)
+        this->endWrappedTransaction();
     if (this->awaitsSync)
         this->endCycle();
     else if (!succeeded)
--- a/src/amaranthhall/session/caller_session.hpp
+++ b/src/amaranthhall/session/caller_session.hpp
@@ -78,7 +78,9 @@
     void finishFailedTransaction(const Work& work);
     void failStatement(const pgwire::ErrorFields& error);
     void endCycle();
+    void endWrappedTransaction();
     void endWithError(const StartupError& error);
+    void giveUpWork();
     void closeIfDraining();
     void releaseMemory();
     [[nodiscard]] tl::expected<std::optional<std::string>, pgwire::ErrorFields> answerLocally(const statement::Classification& statement);
--- a/src/amaranthhall/session/caller_session_extended.cpp
+++ b/src/amaranthhall/session/caller_session_extended.cpp
@@ -92,13 +92,24 @@
         work.steps.push_back(makeSilentStep(statement::StatementKind::Commit, "COMMIT"));
     else if (this->isWrapped && this->state.transaction == pgwire::TransactionStatus::Failed)
         work.steps.insert(work.steps.begin(), makeSilentStep(statement::StatementKind::Rollback, "ROLLBACK"));
-    if (!std::exchange(this->isWrapped, false) || this->state.assignment.lease) {
+    if (!this->isWrapped || this->state.assignment.lease) {
         this->startWork(std::move(work));
         return;
     }
+    this->endWrappedTransaction();
+    this->endCycle();
+}
+
+// An implicit transaction never outlives its Sync.
+void CallerSession::endWrappedTransaction()
+{
+    this->isWrapped = false;
+    if (this->state.transaction == pgwire::TransactionStatus::Idle)
+        return;
+    this->state.assignment.lease.discard();
     this->state.transaction = pgwire::TransactionStatus::Idle;
+    this->state.wrote = false;
     this->state.settings.endTransaction(false);
-    this->endCycle();
 }
 
 void CallerSession::processCopyData(const pgwire::Frame& frame)
--- a/src/amaranthhall/session/refused_kinds.cpp
+++ b/src/amaranthhall/session/refused_kinds.cpp
@@ -12,7 +12,7 @@
     case StatementKind::Forbidden:
         return pgwire::makeError("ERROR", "42501", "not run: the control functions of upstreams are not for callers");
     case StatementKind::Unsupported:
-        return pgwire::makeError("ERROR", "0A000", "not run: AND CHAIN is not supported; begin the next transaction by BEGIN");
+        return pgwire::makeError("ERROR", "0A000", "not run: AND CHAIN, and COPY of a query that may write, are not supported");
     case StatementKind::SessionState:
         if (inTransaction)
             return std::nullopt;
--- a/src/amaranthhall/session/session_context.hpp
+++ b/src/amaranthhall/session/session_context.hpp
@@ -34,6 +34,7 @@
     statement::Classifier classifier;
     retry::Budget budget;
     Random random;
+    unsigned keyedWorks { 0 }; ///< Works done under a request key.
     std::unordered_set<group::GroupId> keyTables; ///< Groups in which the table of request keys was made.
 
 private:
--- a/src/amaranthhall/session/statement_runner.cpp
+++ b/src/amaranthhall/session/statement_runner.cpp
@@ -53,6 +53,11 @@
     }
     this->deadline = this->received + service->statementDeadline;
     this->timer = this->context.loop.after(std::max<Duration>(this->deadline - this->context.loop.now(), 0ms), [this] { this->expire(); });
+    if (this->mixesKeyedTransaction()) {
+        this->answer.begin(this->work, false);
+        this->refuse({ .sqlstate = "0A000", .message = "BEGIN, COMMIT and ROLLBACK are sent by themselves in a transaction with a request key" });
+        return;
+    }
     if (this->state.key.recorded) {
         this->answer.begin(this->work, false);
         this->error.reset();
@@ -203,13 +208,14 @@
         this->retryLater();
         return;
     }
+    const std::string reason = outcome.expired ? "the statement's deadline passed" : "the connection to the upstream ended";
     if (decision == retry::Decision::OutcomeUnknown) {
-        this->refuse({ .verdict = upstream::Verdict::OutcomeUnknown, .sqlstate = "08007", .message = "the connection to the upstream ended before its answer" });
+        this->refuse({ .verdict = upstream::Verdict::OutcomeUnknown, .sqlstate = "08007", .message = reason + " before the answer" });
         return;
     }
     const std::string code = outcome.expired ? "57014" : (sqlstate.empty() || wasInTransaction ? "08006" : std::string(sqlstate));
-    const std::string message = wasInTransaction ? "the connection to the upstream ended and the transaction was rolled back" : "the upstream did not run the statement";
-    this->refuse({ .sqlstate = code, .message = message, .retryAfter = comeBackAfter });
+    const std::string fate = wasInTransaction ? ", and the transaction was rolled back" : ", and nothing was changed";
+    this->refuse({ .sqlstate = code, .message = reason + fate, .retryAfter = comeBackAfter });
 }
 
 void StatementRunner::retryLater()
@@ -250,18 +256,26 @@
 
 void StatementRunner::trackTransaction(pgwire::TransactionStatus after)
 {
-    using pgwire::TransactionStatus;
-    const auto before = std::exchange(this->state.transaction, after);
-    if (this->transactionCommitted || after == TransactionStatus::Idle)
-        this->state.settings.endTransaction(this->transactionCommitted.value_or(!this->error));
-    if (before == TransactionStatus::Idle && after != TransactionStatus::Idle)
-        this->state.settings.beginTransaction();
+    using statement::StatementKind;
+    auto& settings = this->state.settings;
+    bool isOpen = std::exchange(this->state.transaction, after) != pgwire::TransactionStatus::Idle;
     for (std::size_t i = 0; i < this->completed; ++i) {
         const auto& step = this->work.steps[i];
-        const bool isKept = after != TransactionStatus::Idle || !this->error;
-        if (step.statement.kind == statement::StatementKind::Set && step.reply == ReplyKind::Rows && isKept)
-            this->state.settings.apply(step.statement);
+        const auto kind = runs(step) ? step.statement.kind : StatementKind::Empty;
+        if (kind == StatementKind::Begin) {
+            settings.beginTransaction();
+            isOpen = true;
+        } else if (kind == StatementKind::Commit || kind == StatementKind::Rollback) {
+            settings.endTransaction(kind == StatementKind::Commit && this->transactionCommitted.value_or(true));
+            isOpen = false;
+        } else if (kind == StatementKind::Set && (isOpen || !this->error)) {
+            settings.apply(step.statement);
+        }
     }
+    if (after == pgwire::TransactionStatus::Idle)
+        settings.endTransaction(!this->error);
+    else
+        settings.beginTransaction();
 }
 
 void StatementRunner::settle(const upstream::BatchEnd& end)
--- a/src/amaranthhall/session/statement_runner.hpp
+++ b/src/amaranthhall/session/statement_runner.hpp
@@ -111,6 +111,7 @@
     void replay();
     void recordStep(std::size_t step, std::string_view tag);
     [[nodiscard]] bool usesKey() const noexcept;
+    [[nodiscard]] bool mixesKeyedTransaction() const noexcept;
 
     void onParameterTypes(std::size_t query, std::span<const std::uint32_t> types) override;
     void onColumns(std::size_t query, std::span<const pgwire::Column> columns) override;
--- a/src/amaranthhall/session/statement_runner_key.cpp
+++ b/src/amaranthhall/session/statement_runner_key.cpp
@@ -24,6 +24,14 @@
     return this->writes || (!this->work.steps.empty() && this->work.steps.front().statement.kind == statement::StatementKind::Begin);
 }
 
+bool StatementRunner::mixesKeyedTransaction() const noexcept
+{
+    using statement::StatementKind;
+    if (this->state.key.key.empty() || this->work.steps.size() < 2)
+        return false;
+    return runsKind(this->work, StatementKind::Begin) || runsKind(this->work, StatementKind::Commit) || runsKind(this->work, StatementKind::Rollback);
+}
+
 void StatementRunner::openKey()
 {
     this->keyed = true;
@@ -81,7 +89,7 @@
 {
     upstream::Batch batch { .withPosition = true };
     batch.queries.push_back(makeKeyRecording(this->state.key.key, this->state.key.done));
-    if (this->context.random() % pruneEvery == 0)
+    if (++this->context.keyedWorks % pruneEvery == 0)
         batch.queries.push_back(makeKeyPruning(epochSeconds()));
     batch.queries.push_back({ .text = "COMMIT" });
     this->run(Phase::KeyClosing, batch);
--- a/src/amaranthhall/session/work.cpp
+++ b/src/amaranthhall/session/work.cpp
@@ -31,11 +31,11 @@
 bool changesData(const Work& work) noexcept
 {
     using statement::StatementKind;
-    for (const auto kind : { StatementKind::Write, StatementKind::Copy, StatementKind::SessionState, StatementKind::Unparsable }) {
+    for (const auto kind : { StatementKind::Write, StatementKind::SessionState, StatementKind::Unparsable }) {
         if (runsKind(work, kind))
             return true;
     }
-    return false;
+    return work.isCopy && work.steps.front().statement.copiesIn;
 }
 
 bool isReadOnly(const Work& work) noexcept
--- a/src/amaranthhall/statement/classification.cpp
+++ b/src/amaranthhall/statement/classification.cpp
@@ -107,6 +107,13 @@
         return StatementKind::Read;
     }
 
+    // The answer of a COPY that puts data out carries no log position to be confirmed.
+    bool mayWriteByCopy(const Json& copy, const std::vector<std::string>& functions)
+    {
+        const auto query = copy.find("query");
+        return query != copy.end() && !(internal::isPureSelect(*query) && std::all_of(functions.begin(), functions.end(), internal::isSafeFunction));
+    }
+
     void classifyNode(const Json& statement, Classification& result)
     {
         auto functions = internal::calledFunctions(statement);
@@ -124,7 +131,7 @@
             result.kind = StatementKind::Show;
             result.assignment.name = toLower(statement["VariableShowStmt"].value("name", ""));
         } else if (statement.contains("CopyStmt")) {
-            result.kind = StatementKind::Copy;
+            result.kind = mayWriteByCopy(statement["CopyStmt"], functions) ? StatementKind::Unsupported : StatementKind::Copy;
             result.copiesIn = statement["CopyStmt"].value("is_from", false);
         } else if (statement.contains("DeallocateStmt")) {
             result.kind = StatementKind::Deallocate;
--- a/src/amaranthhall/statement/classification.hpp
+++ b/src/amaranthhall/statement/classification.hpp
@@ -23,7 +23,7 @@
     SessionState, ///< Leaves state on the connection: temporary tables, LISTEN, advisory locks, cursors WITH HOLD.
     Empty,
     Forbidden, ///< Calls the upstreams' control functions, which are not for callers.
-    Unsupported, ///< Cannot be served through pooled links, such as COMMIT AND CHAIN.
+    Unsupported, ///< Cannot be served through pooled links, such as COMMIT AND CHAIN, or COPY of a query that may write.
     Unparsable,
 };
 
