Tests that time out fail; a near replica is opened again; loss of a primary

Cause: the loop of the dispatcher's tests ended at its limit without failing, so the test of an upstream that had been down passed after 10 s although the near replica was never opened again: warming returned early whenever the recent peak was known, also with no connection open. Change: a limit that is hit fails the test; warming looks at the connections that are open. An integration test kills the primary amid writes and checks each acknowledged one and each that was said not to have run.

--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -247,7 +247,7 @@
 
 void Pool::expect(std::uint32_t connections)
 {
-    if (this->state.recentPeak >= connections)
+    if (this->state.recentPeak >= connections && this->tally.total() >= connections)
         return;
     expectDemand(this->state, connections);
     this->replan();
--- a/test/integration/test_upstream_pool.cpp
+++ b/test/integration/test_upstream_pool.cpp
@@ -48,3 +48,28 @@
     CHECK(counted.succeeded);
     STRCMP_EQUAL(std::to_string(rounds * callers).c_str(), counted.rows.at(0).at(0).c_str());
 }
+
+TEST(UpstreamPool, WritesDuringTheLossOfAPrimaryAreDoneOnceOrSaidNotToHaveRun)
+{
+    constexpr int writes = 40;
+    constexpr int lossAt = 5;
+    rig::Cluster cluster(integration::makeOptions("primary-loss"));
+    rig::Caller caller(cluster.daemons().front().callerPort, "coach-ledger");
+    CHECK(caller.run("CREATE TABLE orders (id integer, coach text)").succeeded);
+    std::vector<int> done;
+    std::vector<int> notRun;
+    for (int i = 0; i < writes; ++i) {
+        if (i == lossAt)
+            cluster.upstreams().front().process->kill();
+        const auto answer = caller.run("INSERT INTO orders VALUES (" + std::to_string(i) + ", 'hearse')");
+        if (answer.succeeded)
+            done.push_back(i);
+        else if (answer.sqlstate != "08007")
+            notRun.push_back(i);
+    }
+    CHECK(done.back() == writes - 1);
+    for (const auto i : done)
+        STRCMP_EQUAL("1", caller.run("SELECT count(*) AS number FROM orders WHERE id = " + std::to_string(i)).rows.at(0).at(0).c_str());
+    for (const auto i : notRun)
+        STRCMP_EQUAL("0", caller.run("SELECT count(*) AS number FROM orders WHERE id = " + std::to_string(i)).rows.at(0).at(0).c_str());
+}
--- a/test/upstream/test_pooled_dispatcher.cpp
+++ b/test/upstream/test_pooled_dispatcher.cpp
@@ -158,8 +158,9 @@
 
     void runUntil(const std::function<bool()>& isDone)
     {
-        const auto limit = this->loop.after(testTimeout, [this] {
-            FAIL_TEST("the test has timed out");
+        bool hasTimedOut = false;
+        const auto limit = this->loop.after(testTimeout, [&] {
+            hasTimedOut = true;
             this->loop.stop();
         });
         const auto poll = this->loop.every(1ms, [&] {
@@ -167,6 +168,7 @@
                 this->loop.stop();
         });
         this->loop.run();
+        CHECK(!hasTimedOut);
     }
 
     [[nodiscard]] WorkRequest makeWork(Need need, Duration patience = 5s) const
--- a/test/upstream/test_pq_link.cpp
+++ b/test/upstream/test_pq_link.cpp
@@ -41,8 +41,13 @@
 
     void runLoop()
     {
-        const auto limit = this->loop.after(testTimeout, [this] { this->loop.stop(); });
+        bool hasTimedOut = false;
+        const auto limit = this->loop.after(testTimeout, [&] {
+            hasTimedOut = true;
+            this->loop.stop();
+        });
         this->loop.run();
+        CHECK(!hasTimedOut);
     }
 
     void stopAtEnd()
