--- a/src/amaranthhall/bench/load_caller.hpp
+++ b/src/amaranthhall/bench/load_caller.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/kernel/loop.hpp"
 #include "amaranthhall/kernel/random.hpp"
 #include "amaranthhall/upstream/pq_link.hpp"
+#include "amaranthhall/upstream/quiet_sink.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -41,7 +42,7 @@
 };
 
 /// @brief One caller that runs its operations one after the other and keeps what it was told.
-class LoadCaller final : private upstream::ResultSink {
+class LoadCaller final : private upstream::internal::QuietSink {
 public:
     LoadCaller(kernel::Loop& loop, CallerOptions options);
     ~LoadCaller() override;
@@ -67,16 +68,9 @@
     void finishFront();
     [[nodiscard]] std::uint64_t sequenceBefore(Time moment) const;
 
-    void onParameterTypes(std::size_t, std::span<const std::uint32_t>) override { }
-    void onColumns(std::size_t, std::span<const pgwire::Column>) override { }
     void onRow(std::size_t query, std::span<const pgwire::Value> values) override;
-    void onCompleted(std::size_t, std::string_view) override { }
     void onError(std::size_t query, const pgwire::ErrorFields& error) override;
-    void onNotice(const pgwire::ErrorFields&) override { }
     void onParameterStatus(std::string_view name, std::string_view value) override;
-    void onCopyIn(std::size_t, std::span<const std::int16_t>, std::int16_t) override { }
-    void onCopyOut(std::size_t, std::span<const std::int16_t>, std::int16_t) override { }
-    void onCopyData(std::size_t, std::string_view) override { }
     void onEnd(const upstream::BatchEnd& end) override;
 
     struct Acknowledged {
--- a/src/amaranthhall/program/bench.cpp
+++ b/src/amaranthhall/program/bench.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/bench/experiment.hpp"
 #include "amaranthhall/bench/fault_plan.hpp"
+#include "amaranthhall/bench/overhead.hpp"
 #include "amaranthhall/bench/report.hpp"
 #include "amaranthhall/rig/caller.hpp"
 #include "amaranthhall/rig/cluster.hpp"
@@ -78,6 +79,29 @@
     return bench::isHarmless(result) ? 0 : 1;
 }
 
+int runOverhead(const Words& words)
+{
+    options::options_description description("amaranthhall-bench overhead [options]\n\nMeasures one daemon against direct connections to the stand-ins.\n\nOptions");
+    description.add_options()("help", "shows this text")("seconds", options::value<double>()->default_value(3), "length of each part")("callers", options::value<std::size_t>()->default_value(32), "callers of the throughput part")("idle", options::value<std::size_t>()->default_value(1000), "idle callers")("json", options::value<std::string>(), "file for the result");
+    options::variables_map values;
+    options::store(options::command_line_parser(words).options(description).run(), values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    const auto json = bench::measureOverhead({
+        .binaries = binariesFolder(),
+        .workFolder = "results/overhead",
+        .callers = values["callers"].as<std::size_t>(),
+        .idleCallers = values["idle"].as<std::size_t>(),
+        .length = std::chrono::milliseconds(static_cast<std::int64_t>(values["seconds"].as<double>() * 1000)),
+    });
+    if (values.count("json") != 0)
+        writeFile(values["json"].as<std::string>(), json.dump(2) + "\n");
+    std::cout << json.dump(2) << '\n';
+    return 0;
+}
+
 int runReport(const Words& words)
 {
     if (words.size() != 2) {
@@ -141,9 +165,10 @@
     int (*run)(const Words&);
 };
 
-constexpr std::array<Command, 4> commands { {
+constexpr std::array<Command, 5> commands { {
     { "demo", "a cluster, a write, a failover, and what a caller sees of it", runDemo },
     { "experiment", "load and faults on a cluster; counts broken promises", runExperiment },
+    { "overhead", "latency, throughput and memory that one daemon adds", runOverhead },
     { "report", "a result as Markdown and SVG", runReport },
     { "compare", "two results side by side with ratios", runCompare },
 } };
