--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -467,7 +467,7 @@
     if (lost)
         this->markBroken();
     else
-        this->end.transaction = internal::readTransaction(this->connection.get());
+        this->end.transaction = internal::readTransaction(this->connection.get()); // known only once nothing is under way
     if (!lost && this->stateLeft)
         this->reportParameters();
     if (this->end.status && this->statusObserver)
