--- a/src/amaranthhall/bench/experiment.cpp
+++ b/src/amaranthhall/bench/experiment.cpp
@@ -19,6 +19,7 @@
     constexpr auto settleLimit = 30s; // for what arrived before the load ended
     constexpr auto gapWindow = 16s; // the users' bound on a change of primary
     constexpr auto tableLimit = 20s;
+    constexpr std::size_t harmNotesKept = 20;
 
     rig::ClusterOptions makeClusterOptions(const ExperimentOptions& options)
     {
@@ -56,6 +57,12 @@
         throw std::runtime_error("the table cannot be made: " + problem);
     }
 
+    std::string describe(const HarmNote& note, Time begin)
+    {
+        const auto second = [&](Time moment) { return std::to_string(std::chrono::duration<double>(moment - begin).count()); };
+        return note.what + "; caller " + std::to_string(note.caller) + ", instance " + std::to_string(note.instance) + ", from " + second(note.arrived) + " s to " + second(note.ended) + " s";
+    }
+
     /// Runs the load and the faults on one loop.
     class Run {
     public:
@@ -69,7 +76,7 @@
 
         void execute(RunResult& result)
         {
-            const auto begin = this->loop.now();
+            const auto begin = this->beganAt = this->loop.now();
             this->scheduleFaults(result, begin);
             const auto progress = this->loop.every(5s, [&] { this->tellProgress(begin); });
             const auto end = this->loop.after(this->options.length, [this] { this->load.stop(); });
@@ -88,6 +95,7 @@
         }
 
         [[nodiscard]] const History& history() const { return this->load.history(); }
+        [[nodiscard]] Time begin() const noexcept { return this->beganAt; }
 
     private:
         struct StoppedPrimary {
@@ -148,6 +156,7 @@
         kernel::Loop loop;
         Random faultRandom;
         LoadGenerator load;
+        Time beganAt;
         std::vector<kernel::Registration> timers;
         std::vector<StoppedPrimary> stopped;
     };
@@ -165,7 +174,10 @@
     run.execute(result);
     cluster.healNetwork();
     cluster.resumeAll();
-    result.harm = countHarm(run.history(), readRows(cluster));
+    const auto rows = readRows(cluster);
+    result.harm = countHarm(run.history(), rows);
+    for (const auto& note : listHarm(run.history(), rows, harmNotesKept))
+        result.harmNotes.push_back(describe(note, run.begin()));
     result.connections = readConnections(cluster);
     result.replicaReadShare = readReplicaShare(cluster);
     return result;
--- a/src/amaranthhall/bench/harm.hpp
+++ b/src/amaranthhall/bench/harm.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace amaranthhall::bench {
 
@@ -28,6 +29,18 @@
     friend bool operator==(const HarmCounts&, const HarmCounts&) = default;
 };
 
+/// @brief One broken promise, for whoever looks for its cause.
+struct HarmNote {
+    std::string what;
+    std::size_t caller { 0 };
+    std::size_t instance { 0 };
+    Time arrived;
+    Time ended;
+};
+
+/// @brief Lists the broken promises that countHarm() counts, at most `most` of them.
+[[nodiscard]] std::vector<HarmNote> listHarm(const History& history, std::span<const StoredRow> rows, std::size_t most);
+
 /// @brief Compares what callers were told with what the databases hold.
 [[nodiscard]] HarmCounts countHarm(const History& history, std::span<const StoredRow> rows);
 
--- a/src/amaranthhall/bench/report.cpp
+++ b/src/amaranthhall/bench/report.cpp
@@ -100,6 +100,8 @@
     text << heading(result) << '\n';
     for (const auto& figure : figures)
         text << "  " << figure.title << ": " << showNumber(find(result, figure.pointer)) << '\n';
+    for (const auto& note : result.value("harm_notes", Json::array()))
+        text << "  HARM: " << note.get<std::string>() << '\n';
     for (const auto& use : result.value("connections", Json::array())) {
         if (use.value("most", 0) > use.value("limit", 0))
             text << "  OVER THE LIMIT: " << use.dump() << '\n';
--- a/src/amaranthhall/bench/result.cpp
+++ b/src/amaranthhall/bench/result.cpp
@@ -81,6 +81,7 @@
         { "profile", result.profile },
         { "seed", result.seed },
         { "seconds", result.seconds },
+        { "harm_notes", result.harmNotes },
         { "lost", result.harm.lost },
         { "doubled", result.harm.doubled },
         { "mixed", result.harm.mixed },
--- a/src/amaranthhall/bench/result.hpp
+++ b/src/amaranthhall/bench/result.hpp
@@ -51,6 +51,7 @@
     std::uint64_t seed { 0 };
     double seconds { 0 };
     HarmCounts harm;
+    std::vector<std::string> harmNotes; ///< The first broken promises, with their time.
     std::uint64_t acknowledged { 0 };
     std::uint64_t unknown { 0 };
     std::uint64_t refused { 0 };
--- a/src/amaranthhall/program/bench.cpp
+++ b/src/amaranthhall/program/bench.cpp
@@ -47,7 +47,7 @@
 int runExperiment(const Words& words)
 {
     options::options_description description("amaranthhall-bench experiment NAME [options]\n\nStarts a cluster on loopback, puts load and faults on it, reads the databases back.\nEnds with 0 if no promise was broken, 1 if one was, 2 if the run failed.\n\nOptions");
-    description.add_options()("help", "shows this text")("name", options::value<std::string>(), "steady, roaming, failover, partition, pause, lag, store-outage, drain or storm")("profile", options::value<std::string>()->default_value("lautoka"), "lautoka or corrib")("seed", options::value<std::uint64_t>()->default_value(1), "seed of load and faults")("seconds", options::value<double>()->default_value(30), "length of the load")("rate", options::value<double>(), "operations a second, over all callers")("daemons", options::value<std::size_t>(), "number of daemons")("json", options::value<std::string>(), "file for the result")("work", options::value<std::string>()->default_value("results/work"), "folder for settings and logs");
+    description.add_options()("help", "shows this text")("name", options::value<std::string>(), "steady, roaming, failover, partition, pause, lag, store-outage, drain or storm")("profile", options::value<std::string>()->default_value("lautoka"), "lautoka or corrib")("seed", options::value<std::uint64_t>()->default_value(1), "seed of load and faults")("seconds", options::value<double>()->default_value(30), "length of the load")("rate", options::value<double>(), "operations a second, over all callers")("daemons", options::value<std::size_t>(), "number of daemons")("callers", options::value<std::size_t>(), "number of callers")("json", options::value<std::string>(), "file for the result")("work", options::value<std::string>()->default_value("results/work"), "folder for settings and logs");
     options::positional_options_description positions;
     positions.add("name", 1);
     options::variables_map values;
@@ -63,6 +63,8 @@
         profile->arrivalsPerSecond = values["rate"].as<double>();
     if (values.count("daemons") != 0)
         profile->daemons = values["daemons"].as<std::size_t>();
+    if (values.count("callers") != 0)
+        profile->callers = values["callers"].as<std::size_t>();
     const auto result = bench::runExperiment({
         .name = values["name"].as<std::string>(),
         .profile = *profile,
