--- a/src/amaranthhall/group/suspicion.cpp
+++ b/src/amaranthhall/group/suspicion.cpp
@@ -14,6 +14,27 @@
     constexpr auto vacancyLimit = 400ms; // shorter stands before a promotion that is under way is heard of
     constexpr auto isolationLimit = 1200ms;
 
+    bool isSilent(const UpstreamWatch& watch, Time now, bool isAlone)
+    {
+        return watch.askedAt && now - *watch.askedAt >= (isAlone ? aloneSilenceLimit : silenceLimit);
+    }
+
+    bool isRefusing(const UpstreamWatch& watch, Time now, bool isAlone)
+    {
+        return watch.refusedSince && (!isAlone || now - *watch.refusedSince >= aloneRefusalLimit);
+    }
+
+    /// Tells whether each upstream has said that it is no primary, or cannot be asked; a slow one may still be one.
+    bool isVacant(const GroupState& state, Time now, bool isAlone)
+    {
+        if (!state.vacantSince || now - *state.vacantSince < vacancyLimit)
+            return false;
+        return std::ranges::all_of(state.upstreams, [&](const auto& watch) {
+            const bool hasSpoken = watch.heardAt && *watch.heardAt >= *state.vacantSince;
+            return hasSpoken || isRefusing(watch, now, isAlone) || isSilent(watch, now, isAlone);
+        });
+    }
+
     bool isIsolating(const GroupState& state, const UpstreamWatch& watch)
     {
         return watch.name == state.primary || watch.reach != Reach::Up || watch.status.term > state.term || watch.feedAge >= isolationLimit;
@@ -46,13 +67,13 @@
 {
     const bool isAlone = state.watchers.size() < 2;
     if (!state.primary)
-        return state.vacantSince && now - *state.vacantSince >= vacancyLimit ? Suspicion::Vacant : Suspicion::None;
+        return isVacant(state, now, isAlone) ? Suspicion::Vacant : Suspicion::None;
     const auto found = std::ranges::find(state.upstreams, *state.primary, &UpstreamWatch::name);
     if (found == state.upstreams.end())
         return Suspicion::None;
-    if (found->refusedSince && (!isAlone || now - *found->refusedSince >= aloneRefusalLimit))
+    if (isRefusing(*found, now, isAlone))
         return Suspicion::Refused;
-    if (found->askedAt && now - *found->askedAt >= (isAlone ? aloneSilenceLimit : silenceLimit))
+    if (isSilent(*found, now, isAlone))
         return Suspicion::Silent;
     const bool isSettled = now - state.primarySince >= isolationLimit;
     return isSettled && isolatedPrimary(state) ? Suspicion::Isolated : Suspicion::None;
