--- a/src/amaranthhall/standin/fault_connection.hpp
+++ b/src/amaranthhall/standin/fault_connection.hpp
@@ -29,8 +29,8 @@
     /// @brief Puts a fault in force; bytes that an earlier one held go on.
     void setFault(const DirectionFault& changed);
 
-    /// @brief Tells whether all bytes have gone on.
-    [[nodiscard]] bool isEmpty() const noexcept { return this->waiting.empty(); }
+    /// @brief Calls back once, as soon as all bytes taken in have gone on.
+    void whenEmpty(std::function<void()> callback);
 
 private:
     struct Chunk {
@@ -48,6 +48,7 @@
     DirectionFault fault;
     std::deque<Chunk> waiting;
     std::uint64_t passed { 0 };
+    std::function<void()> emptied;
     kernel::Registration timer;
 };
 
