Table: edits in force everywhere or not at all; daemons read it through the platform

The daemon read its table from a file at its start, so an edit needed a restart of every daemon and they could differ. The table now lives in the platform: a head row decides, rows of a version are objects under their digest. An edit is staged with a conditional write, held by every daemon, and committed by one more conditional write. A daemon acts on its table only while in touch with the store, a poller of it or a majority of peers (lease of 4 s), and on rows that a staged edit touches only while it knows that the edit is undecided (2 s). A silent daemon is passed only once its lease has lapsed by the editor's clock plus drift. Decisions are pure (table/replica, table/edit) and tested in pretended time.

--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -1,10 +1,12 @@
+#include "amaranthhall/admin/admin_server.hpp"
 #include "amaranthhall/kernel/loop.hpp"
 #include "amaranthhall/kernel/registry.hpp"
 #include "amaranthhall/kernel/settings.hpp"
+#include "amaranthhall/membership/io/member_service.hpp"
 #include "amaranthhall/peer/http_peer_network.hpp"
+#include "amaranthhall/platform/http_platform.hpp"
 #include "amaranthhall/session/caller_listener.hpp"
-#include "amaranthhall/table/static_table.hpp"
-#include "amaranthhall/table/table_json.hpp"
+#include "amaranthhall/table/io/table_service.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
 #include "amaranthhall/upstream/batched_confirmer.hpp"
@@ -13,46 +15,29 @@
 
 #include <boost/program_options.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
 namespace options = boost::program_options;
 using namespace amaranthhall;
 
-std::string readFile(const std::string& file)
-{
-    const std::ifstream stream(file);
-    if (!stream)
-        throw std::runtime_error(file + ": cannot be read");
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return text.str();
-}
-
-table::TableImage loadTable(const std::string& file)
-{
-    auto image = table::decodeTable(readFile(file));
-    if (!image)
-        throw std::runtime_error(file + ": not a table");
-    return *std::move(image);
-}
-
-int runDaemon(const kernel::Settings& settings, const std::string& tableFile)
+int runDaemon(const kernel::Settings& settings)
 {
     kernel::Loop loop;
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
+    auto& admin = registry.add(std::make_unique<admin::AdminServer>(loop, registry, settings));
+    registry.add(std::make_unique<platform::HttpPlatform>(loop, registry, settings.platform));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
-    registry.add(std::make_unique<table::StaticTable>(loadTable(tableFile)));
+    registry.add(std::make_unique<membership::MemberService>(loop, registry, membership::MemberOptions { .vm = settings.vm, .admin = { .host = settings.listen.admin.host, .port = admin.port() } }));
+    registry.add(std::make_unique<table::TableService>(loop, registry, settings.vm));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
     registry.start();
-    telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port } });
+    telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port }, { "admin_port", admin.port() } });
     const auto terminate = loop.onSignal(SIGTERM, [&] { registry.drain([&loop] { loop.stop(); }); });
     loop.run();
     registry.stop();
@@ -71,7 +56,7 @@
 int runProgram(int count, char** arguments)
 {
     options::options_description description("amaranthhalld: database proxy with session consistency");
-    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>(), "settings file (YAML)")("check-config", "checks the settings and ends")("bootstrap-table", options::value<std::string>(), "file with the operators' table");
+    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>(), "settings file (YAML)")("check-config", "checks the settings and ends");
     options::variables_map values;
     options::store(options::parse_command_line(count, arguments, description), values);
     if (values.count("help") != 0) {
@@ -91,7 +76,7 @@
         return 0;
     }
     telemetry::openLog(toLevel(settings->logLevel));
-    return runDaemon(*settings, values["bootstrap-table"].as<std::string>());
+    return runDaemon(*settings);
 }
 
 }
--- a/src/amaranthhall/rig/cluster.hpp
+++ b/src/amaranthhall/rig/cluster.hpp
@@ -34,6 +34,8 @@
     std::string vm;
     std::string zone;
     std::uint16_t callerPort { 0 };
+    std::uint16_t peerPort { 0 };
+    std::uint16_t adminPort { 0 };
     std::unique_ptr<Process> process;
 };
 
@@ -45,16 +47,31 @@
     [[nodiscard]] std::vector<UpstreamNode>& upstreams() noexcept { return this->upstreamNodes; }
     [[nodiscard]] std::vector<DaemonNode>& daemons() noexcept { return this->daemonNodes; }
 
-    /// @brief Starts one more daemon, in the zone of its turn.
+    /// @brief Gives the port of the stand-in platform.
+    [[nodiscard]] std::uint16_t platformPort() const noexcept { return this->platformNodePort; }
+
+    /// @brief Starts one more daemon, in the zone of its turn, and puts it on the platform's list of VMs.
     DaemonNode& addDaemon();
 
+    /// @brief Waits until all running daemons are ready; throws std::runtime_error after 20 s.
+    void awaitReady();
+
+    /// @brief Sets faults of the stand-in platform, such as `{"down": true}`.
+    void setPlatformFaults(const nlohmann::json& faults) const;
+
+    /// @brief Gives the table that was applied at the start.
+    [[nodiscard]] const table::TableImage& firstTable() const noexcept { return this->table; }
+
 private:
+    void startPlatform();
     void startGroup(std::size_t instance);
+    void applyTable();
     [[nodiscard]] std::string writeSettings(const DaemonNode& node) const;
-    [[nodiscard]] std::string writeTable() const;
 
     ClusterOptions options;
     table::TableImage table;
+    std::unique_ptr<Process> platform;
+    std::uint16_t platformNodePort { 0 };
     std::vector<UpstreamNode> upstreamNodes;
     std::vector<DaemonNode> daemonNodes;
 };
