--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -197,7 +197,7 @@
         this->close(slot);
         // A full upstream answers, so it is neither down nor silent.
         if (!this->isRetired && error.sqlstate() == "08001")
-            this->hooks.symptom(group::Symptom::Refused);
+            this->hooks.symptom(slot.link.hasTimedOut() ? group::Symptom::Silent : group::Symptom::Refused);
         this->replan();
         return;
     }
@@ -222,7 +222,7 @@
 {
     if (this->isRetired || std::exchange(this->isPlanning, true))
         return;
-    const auto wanted = this->tally.lent + this->tally.resetting + this->waiting;
+    const auto wanted = this->tally.lent + this->waiting; // one that is being reset is free sooner than a new one
     const auto plan = planPool(this->state, this->tally, wanted, this->allowance, this->loop.now());
     this->closeIdle(plan.closeIdle);
     for (std::uint32_t i = 0; i < plan.open; ++i)
