--- a/src/amaranthhall/admin/admin_server.cpp
+++ b/src/amaranthhall/admin/admin_server.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/admin/admin_server.hpp"
 
+#include "amaranthhall/admin/view_routes.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
 
 namespace amaranthhall::admin {
@@ -38,6 +39,7 @@
     });
     this->route("/metrics", [this](const auto&, auto reply) { reply(makeTextResponse(200, this->registry.find<telemetry::Metrics>("metrics").text())); });
     this->route("/v1/status", [this](const auto&, auto reply) { reply(makeJsonResponse(200, this->status())); });
+    routeViews(*this, this->registry);
 }
 
 void AdminServer::drain(std::function<void()> done)
--- /dev/null
+++ b/src/amaranthhall/ctl/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace amaranthhall::ctl {
+
+class DaemonClient;
+enum class ExitCode : int;
+
+}
--- a/src/amaranthhall/standin/platform_server.cpp
+++ b/src/amaranthhall/standin/platform_server.cpp
@@ -9,6 +9,7 @@
     using Json = nlohmann::json;
     using Millis = std::chrono::milliseconds;
 
+    constexpr std::string_view vmPath = "/v1/vms";
     constexpr std::string_view objectPath = "/v1/objects/";
     constexpr std::size_t longestBody = 16U << 20U;
 
@@ -55,7 +56,7 @@
             return makeResponse(200, { { "rows", Json::array({ this->store.readRow(key) }) } });
         return makeResponse(200, { { "rows", this->store.readRows(http::findQuery(request.query, "prefix")) } });
     });
-    this->routeRead("/v1/vms", [this](const auto&) { return makeResponse(200, { { "vms", this->store.listVms(this->loop.now(), this->faults.vmLag) } }); });
+    this->routeRead(std::string(vmPath), [this](const auto&) { return makeResponse(200, { { "vms", this->store.listVms(this->loop.now(), this->faults.vmLag) } }); });
     this->server.route(std::string(objectPath), [this](const auto& request, auto reply) { this->serveObject(request, reply); });
     this->routeAdmin();
 }
@@ -63,7 +64,8 @@
 void PlatformServer::routeRead(std::string path, Work work)
 {
     this->server.route(std::move(path), [this, work = std::move(work)](const auto& request, auto reply) {
-        if (this->faults.down)
+        const auto isList = request.path == vmPath;
+        if (isList ? this->faults.down : this->isStoreDown())
             this->answer({ .status = 503 }, reply);
         else if (!this->store.admitRead(this->loop.now()))
             this->answer({ .status = 429 }, reply);
@@ -75,7 +77,7 @@
 void PlatformServer::routeWrite(std::string path, Work work)
 {
     this->server.route(std::move(path), [this, work = std::move(work)](const auto& request, auto reply) {
-        if (this->faults.down)
+        if (this->isStoreDown())
             this->answer({ .status = 503 }, reply);
         else if (!this->store.admitWrite(this->loop.now()))
             this->answer({ .status = 429 }, reply);
@@ -88,7 +90,7 @@
 {
     const auto name = request.path.substr(objectPath.size());
     const auto isWrite = request.method == "PUT";
-    if (this->faults.down)
+    if (this->isStoreDown())
         return this->answer({ .status = 503 }, reply);
     if (!(isWrite ? this->store.admitWrite(this->loop.now()) : this->store.admitRead(this->loop.now())))
         return this->answer({ .status = 429 }, reply);
@@ -151,6 +153,7 @@
 void PlatformServer::setFaults(const Json& wanted)
 {
     this->faults.down = wanted.value("down", this->faults.down);
+    this->faults.storeDown = wanted.value("store_down", this->faults.storeDown);
     this->faults.slow = Millis(wanted.value("slow_ms", this->faults.slow.count()));
     this->faults.loseAnswers = wanted.value("lose_answers", this->faults.loseAnswers);
     this->faults.vmLag = Millis(wanted.value("vm_lag_ms", this->faults.vmLag.count()));
--- a/src/amaranthhall/standin/platform_server.hpp
+++ b/src/amaranthhall/standin/platform_server.hpp
@@ -14,6 +14,7 @@
 /// @brief Faults that tests bring about.
 struct PlatformFaults {
     bool down { false }; ///< Every request is answered 503 without effect.
+    bool storeDown { false }; ///< As `down`, but the list of VMs still answers.
     std::chrono::milliseconds slow { 0 }; ///< Every answer comes this much later.
     std::uint32_t loseAnswers { 0 }; ///< The answers to the next writes are not sent; the writes take effect.
     std::chrono::milliseconds vmLag { 0 }; ///< The list of VMs is this old.
@@ -36,6 +37,7 @@
     void serveObject(const http::Request& request, const http::Reply& reply);
     void answer(http::Response response, const http::Reply& reply);
     void answerWrite(http::Response response, const http::Reply& reply);
+    [[nodiscard]] bool isStoreDown() const noexcept { return this->faults.down || this->faults.storeDown; }
     void setFaults(const nlohmann::json& wanted);
 
     kernel::Loop& loop;
--- a/src/amaranthhall/table/edit.hpp
+++ b/src/amaranthhall/table/edit.hpp
@@ -41,10 +41,10 @@
     Duration lease { std::chrono::seconds(4) }; ///< As ReplicaOptions::lease.
     double clockDrift { 0.05 }; ///< Part by which clocks of two daemons may run apart.
     Duration fateBound { std::chrono::seconds(2) }; ///< As ReplicaOptions::fateBound.
-    Duration storeDeadline { std::chrono::seconds(5) }; ///< Longest wait for the store before the commit.
+    Duration storeDeadline { std::chrono::seconds(8) }; ///< Longest wait for the store before the commit.
     Duration majorityDeadline { std::chrono::seconds(3) }; ///< Longest wait for confirmations of a majority.
     Duration confirmDeadline { std::chrono::seconds(10) }; ///< Longest wait for all confirmations.
-    Duration answerDeadline { std::chrono::seconds(12) }; ///< After this the operator is told that the outcome is unknown.
+    Duration answerDeadline { std::chrono::seconds(15) }; ///< After this the operator is told that the outcome is unknown.
     Duration retryInterval { std::chrono::milliseconds(300) };
     Duration lateRetryInterval { std::chrono::seconds(2) }; ///< Once the operator has been told that the outcome is unknown.
 };
--- a/src/amaranthhall/table/edit_steps.cpp
+++ b/src/amaranthhall/table/edit_steps.cpp
@@ -149,11 +149,9 @@
     if (!edit.majorityAt || now - *edit.majorityAt <= leaseWithDrift(edit.options))
         return;
     // The leases of the silent ones have lapsed by now, so they take no work on the old version.
-    for (auto& [name, confirmed] : edit.voters) {
-        const auto isHeard = std::any_of(voters.begin(), voters.end(), [&](const auto& voter) { return voter.id == name && voter.isHeard; });
-        if (!confirmed && isHeard)
-            return;
-    }
+    const auto isMissed = [&](const Voter& voter) { return voter.isHeard && !edit.voters.at(voter.id); };
+    if (std::any_of(voters.begin(), voters.end(), isMissed))
+        return;
     edit.phase = EditPhase::Committing;
     writeCommit(edit, actions);
 }
--- a/src/amaranthhall/table/io/edit_runner.cpp
+++ b/src/amaranthhall/table/io/edit_runner.cpp
@@ -139,7 +139,8 @@
     this->refresher.readElectorate([this, stored, alive = this->guard()](bool isRead) {
         if (alive.expired())
             return;
-        if (!isRead)
+        // A daemon that has just started may have forgotten a stage, so it waits until it is in touch.
+        if (!isRead || !this->context.replica.isLoaded)
             return this->dispatch(HeadReadFailed {});
         this->readCommitted(stored);
     });
--- a/src/amaranthhall/table/io/refresher.cpp
+++ b/src/amaranthhall/table/io/refresher.cpp
@@ -24,14 +24,6 @@
 
 }
 
-struct Refresher::MajorityRound {
-    Time askedAt;
-    std::size_t electors { 0 };
-    std::size_t upToDate { 0 };
-    std::size_t open { 0 };
-    bool isOver { false };
-};
-
 Refresher::Refresher(TableContext& usedContext, HeadStore& usedStore)
     : context(usedContext)
     , store(usedStore)
@@ -123,35 +115,30 @@
 void Refresher::askMajority()
 {
     this->addMembers();
-    auto round = std::make_shared<MajorityRound>();
-    round->askedAt = this->context.loop.now();
-    round->electors = this->electors.size() + 1;
-    round->open = this->electors.size();
-    // A daemon that has lost its memory does not count: it may have confirmed a stage that it has forgotten.
-    round->upToDate = this->context.replica.isLoaded ? 1 : 0;
-    if (round->open == 0)
+    if (this->electors.empty())
         return this->finishRefresh(false);
+    const auto round = std::make_shared<MajorityRound>(beginRound(this->electors.size(), this->context.replica.isLoaded, this->context.loop.now()));
     for (const auto& [id, address] : this->electors) {
-        this->ask(address, [this, round, peer = address](const auto& report) {
+        this->ask(address, [this, round, elector = id, peer = address](const auto& report) {
             if (!report || !report->isLoaded)
-                return this->countAnswer(round, false);
-            this->take(*report, std::nullopt, peer, [this, round](bool complete) { this->countAnswer(round, complete); });
+                return this->takeAnswer(round, elector, report ? ElectorAnswer::Unloaded : ElectorAnswer::Silent);
+            this->take(*report, std::nullopt, peer, [this, round, elector](bool complete) {
+                this->takeAnswer(round, elector, complete ? ElectorAnswer::UpToDate : ElectorAnswer::Silent);
+            });
         });
     }
 }
 
-void Refresher::countAnswer(const std::shared_ptr<MajorityRound>& round, bool isUpToDate)
+void Refresher::takeAnswer(const std::shared_ptr<MajorityRound>& round, const std::string& elector, ElectorAnswer answer)
 {
-    --round->open;
-    round->upToDate += isUpToDate ? 1 : 0;
-    if (round->isOver)
+    // Who has just started itself cannot tell newcomers from those that have forgotten.
+    countAnswer(*round, answer, this->context.replica.isLoaded && !this->established.contains(elector));
+    if (answer == ElectorAnswer::UpToDate)
+        this->established.insert(elector);
+    if (round->open > 0)
         return;
-    const auto isMajority = round->upToDate * 2 > round->electors;
     const auto& replica = this->context.replica;
-    if (!isMajority && round->open > 0)
-        return;
-    round->isOver = true;
-    const auto isInTouch = isMajority && replica.knownVersion <= replica.inForce.version;
+    const auto isInTouch = hasMajority(*round) && replica.knownVersion <= replica.inForce.version;
     if (isInTouch) {
         renewContact(this->context.replica, round->askedAt);
         this->context.changed();
@@ -165,12 +152,16 @@
     this->store.listVms([this, done = std::move(done), alive = std::weak_ptr(this->running)](const auto& vms) {
         if (alive.expired())
             return;
-        if (vms)
+        if (vms) {
             this->electors.clear();
+            this->established.clear();
+        }
         this->addMembers();
         for (const auto& vm : vms.value_or(std::vector<platform::VmEntry> {})) {
-            if (vm.id != this->context.vm.id && vm.peer.port != 0 && this->context.peers != nullptr)
-                this->electors.emplace(vm.id, vm.peer);
+            if (vm.id == this->context.vm.id || vm.peer.port == 0 || this->context.peers == nullptr)
+                continue;
+            this->electors.emplace(vm.id, vm.peer);
+            this->established.insert(vm.id);
         }
         done(vms.has_value());
     });
--- a/src/amaranthhall/table/io/refresher.hpp
+++ b/src/amaranthhall/table/io/refresher.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/platform/backoff.hpp"
 #include "amaranthhall/table/io/head_store.hpp"
 #include "amaranthhall/table/io/table_context.hpp"
+#include "amaranthhall/table/majority.hpp"
 
 #include <memory>
 #include <set>
@@ -50,15 +51,13 @@
     void setOwnEdit(StageNumber number) noexcept { this->ownEdit = number; }
 
 private:
-    struct MajorityRound;
-
     void schedule();
     void refresh();
     void finishRefresh(bool succeeded);
     void readStore();
     void askPoller();
     void askMajority();
-    void countAnswer(const std::shared_ptr<MajorityRound>& round, bool isUpToDate);
+    void takeAnswer(const std::shared_ptr<MajorityRound>& round, const std::string& elector, ElectorAnswer answer);
     void ask(const kernel::Address& peer, std::function<void(std::optional<Report>)> done);
     void fetch(const std::string& digest, std::optional<kernel::Address> source, std::function<void(std::optional<TableImage>)> done);
     void fetchFromStore(const std::string& digest, std::function<void(std::optional<TableImage>)> done);
@@ -70,6 +69,7 @@
     HeadStore& store;
     platform::Backoff backoff;
     std::map<std::string, kernel::Address> electors;
+    std::set<std::string> established; ///< Electors that were on the list, or have been seen loaded.
     Time lastElectorate;
     Time lastStoreRead;
     Time nextResolve;
--- a/src/amaranthhall/table/io/table_service.cpp
+++ b/src/amaranthhall/table/io/table_service.cpp
@@ -100,6 +100,8 @@
         const auto stage = decodeStage(parameters);
         if (!stage)
             return reply(fail("malformed stage"));
+        if (!this->context.replica.isLoaded)
+            return reply(fail("not in touch yet"));
         const auto answer = holdStage(this->context.replica, *stage, this->context.loop.now());
         this->noteChange();
         reply(Json { { "answer", describe(answer) } });
--- a/test/table/test_replica.cpp
+++ b/test/table/test_replica.cpp
@@ -26,7 +26,7 @@
 TEST_GROUP(Replica)
 {
     const Time start { 1000s };
-    const table::ReplicaOptions options;
+    const table::ReplicaOptions options {};
     const table::TableImage first = table::sampleTable(1);
     const table::TableImage second = changed(first);
     table::Replica replica;
