--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -9,6 +9,7 @@
 #include "amaranthhall/table/io/table_service.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
+#include "amaranthhall/telemetry/tracer.hpp"
 #include "amaranthhall/upstream/batched_confirmer.hpp"
 #include "amaranthhall/upstream/group_monitor.hpp"
 #include "amaranthhall/upstream/pooled_dispatcher.hpp"
@@ -27,12 +28,13 @@
     kernel::Loop loop;
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
+    registry.add(std::make_unique<telemetry::Tracer>(settings.traceFile));
     auto& admin = registry.add(std::make_unique<admin::AdminServer>(loop, registry, settings));
     registry.add(std::make_unique<platform::HttpPlatform>(loop, registry, settings.platform));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
     registry.add(std::make_unique<membership::MemberService>(loop, registry, membership::MemberOptions { .vm = settings.vm, .admin = { .host = settings.listen.admin.host, .port = admin.port() } }));
     registry.add(std::make_unique<table::TableService>(loop, registry, settings.vm));
-    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings.upstreams));
+    registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings));
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
--- a/test/integration/test_table_edits.cpp
+++ b/test/integration/test_table_edits.cpp
@@ -160,7 +160,7 @@
     daemon(2).process->signal(SIGSTOP);
     const auto result = runEdit(*cluster, daemon(0), { .id = "paused" });
     STRCMP_EQUAL("in_force", result.value("outcome", "").c_str());
-    CHECK(result.at("not_reached") == json::array({ "vm-3" }));
+    CHECK(result.at("not_reached") == json::array({ "vm-03" }));
     daemon(2).process->signal(SIGCONT);
     const auto woken = getJson(daemon(2).adminPort, "/v1/table");
     CHECK(woken.value("version", 0) == 2 || !woken.value("refuses_work_because", "").empty());
