--- a/src/amaranthhall/rig/cluster.hpp
+++ b/src/amaranthhall/rig/cluster.hpp
@@ -54,9 +54,18 @@
 
     [[nodiscard]] const ClusterOptions& settings() const noexcept { return this->options; }
 
-    /// @brief Starts one more daemon, in the zone of its turn.
+    /// @brief Starts one more daemon, in the zone of its turn, and puts it on the platform's list of VMs.
     DaemonNode& addDaemon();
 
+    /// @brief Waits until all running daemons are ready; throws std::runtime_error after 20 s.
+    void awaitReady();
+
+    /// @brief Sets faults of the stand-in platform, such as `{"down": true}`.
+    void setPlatformFaults(const nlohmann::json& faults) const;
+
+    /// @brief Gives the table that was applied at the start.
+    [[nodiscard]] const table::TableImage& firstTable() const noexcept { return this->table; }
+
     /// @brief Finds the primary of the highest term by asking the upstreams themselves; throws std::runtime_error if there is none in time.
     [[nodiscard]] UpstreamNode& primaryOf(std::size_t instance);
 
@@ -88,7 +97,9 @@
     void removeVm(const DaemonNode& node) const;
 
 private:
+    void startPlatform();
     void startFaultProxy();
+    void applyTable();
     void startGroup(std::size_t instance);
     [[nodiscard]] UpstreamNode startUpstream(std::size_t instance, std::size_t index);
     void connectPeers(std::size_t first);
@@ -96,7 +107,6 @@
     void hold(const std::string& route, const std::string& match) const;
     [[nodiscard]] UpstreamNode* askForPrimary(std::size_t instance);
     [[nodiscard]] std::string writeSettings(const DaemonNode& node) const;
-    [[nodiscard]] std::string writeTable() const;
 
     ClusterOptions options;
     table::TableImage table;
@@ -104,6 +114,7 @@
     std::vector<DaemonNode> daemonNodes;
     std::unique_ptr<Process> proxy;
     std::uint16_t proxyPort { 0 };
+    std::unique_ptr<Process> platform;
     std::uint16_t platformPort { 0 };
 };
 
