--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -29,11 +29,6 @@
         { "standard_conforming_strings", "on" },
     });
 
-    bool isLoopback(const std::string& host)
-    {
-        return host.starts_with("127.") || host == "::1";
-    }
-
     std::string quoteLiteral(std::string_view value)
     {
         std::string text = "'";
@@ -69,7 +64,7 @@
                   if (this->runner)
                       this->runner->resumeReading(); },
           })
-    , reader(maximumStartupBytes)
+    , reader(maximumFrameBytes)
 {
     this->context.metrics.open.Increment();
 }
@@ -137,11 +132,11 @@
         fields.fields.push_back({ 'H', error.hint });
     pgwire::FrameWriter writer;
     writer.addErrorFields('E', fields);
-    this->stream.write(writer.bytes());
+    this->send(writer.bytes());
     this->stream.closeAfterWrite();
 }
 
-void CallerSession::received(std::string_view bytes)
+void CallerSession::receivePlaintext(std::string_view bytes)
 {
     this->reader.append(bytes);
     this->processFrames();
@@ -153,15 +148,21 @@
 {
     const auto held = this->shared_from_this();
     while (!this->isClosing && (!this->isBusy || (this->runner && this->runner->isCopyingIn() && !this->isCopyBlocked))) {
-        const auto frame = this->isStarted ? this->reader.nextTyped() : this->reader.nextUntyped();
+        const auto frame = this->isStarted || this->authentication ? this->reader.nextTyped() : this->reader.nextUntyped();
         if (!frame) {
             const bool isOversized = frame.error() == pgwire::WireError::Oversized;
             this->endWithError({ .sqlstate = "08P01", .message = isOversized ? "the message is too long" : "the message is malformed" });
             return;
         }
+        if (!*frame && !this->isStarted && this->reader.pending() > maximumStartupBytes) {
+            this->endWithError({ .sqlstate = "08P01", .message = "the startup message is too long" });
+            return;
+        }
         if (!*frame)
             break;
-        if (!this->isStarted)
+        if (this->authentication)
+            this->processPassword(**frame);
+        else if (!this->isStarted)
             this->processStartup((*frame)->body);
         else
             this->processFrame(**frame);
@@ -196,8 +197,10 @@
     }
     switch (message->kind) {
     case StartupKind::Ssl:
+        this->answerTlsRequest();
+        break;
     case StartupKind::Gss:
-        this->stream.write("N");
+        this->send("N");
         break;
     case StartupKind::Cancel:
         this->owner.cancel(message->cancel);
@@ -205,7 +208,7 @@
         this->stream.closeAfterWrite();
         break;
     case StartupKind::Session:
-        this->openSession(*message);
+        this->beginAuthentication(*message);
         break;
     }
 }
@@ -222,10 +225,6 @@
         this->endWithError({ .sqlstate = "53300", .message = "not run: the service has as many callers on this daemon as its limit allows", .hint = "Come back after 1000 ms." });
         return;
     }
-    if (const auto error = this->authenticate()) {
-        this->endWithError(*error);
-        return;
-    }
     this->state.group = *group;
     if (const auto error = this->applyParameters(message)) {
         this->endWithError(*error);
@@ -234,14 +233,6 @@
     this->welcome();
 }
 
-std::optional<StartupError> CallerSession::authenticate() const
-{
-    const auto& callers = this->context.settings.callers;
-    if (callers.trustLoopback && isLoopback(kernel::peerAddress(this->stream.connection()).host))
-        return std::nullopt;
-    return StartupError { .sqlstate = "28000", .message = "password authentication needs TLS, which this daemon does not offer" };
-}
-
 std::optional<StartupError> CallerSession::applyParameters(const StartupMessage& message)
 {
     for (const auto& [name, value] : message.parameters) {
@@ -269,6 +260,7 @@
     writer.begin('R');
     writer.addInt32(0);
     writer.end();
+    this->authentication.reset();
     for (const auto& [name, value] : serverParameters)
         writer.addParameterStatus(name, value);
     writer.begin('K');
@@ -276,7 +268,7 @@
     writer.addInt32(this->key.secret);
     writer.end();
     writer.addReady(this->state.transaction);
-    this->stream.write(writer.bytes());
+    this->send(writer.bytes());
 }
 
 void CallerSession::processFrame(const pgwire::Frame& frame)
@@ -480,7 +472,7 @@
 void CallerSession::give(std::string_view frames)
 {
     if (!frames.empty() && !this->isClosing)
-        this->stream.write(frames);
+        this->send(frames);
 }
 
 std::size_t CallerSession::backlog() const noexcept
--- a/src/amaranthhall/session/caller_session.hpp
+++ b/src/amaranthhall/session/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/kernel/byte_stream.hpp"
 #include "amaranthhall/pgwire/frame.hpp"
+#include "amaranthhall/session/authentication.hpp"
 #include "amaranthhall/session/extended_query.hpp"
 #include "amaranthhall/session/session_context.hpp"
 #include "amaranthhall/session/session_state.hpp"
@@ -63,7 +64,11 @@
     void processFrames();
     void processStartup(std::string_view body);
     void openSession(const StartupMessage& message);
-    [[nodiscard]] std::optional<StartupError> authenticate() const;
+    void beginAuthentication(const StartupMessage& message);
+    void processPassword(const pgwire::Frame& frame);
+    void answerTlsRequest();
+    void receivePlaintext(std::string_view bytes);
+    void send(std::string_view bytes);
     [[nodiscard]] std::optional<StartupError> applyParameters(const StartupMessage& message);
     void welcome();
     void processFrame(const pgwire::Frame& frame);
@@ -95,6 +100,8 @@
     SessionContext& context;
     SessionOwner& owner;
     kernel::ByteStream stream;
+    std::unique_ptr<TlsChannel> tls; ///< Missing on a plain connection.
+    std::unique_ptr<Authentication> authentication;
     pgwire::FrameReader reader;
     SessionState state;
     CancelKey key;
--- a/src/amaranthhall/session/session_context.cpp
+++ b/src/amaranthhall/session/session_context.cpp
@@ -21,6 +21,8 @@
     , metrics(registry.find<telemetry::Metrics>("metrics"))
     , random(std::random_device {}())
 {
+    if (!usedSettings.callers.tlsCertificate.empty())
+        this->tls = std::make_unique<TlsContext>(usedSettings.callers.tlsCertificate, usedSettings.callers.tlsKey);
 }
 
 void SessionContext::keepUntilEnd(std::shared_ptr<Attempt> attempt)
--- a/src/amaranthhall/session/session_context.hpp
+++ b/src/amaranthhall/session/session_context.hpp
@@ -8,6 +8,7 @@
 #include "amaranthhall/retry/budget.hpp"
 #include "amaranthhall/session/attempt.hpp"
 #include "amaranthhall/session/session_metrics.hpp"
+#include "amaranthhall/session/tls.hpp"
 #include "amaranthhall/statement/classifier.hpp"
 #include "amaranthhall/table/table_source.hpp"
 #include "amaranthhall/upstream/dispatcher.hpp"
@@ -34,6 +35,7 @@
     statement::Classifier classifier;
     retry::Budget budget;
     Random random;
+    std::unique_ptr<TlsContext> tls; ///< Missing if the settings name no certificate.
     unsigned keyedWorks { 0 }; ///< Works done under a request key.
     std::unordered_set<group::GroupId> keyTables; ///< Groups in which the table of request keys was made.
 
