--- a/test/session/fake_upstream.cpp
+++ b/test/session/fake_upstream.cpp
@@ -122,7 +122,12 @@
         this->sink->onCompleted(index, "");
         return true;
     }
-    for (const auto& part : this->upstream.replyTo(query.text)) {
+    const auto reply = this->upstream.replyTo(query.text);
+    if (reply.front() == "late") {
+        this->answerLate(reply);
+        return false;
+    }
+    for (const auto& part : reply) {
         if (!this->answerPart(index, part))
             return false;
     }
@@ -130,6 +135,19 @@
     return true;
 }
 
+// As a link does whose connection is not closed yet when its lease has been discarded.
+void FakeLink::answerLate(const Reply& reply)
+{
+    constexpr auto delay = std::chrono::milliseconds(100);
+    this->lateTimer = this->loop.after(delay, [this, reply, receiver = std::exchange(this->sink, nullptr)] {
+        ++this->upstream.lateAnswers;
+        this->sink = receiver;
+        for (auto part = reply.begin() + 1; part != reply.end(); ++part)
+            static_cast<void>(this->answerPart(0, *part));
+        this->end({ .sent = true });
+    });
+}
+
 bool FakeLink::answerPart(std::size_t index, const std::string& part)
 {
     const auto kind = part.substr(0, part.find(' '));
--- a/test/session/fake_upstream.hpp
+++ b/test/session/fake_upstream.hpp
@@ -22,6 +22,7 @@
 /// @brief State that all fake links of a test share.
 struct FakeUpstream {
     std::map<std::string, std::deque<Reply>, std::less<>> replies; ///< By the beginning of the text; the last reply stays.
+    unsigned lateAnswers { 0 }; ///< Answers whose reply begins with `late`, which come 100 ms on and after a cancel or reset.
     bool echoes { false }; ///< Answers each statement by a row that holds its text.
     std::vector<std::string> events; ///< What the session did, in order.
     group::LogPoint point { .term = 1, .position = 1 };
@@ -40,8 +41,8 @@
     void runCopy(const std::string& text, upstream::ResultSink& sink) override;
     bool sendCopyData(std::string_view data) override;
     void endCopy(const std::optional<std::string>& error) override;
-    void pauseReading() override { }
-    void resumeReading() override { }
+    void pauseReading() override { this->upstream.events.emplace_back("pause"); }
+    void resumeReading() override { this->upstream.events.emplace_back("resume"); }
     void cancel() override;
     [[nodiscard]] std::string_view parameterStatus(const std::string&) const override { return {}; }
 
@@ -50,6 +51,7 @@
 
 private:
     void answer(const upstream::Batch& batch);
+    void answerLate(const Reply& reply);
     [[nodiscard]] bool answerQuery(std::size_t index, const upstream::Query& query);
     [[nodiscard]] bool answerPart(std::size_t index, const std::string& part);
     void trackTransaction(const std::string& text);
@@ -62,6 +64,7 @@
     std::string prepared;
     unsigned runs { 0 };
     std::size_t copied { 0 };
+    kernel::Registration lateTimer;
 };
 
 /// @brief Lends a bounded number of fake links.
--- a/test/session/test_caller_listener.cpp
+++ b/test/session/test_caller_listener.cpp
@@ -114,6 +114,42 @@
     CHECK(bench.turnUntil([&] { return bench.upstream.events.back() == "discard"; }));
 }
 
+TEST(CallerListener, ASlowCallerHoldsTheUpstreamBack)
+{
+    session::fakes::SessionBench bench;
+    const auto row = "D " + std::string(1U << 20U, 'x');
+    bench.upstream.replies["select"] = { { "T a", row, row, row, row, row, row, row, row, row, row, row, row, "C SELECT 12" } };
+    bench.start();
+    session::fakes::RawCaller caller(bench);
+    caller.sendStartup("coach-ledger");
+    CHECK(caller.await(welcomeLines));
+    caller.sendMessage('Q', query("select a"));
+    CHECK(caller.await(welcomeLines + 15));
+    const std::vector<std::string> expected { "request read barrier", "run {select a}", "pause", "resume", "return" };
+    CHECK(bench.upstream.events == expected);
+}
+
+TEST(CallerListener, AnAnswerAfterTheDeadlineReachesNobody)
+{
+    session::fakes::SessionBench bench(2);
+    bench.image.services.front().statementDeadline = 30ms;
+    bench.upstream.replies["select 1"] = { { "late", "T a", "D mixed", "C SELECT 1" } };
+    bench.upstream.replies["select 2"] = { { "T a", "D own", "C SELECT 1" } };
+    bench.start();
+    session::fakes::RawCaller caller(bench);
+    caller.sendStartup("coach-ledger");
+    CHECK(caller.await(welcomeLines));
+    caller.sendMessage('Q', query("select 1"));
+    CHECK(caller.await(welcomeLines + 2));
+    caller.sendMessage('Q', query("select 2"));
+    CHECK(caller.await(welcomeLines + 6));
+    bench.turnFor(150ms);
+    CHECK_EQUAL(welcomeLines + 6, caller.lines().size());
+    CHECK(caller.lines()[welcomeLines].find("C=57014") != std::string::npos);
+    CHECK(caller.lines()[welcomeLines + 3] == "D own");
+    CHECK(bench.upstream.lateAnswers == 1);
+}
+
 TEST(CallerListener, AnyInterleavingHandsEachCallerItsOwnAnswers)
 {
     setenv("RC_PARAMS", "seed=11", 0);
