--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -18,39 +18,6 @@
     constexpr std::size_t pendingBytes = 1U << 20U; // what may pile up while a statement runs
     constexpr auto startupTimeout = 10s;
 
-    constexpr auto serverParameters = std::to_array<std::pair<std::string_view, std::string_view>>({
-        { "server_version", "15.0" },
-        { "server_encoding", "UTF8" },
-        { "client_encoding", "UTF8" },
-        { "DateStyle", "ISO, MDY" },
-        { "IntervalStyle", "postgres" },
-        { "TimeZone", "UTC" },
-        { "integer_datetimes", "on" },
-        { "standard_conforming_strings", "on" },
-    });
-
-    std::string quoteLiteral(std::string_view value)
-    {
-        std::string text = "'";
-        for (const char letter : value) {
-            text += letter;
-            if (letter == '\'')
-                text += letter;
-        }
-        return text + "'";
-    }
-
-    std::string quoteName(std::string_view value)
-    {
-        std::string text = "\"";
-        for (const char letter : value) {
-            text += letter;
-            if (letter == '"')
-                text += letter;
-        }
-        return text + "\"";
-    }
-
 }
 
 CallerSession::CallerSession(SessionContext& usedContext, SessionOwner& usedOwner, kernel::Socket socket)
@@ -188,89 +155,6 @@
         this->runner.reset();
 }
 
-void CallerSession::processStartup(std::string_view body)
-{
-    const auto message = parseStartup(body);
-    if (!message) {
-        this->endWithError(message.error());
-        return;
-    }
-    switch (message->kind) {
-    case StartupKind::Ssl:
-        this->answerTlsRequest();
-        break;
-    case StartupKind::Gss:
-        this->send("N");
-        break;
-    case StartupKind::Cancel:
-        this->owner.cancel(message->cancel);
-        this->isClosing = true;
-        this->stream.closeAfterWrite();
-        break;
-    case StartupKind::Session:
-        this->beginAuthentication(*message);
-        break;
-    }
-}
-
-void CallerSession::openSession(const StartupMessage& message)
-{
-    const auto group = resolveGroup(this->context.table.image(), message.database);
-    if (!group) {
-        this->endWithError(group.error());
-        return;
-    }
-    const auto* service = table::findService(this->context.table.image(), group->service);
-    if (service && !this->owner.mayOpen(*service)) {
-        this->endWithError({ .sqlstate = "53300", .message = "not run: the service has as many callers on this daemon as its limit allows", .hint = "Come back after 1000 ms." });
-        return;
-    }
-    this->state.group = *group;
-    if (const auto error = this->applyParameters(message)) {
-        this->endWithError(*error);
-        return;
-    }
-    this->welcome();
-}
-
-std::optional<StartupError> CallerSession::applyParameters(const StartupMessage& message)
-{
-    for (const auto& [name, value] : message.parameters) {
-        if (isOwnParameter(name)) {
-            if (const auto error = setOwnParameter(this->state, this->context.settings, { .name = name, .value = value }))
-                return StartupError { .sqlstate = std::string(error->sqlstate()), .message = std::string(error->message()) };
-            continue;
-        }
-        const bool isKnown = name == "application_name" || name.starts_with("_pq_.") || (name == "client_encoding" && (value == "UTF8" || value == "UTF-8" || value == "utf8" || value == "auto"));
-        if (isKnown)
-            continue;
-        if (name == "replication")
-            return StartupError { .sqlstate = "0A000", .message = "replication connections are not supported" };
-        this->state.settings.apply({ .kind = statement::StatementKind::Set, .text = "SET " + quoteName(name) + " = " + quoteLiteral(value), .assignment = { .name = name, .value = value } });
-    }
-    return std::nullopt;
-}
-
-void CallerSession::welcome()
-{
-    this->isStarted = true;
-    this->startupTimer.reset();
-    this->key = this->owner.makeCancelKey(*this);
-    pgwire::FrameWriter writer;
-    writer.begin('R');
-    writer.addInt32(0);
-    writer.end();
-    this->authentication.reset();
-    for (const auto& [name, value] : serverParameters)
-        writer.addParameterStatus(name, value);
-    writer.begin('K');
-    writer.addInt32(this->key.process);
-    writer.addInt32(this->key.secret);
-    writer.end();
-    writer.addReady(this->state.transaction);
-    this->send(writer.bytes());
-}
-
 void CallerSession::processFrame(const pgwire::Frame& frame)
 {
     this->receivedAt = this->context.loop.now();
