--- a/test/integration/test_libpq_callers.cpp
+++ b/test/integration/test_libpq_callers.cpp
@@ -2,11 +2,13 @@
 
 #include <CppUTest/TestHarness.h>
 #include <array>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <vector>
 
 using namespace amaranthhall;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -155,3 +157,42 @@
     const rig::Caller forger(cluster.daemons()[1].callerPort, "coach-ledger", "-c amaranthhall.session=" + token + "0");
     CHECK(!forger.isConnected());
 }
+
+TEST(LibpqCallers, ADrainLetsAnOpenTransactionEnd)
+{
+    auto options = integration::makeOptions("drain");
+    options.daemons = 2;
+    rig::Cluster cluster(options);
+    auto& daemon = cluster.daemons()[0];
+    rig::Caller busy(daemon.callerPort, "coach-ledger");
+    rig::Caller idle(daemon.callerPort, "coach-ledger");
+    createOrders(busy, 1);
+    CHECK(busy.run("BEGIN").succeeded);
+    CHECK(busy.run("INSERT INTO orders VALUES (50, 'late')").succeeded);
+    daemon.process->signal(SIGTERM);
+    static_cast<void>(daemon.process->awaitEvent("callers.draining", 10s));
+    CHECK(!idle.run("SELECT 1").succeeded);
+    CHECK(!idle.isConnected());
+    CHECK(busy.run("INSERT INTO orders VALUES (51, 'later')").succeeded);
+    const auto committed = busy.run("COMMIT");
+    CHECK_TEXT(committed.succeeded, committed.message.c_str());
+    CHECK(daemon.process->wait(10s) == 0);
+    rig::Caller other(cluster.daemons()[1].callerPort, "coach-ledger");
+    CHECK(other.run("SELECT count(*) FROM orders WHERE id >= 50").rows.at(0).at(0) == "2");
+}
+
+TEST(LibpqCallers, AKilledDaemonLeavesNoHalfTransaction)
+{
+    auto options = integration::makeOptions("killed-daemon");
+    options.daemons = 2;
+    rig::Cluster cluster(options);
+    rig::Caller caller(cluster.daemons()[0].callerPort, "coach-ledger");
+    createOrders(caller, 1);
+    CHECK(caller.run("BEGIN").succeeded);
+    CHECK(caller.run("INSERT INTO orders VALUES (60, 'half')").succeeded);
+    cluster.daemons()[0].process->kill();
+    rig::Caller other(cluster.daemons()[1].callerPort, "coach-ledger");
+    const auto written = other.run("INSERT INTO orders VALUES (61, 'whole')");
+    CHECK_TEXT(written.succeeded, written.message.c_str());
+    CHECK(other.run("SELECT count(*) FROM orders WHERE id >= 60").rows.at(0).at(0) == "1");
+}
