Work on a superseded primary is given up at once

Cause: with the primary paused (SIGSTOP), writes in flight on it waited until it woke up, although the group had a new primary. Change: at a new term the links lent on an upstream that is not its primary are abandoned: their batch ends as lost, which is answered as outcome unknown. Conclusion: a paused primary no longer holds its callers.

--- a/src/amaranthhall/upstream/group_dispatcher.cpp
+++ b/src/amaranthhall/upstream/group_dispatcher.cpp
@@ -102,7 +102,7 @@
     if (view && view->term != this->term) {
         this->term = view->term;
         for (const auto& member : this->members)
-            member.pool->noteTerm(this->term);
+            member.pool->noteTerm(this->term, view->primary == member.row.id.name);
     }
     if (view && view->primary && *view->primary != this->primary) {
         const auto* former = this->findMember(this->primary);
--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -46,6 +46,7 @@
     group::Term lentInTerm { 0 };
     Use use { Use::Any };
     bool isInTransaction { false };
+    bool isLent { false };
     bool isClosed { false };
     kernel::Registration timer;
 
@@ -85,6 +86,7 @@
     --this->tally.idle;
     ++this->tally.lent;
     slot.use = use;
+    slot.isLent = true;
     slot.lentInTerm = this->term;
     expectDemand(this->state, this->tally.lent);
     this->announce();
@@ -95,9 +97,11 @@
 {
     const auto held = this->shared_from_this();
     --this->tally.lent;
-    if (slot.link.isBroken() && !this->isRetired)
+    const bool wasAbandoned = slot.lentInTerm != this->term;
+    slot.isLent = false;
+    if (slot.link.isBroken() && !wasAbandoned && !this->isRetired)
         this->hooks.symptom(group::Symptom::Refused);
-    const bool isInDoubt = !reusable || slot.link.isBroken() || slot.link.isBusy() || slot.link.isPaused() || slot.lentInTerm != this->term;
+    const bool isInDoubt = !reusable || slot.link.isBroken() || slot.link.isBusy() || slot.link.isPaused() || wasAbandoned;
     const bool isSurplus = this->isRetired || this->tally.total() + 1 > this->allowance;
     if (isInDoubt || isSurplus) {
         this->close(slot);
@@ -245,6 +249,17 @@
     });
 }
 
+void Pool::noteTerm(group::Term newTerm, bool isPrimary)
+{
+    this->term = newTerm;
+    if (isPrimary)
+        return;
+    for (const auto& slot : this->slots) {
+        if (slot->isLent && slot->use == Use::Any)
+            slot->link.abandon();
+    }
+}
+
 void Pool::expect(std::uint32_t connections)
 {
     if (this->state.recentPeak >= connections && this->tally.total() >= connections)
--- a/src/amaranthhall/upstream/pool.hpp
+++ b/src/amaranthhall/upstream/pool.hpp
@@ -39,8 +39,12 @@
     /// @brief Sets how many connections may be open, and how much work waits for one; opens and closes accordingly.
     void adjust(std::uint32_t allowance, std::uint32_t waiting);
 
-    /// @brief Takes in a new term of the group: links lent in an older one are closed on their return.
-    void noteTerm(group::Term term) noexcept { this->term = term; }
+    /**
+     * @brief Takes in a new term of the group: links lent in an older one are closed on their return.
+     * @param isPrimary Whether the upstream is primary in the new term. If it is not, work that counted on it as
+     * primary is given up at once, since nothing that it does can be acknowledged any more.
+     */
+    void noteTerm(group::Term term, bool isPrimary);
 
     /// @brief Opens connections ahead of demand that is about to come.
     void expect(std::uint32_t connections);
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -134,6 +134,14 @@
     return this->stateLeft || this->isInTransaction();
 }
 
+void PqLink::abandon()
+{
+    if (this->sink)
+        this->endLater();
+    else
+        this->markBroken();
+}
+
 void PqLink::close()
 {
     this->markBroken();
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -75,6 +75,9 @@
 
     [[nodiscard]] bool isInTransaction() const noexcept;
 
+    /// @brief Gives up the connection: a running batch ends as lost on the next turn.
+    void abandon();
+
     /// @brief Closes the connection at once; no callback and no sink is called any more.
     void close();
 
--- a/test/upstream/test_pooled_dispatcher.cpp
+++ b/test/upstream/test_pooled_dispatcher.cpp
@@ -81,6 +81,8 @@
             this->text = frame.body.substr(1, frame.body.size() - 4);
             this->texts.push_back(this->text);
         }
+        if (this->isSilent)
+            return;
         if (frame.type == 'E' && this->text.find("ah_status") != std::string::npos)
             this->answerStatus(out);
         else if (frame.type == 'E')
@@ -108,6 +110,7 @@
     }
 
     group::UpstreamStatus status;
+    bool isSilent { false };
     std::string text;
     std::vector<std::string> texts;
     ScriptedUpstream server;
@@ -245,6 +248,26 @@
     CHECK_EQUAL(2U, this->a.server.untyped().size());
 }
 
+TEST(PooledDispatcher, WorkOnASupersededPrimaryIsGivenUpAtOnce)
+{
+    auto write = this->ask(this->makeWork(Need::Primary));
+    bool hasEnded = false;
+    this->sink.whenEnded = [&](const auto& end) {
+        CHECK(end.lost && end.sent);
+        hasEnded = true;
+    };
+    this->a.isSilent = true;
+    (*write)->lease->run({ .queries = { { .text = "INSERT 1" } } }, this->sink);
+    this->runUntil([&] { return this->a.ran("INSERT"); });
+    CHECK(!hasEnded);
+    this->groups->content.term = 4;
+    this->groups->content.primary.reset();
+    this->groups->observers.notify();
+    this->runUntil([&] { return hasEnded; });
+    write.reset();
+    CHECK(this->groups->reported.empty());
+}
+
 TEST(PooledDispatcher, ConnectionsNeverExceedTheAllowanceAndWaitersAreServedInTurn)
 {
     std::vector<int> order;
