--- a/src/amaranthhall/group/group_step.cpp
+++ b/src/amaranthhall/group/group_step.cpp
@@ -10,6 +10,8 @@
 
     using namespace std::chrono_literals;
 
+    constexpr auto primaryProbeInterval = 200ms; // longer misses the failover target
+    constexpr auto replicaProbeInterval = 500ms; // longer notices an isolated primary too late
     constexpr auto voteLifetime = 500ms; // longer lets an old opinion count against a primary that answers again
     constexpr auto voteInterval = 150ms;
     constexpr auto standSpacing = 150ms; // wait of each rank for the one before it
@@ -318,6 +320,12 @@
 
 }
 
+Duration probeInterval(const GroupState& state, std::string_view upstream) noexcept
+{
+    const bool isCalm = state.primary && !state.isSuspecting && !state.attempt;
+    return isCalm && upstream != *state.primary ? replicaProbeInterval : primaryProbeInterval;
+}
+
 GroupActions step(GroupState& state, const GroupEvent& event, Time now, Random& random)
 {
     GroupActions actions;
--- a/src/amaranthhall/group/group_step.hpp
+++ b/src/amaranthhall/group/group_step.hpp
@@ -4,13 +4,15 @@
 #include "amaranthhall/group/group_state.hpp"
 #include "amaranthhall/kernel/random.hpp"
 
+#include <string_view>
+
 namespace amaranthhall::group {
 
 /// @brief Interval of Ticked.
 constexpr auto tickInterval = std::chrono::milliseconds(50);
 
-/// @brief Interval of probes to an upstream that answers.
-constexpr auto probeInterval = std::chrono::milliseconds(200); // longer misses the failover target
+/// @brief Gives how long to wait between two probes of an upstream: the primary is asked often, and all while something is wrong.
+[[nodiscard]] Duration probeInterval(const GroupState& state, std::string_view upstream) noexcept;
 
 /**
  * @brief Decides what follows from one event.
--- a/src/amaranthhall/upstream/group_monitor.cpp
+++ b/src/amaranthhall/upstream/group_monitor.cpp
@@ -154,7 +154,7 @@
             continue;
         this->apply(id, group::Ticked {});
         for (const auto& [name, probe] : followed.probes)
-            probe->askAfter(group::probeInterval);
+            probe->askAfter(group::probeInterval(followed.state, name));
     }
     if (this->exchange)
         this->exchange->pull();
--- a/test/group/watch_field.hpp
+++ b/test/group/watch_field.hpp
@@ -122,7 +122,7 @@
     {
         this->give(watcher, group::Ticked {});
         for (std::size_t i = 0; i < this->logs.size(); ++i)
-            this->onWatcher(watcher, [this, watcher, i] { this->ask(watcher, i, group::probeInterval); });
+            this->onWatcher(watcher, [this, watcher, i] { this->ask(watcher, i, group::probeInterval(this->watchers[watcher].state, this->watchers[watcher].state.upstreams[i].name)); });
         this->onWatcher(watcher, [this, watcher] { this->at(group::tickInterval, [this, watcher] { this->tick(watcher); }); });
     }
 
