Table: a late answer does not take up a refused edit; a pause does not freshen a stage

A finished edit now takes no event, and a stage counts as undecided only as of the last contact or of what the reporter itself knew.

--- a/src/amaranthhall/table/edit.cpp
+++ b/src/amaranthhall/table/edit.cpp
@@ -41,6 +41,8 @@
 
     void takeHead(Edit& edit, EditActions& actions, const HeadRead& event, Time now)
     {
+        if (edit.phase != EditPhase::Reading)
+            return;
         edit.isWaiting = false;
         edit.head = event.head;
         edit.rowVersion = event.rowVersion;
@@ -65,6 +67,8 @@
 
     void takeImageStored(Edit& edit, EditActions& actions, StoreAnswer stored, Time now)
     {
+        if (edit.phase != EditPhase::Storing)
+            return;
         edit.isWaiting = false;
         if (stored == StoreAnswer::Done)
             return writeStage(edit, actions);
@@ -177,6 +181,8 @@
 EditActions step(Edit& edit, const EditEvent& event, Time now)
 {
     EditActions actions;
+    if (edit.phase == EditPhase::Finished)
+        return actions; // an answer that comes late must not take the edit up again
     std::visit(Dispatcher { .edit = edit, .actions = actions, .now = now }, event);
     return actions;
 }
--- a/src/amaranthhall/table/io/edit_runner.cpp
+++ b/src/amaranthhall/table/io/edit_runner.cpp
@@ -190,7 +190,8 @@
 
 void EditRunner::holdOwnStage(const StageInfo& info)
 {
-    const auto held = holdStage(this->context.replica, { .info = info, .image = this->edit->request.image }, this->context.loop.now());
+    const auto held = holdStage(this->context.replica, { .info = info, .image = this->edit->request.image });
+    this->renewOwnStage();
     this->refresher.setOwnEdit(info.number);
     this->context.changed();
     this->dispatch(VotersSeen { .voters = this->listVoters() });
@@ -254,11 +255,7 @@
 
 void EditRunner::withdrawOwn()
 {
-    auto report = makeReport(this->context.replica, this->context.loop.now());
-    report.isLoaded = true;
-    report.stage.reset();
-    report.lastStage = std::max(report.lastStage, this->edit->number);
-    static_cast<void>(takeReport(this->context.replica, report, std::nullopt));
+    withdrawStage(this->context.replica, this->edit->number);
     this->context.changed();
 }
 
--- a/src/amaranthhall/table/io/refresher.cpp
+++ b/src/amaranthhall/table/io/refresher.cpp
@@ -191,7 +191,7 @@
         return;
     }
     this->fetchTable(wanted, source, [this, wanted, source, report, askedAt, done = std::move(done)] {
-        this->fetchStage(wanted, source, askedAt.value_or(this->context.loop.now()), [this, report, askedAt, done] {
+        this->fetchStage(wanted, source, [this, report, askedAt, done] {
             const auto isComplete = takeReport(this->context.replica, report, askedAt).isEmpty();
             this->context.changed();
             if (done)
@@ -211,13 +211,13 @@
     });
 }
 
-void Refresher::fetchStage(const Wanted& wanted, std::optional<kernel::Address> source, Time asOf, std::function<void()> done)
+void Refresher::fetchStage(const Wanted& wanted, std::optional<kernel::Address> source, std::function<void()> done)
 {
     if (!wanted.stage)
         return done();
-    this->fetch(wanted.stage->digest, std::move(source), [this, info = *wanted.stage, asOf, done = std::move(done)](const auto& image) {
+    this->fetch(wanted.stage->digest, std::move(source), [this, info = *wanted.stage, done = std::move(done)](const auto& image) {
         if (image)
-            holdStage(this->context.replica, { .info = info, .image = *image }, asOf);
+            holdStage(this->context.replica, { .info = info, .image = *image });
         done();
     });
 }
--- a/src/amaranthhall/table/io/refresher.hpp
+++ b/src/amaranthhall/table/io/refresher.hpp
@@ -62,7 +62,7 @@
     void fetch(const std::string& digest, std::optional<kernel::Address> source, std::function<void(std::optional<TableImage>)> done);
     void fetchFromStore(const std::string& digest, std::function<void(std::optional<TableImage>)> done);
     void fetchTable(const Wanted& wanted, std::optional<kernel::Address> source, std::function<void()> done);
-    void fetchStage(const Wanted& wanted, std::optional<kernel::Address> source, Time asOf, std::function<void()> done);
+    void fetchStage(const Wanted& wanted, std::optional<kernel::Address> source, std::function<void()> done);
     void watchStage();
 
     TableContext& context;
--- a/src/amaranthhall/table/io/table_service.cpp
+++ b/src/amaranthhall/table/io/table_service.cpp
@@ -102,7 +102,7 @@
             return reply(fail("malformed stage"));
         if (!this->context.replica.isLoaded)
             return reply(fail("not in touch yet"));
-        const auto answer = holdStage(this->context.replica, *stage, this->context.loop.now());
+        const auto answer = holdStage(this->context.replica, *stage);
         this->noteChange();
         reply(Json { { "answer", describe(answer) } });
     });
--- a/src/amaranthhall/table/replica.cpp
+++ b/src/amaranthhall/table/replica.cpp
@@ -67,7 +67,7 @@
     };
 }
 
-StageAnswer holdStage(Replica& replica, const Stage& stage, Time asOf)
+StageAnswer holdStage(Replica& replica, const Stage& stage)
 {
     if (isHeld(replica, stage.info.number))
         return StageAnswer::Held;
@@ -80,7 +80,7 @@
     replica.knownVersion = std::max(replica.knownVersion, stage.info.version - 1);
     replica.staged = stage;
     replica.touched = touchedServices(replica.inForce, stage.image);
-    replica.pendingAsOf = asOf;
+    replica.pendingAsOf = replica.contactAsOf.value_or(Time {});
     return StageAnswer::Held;
 }
 
@@ -130,11 +130,18 @@
         replica.pendingAsOf = std::max(replica.pendingAsOf, asOf);
 }
 
+void withdrawStage(Replica& replica, StageNumber number)
+{
+    if (isHeld(replica, number))
+        dropStage(replica);
+    replica.lastStage = std::max(replica.lastStage, number);
+}
+
 bool mayTakeWork(const Replica& replica, std::string_view service, Time now, const ReplicaOptions& options)
 {
     if (!replica.isLoaded || replica.knownVersion > replica.inForce.version)
         return false;
-    if (now - replica.contactAsOf.value_or(Time::min()) > options.lease)
+    if (now - replica.contactAsOf.value_or(Time {}) > options.lease)
         return false;
     return !replica.staged || !replica.touched.contains(service) || now - replica.pendingAsOf <= options.fateBound;
 }
@@ -145,7 +152,7 @@
         return "has no table yet: neither the store nor a majority of the daemons has answered";
     if (replica.knownVersion > replica.inForce.version)
         return "is behind: version " + std::to_string(replica.knownVersion) + " is in force and has not arrived";
-    if (now - replica.contactAsOf.value_or(Time::min()) > options.lease)
+    if (now - replica.contactAsOf.value_or(Time {}) > options.lease)
         return "is cut off from the store and from a majority of the daemons";
     if (replica.staged && now - replica.pendingAsOf > options.fateBound)
         return "holds edit " + replica.staged->info.editId + " and cannot learn whether it is in force";
--- a/src/amaranthhall/table/replica.hpp
+++ b/src/amaranthhall/table/replica.hpp
@@ -47,9 +47,11 @@
 
 /**
  * @brief Takes a staged edit.
- * @param asOf Moment at which the edit was undecided.
+ *
+ * The message itself proves no moment, as it may have waited while this process was paused. But an
+ * edit that was not known here at the last contact was not committed by then.
  */
-StageAnswer holdStage(Replica& replica, const Stage& stage, Time asOf);
+StageAnswer holdStage(Replica& replica, const Stage& stage);
 
 /**
  * @brief Takes the rows of a committed version; ignores one that is not newer than what is in force.
@@ -72,6 +74,9 @@
 /// @brief Notes that the staged edit was undecided at a moment.
 void renewPending(Replica& replica, StageNumber number, Time asOf);
 
+/// @brief Forgets a stage that its editor, on this daemon, will never commit.
+void withdrawStage(Replica& replica, StageNumber number);
+
 /// @brief Tells whether new work of a service may be taken; reads the clock's time, so that a pause counts.
 [[nodiscard]] bool mayTakeWork(const Replica& replica, std::string_view service, Time now, const ReplicaOptions& options);
 
--- a/test/table/test_edit.cpp
+++ b/test/table/test_edit.cpp
@@ -221,3 +221,10 @@
     feed(table::HeadReadFailed {}, 1s);
     CHECK(resultOf(feed(table::EditTick {}, edit.options.storeDeadline + 1s)).outcome == table::EditOutcome::Refused);
 }
+
+TEST(Edit, ALateAnswerDoesNotTakeUpARefusedEdit)
+{
+    feed(table::EditTick {});
+    CHECK(resultOf(feed(table::EditTick {}, edit.options.storeDeadline + 1s)).outcome == table::EditOutcome::Refused);
+    CHECK(feed(headRead(), edit.options.storeDeadline + 2s).empty());
+}
--- a/test/table/test_replica.cpp
+++ b/test/table/test_replica.cpp
@@ -78,7 +78,7 @@
 
 TEST(Replica, AStagedEditIsNotInForceAndStopsOnlyTheTouchedServicesAfterTheBound)
 {
-    CHECK(table::holdStage(replica, makeStage(5, second), start) == table::StageAnswer::Held);
+    CHECK(table::holdStage(replica, makeStage(5, second)) == table::StageAnswer::Held);
     LONGS_EQUAL(1, replica.inForce.version);
     table::renewContact(replica, start + 3s);
     CHECK(mayWork(start + 2s));
@@ -91,20 +91,46 @@
 TEST(Replica, APausedHolderThatWakesTakesNoWorkUntilItHasLearntTheFate)
 {
     const auto stage = makeStage(5, second);
-    table::holdStage(replica, stage, start);
+    table::holdStage(replica, stage);
     const auto woken = start + 1h;
     CHECK(!mayWork(woken));
     // The stage that was sent before the pause and is read only now proves nothing.
-    table::holdStage(replica, stage, woken);
+    table::holdStage(replica, stage);
     CHECK(!mayWork(woken));
     CHECK(table::takeReport(replica, peerReport(second, 6), woken).isEmpty());
     CHECK(mayWork(woken));
     LONGS_EQUAL(2, replica.inForce.version);
 }
 
+TEST(Replica, AStageIsUndecidedAsOfTheLastContactAndOfWhatAReporterKnew)
+{
+    const auto stage = makeStage(5, second);
+    auto report = peerReport(first, 5, &stage);
+    report.pendingAge = 4s;
+    const auto woken = start + 1h;
+    CHECK(table::takeReport(replica, report, std::nullopt).stage.has_value());
+    table::holdStage(replica, stage);
+    CHECK(table::takeReport(replica, report, std::nullopt).isEmpty());
+    // A majority that knows no more than this does not tell that the edit is still undecided.
+    table::renewContact(replica, woken);
+    CHECK(!mayWork(woken));
+    report.pendingAge = 1s;
+    CHECK(table::takeReport(replica, report, woken).isEmpty());
+    CHECK(mayWork(woken + 1s));
+    CHECK(!mayWork(woken + 1s + 1ms));
+}
+
+TEST(Replica, AWithdrawnStageIsForgottenForGood)
+{
+    table::holdStage(replica, makeStage(5, second));
+    table::withdrawStage(replica, 5);
+    CHECK(!replica.staged);
+    CHECK(table::holdStage(replica, makeStage(5, second)) == table::StageAnswer::Decided);
+}
+
 TEST(Replica, ACommitIsLearntFromAnyReport)
 {
-    table::holdStage(replica, makeStage(5, second), start);
+    table::holdStage(replica, makeStage(5, second));
     CHECK(table::takeReport(replica, peerReport(second, 6), std::nullopt).isEmpty());
     LONGS_EQUAL(2, replica.inForce.version);
     CHECK(!replica.staged);
@@ -112,13 +138,13 @@
 
 TEST(Replica, AnAbortIsLearntFromWhoNoLongerHoldsTheStage)
 {
-    table::holdStage(replica, makeStage(5, second), start);
+    table::holdStage(replica, makeStage(5, second));
     CHECK(table::takeReport(replica, peerReport(first, 4), start).isEmpty());
     CHECK(replica.staged.has_value());
     CHECK(table::takeReport(replica, peerReport(first, 5), start).isEmpty());
     CHECK(!replica.staged);
     LONGS_EQUAL(1, replica.inForce.version);
-    CHECK(table::holdStage(replica, makeStage(5, second), start) == table::StageAnswer::Decided);
+    CHECK(table::holdStage(replica, makeStage(5, second)) == table::StageAnswer::Decided);
 }
 
 TEST(Replica, AReportOfAnUnknownStageIsNoContactUntilItsRowsAreHeld)
@@ -128,7 +154,7 @@
     const auto wanted = table::takeReport(replica, report, start + 10s);
     CHECK(wanted.stage.has_value());
     CHECK(!mayWork(start + 10s));
-    table::holdStage(replica, stage, start + 10s);
+    table::holdStage(replica, stage);
     CHECK(table::takeReport(replica, report, start + 10s).isEmpty());
     CHECK(mayWork(start + 10s));
 }
@@ -144,7 +170,7 @@
 TEST(Replica, WhoIsBehindTakesNoWork)
 {
     auto third = changed(second);
-    CHECK(table::holdStage(replica, makeStage(9, third), start) == table::StageAnswer::Held);
+    CHECK(table::holdStage(replica, makeStage(9, third)) == table::StageAnswer::Held);
     CHECK(!mayWork(start));
     STRCMP_CONTAINS("is behind: version 2", table::explainRefusal(replica, start, options).c_str());
     CHECK(table::takeTable(replica, second, table::digestTable(second)));
@@ -156,14 +182,14 @@
     CHECK(!table::takeTable(replica, second, table::digestTable(first)));
     auto stage = makeStage(5, second);
     stage.image.upstreams[0].weight = 7;
-    CHECK(table::holdStage(replica, stage, start) == table::StageAnswer::Invalid);
+    CHECK(table::holdStage(replica, stage) == table::StageAnswer::Invalid);
 }
 
 TEST(Replica, AReporterThatHasLostItsMemoryIsNotHeard)
 {
     auto report = peerReport(first, 9);
     report.isLoaded = false;
-    table::holdStage(replica, makeStage(5, second), start);
+    table::holdStage(replica, makeStage(5, second));
     CHECK(table::takeReport(replica, report, start).isEmpty());
     CHECK(replica.staged.has_value());
 }
