--- a/src/amaranthhall/ctl/status_commands.cpp
+++ b/src/amaranthhall/ctl/status_commands.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace amaranthhall::ctl {
 
@@ -100,6 +101,23 @@
             findings.attention.push_back(answer.vm + " is not ready: " + reasons);
     }
 
+    /// Notes the VMs that the platform lists and no daemon hears.
+    void noteUnheard(Findings& findings, const std::vector<FleetAnswer>& answers)
+    {
+        std::set<std::string> unheard;
+        for (const auto& answer : answers) {
+            if (!hasAnswered(answer))
+                continue;
+            const auto table = answer.result->body.value("table", Json::object());
+            for (const auto& id : table.value("electorate", Json::array()))
+                unheard.insert(id.get<std::string>());
+        }
+        for (const auto& answer : answers)
+            unheard.erase(answer.vm);
+        for (const auto& id : unheard)
+            findings.attention.push_back(id + " is on the platform's list of VMs and the daemons do not hear it; each edit waits for its lease until it is back or off the list");
+    }
+
     void noteGroup(Findings& findings, const Json& group, const std::string& vm)
     {
         const auto name = group.value("group", "");
@@ -164,6 +182,7 @@
         if (hasAnswered(answer))
             noteStatus(findings, rows, answer);
     }
+    noteUnheard(findings, *answers);
     invocation.output << layOut(rows);
     return finish(invocation, std::move(findings));
 }
--- a/src/amaranthhall/table/io/table_routes.cpp
+++ b/src/amaranthhall/table/io/table_routes.cpp
@@ -97,6 +97,9 @@
             { "refuses_work_because", service.refusal() },
             { "staged_edit", replica.staged ? Json(replica.staged->info.editId) : Json() },
         };
+        described["electorate"] = Json::array();
+        for (const auto& [id, address] : service.electorate())
+            described["electorate"].push_back(id);
         described["contact_age_ms"] = replica.contactAsOf ? Json(std::chrono::duration_cast<Millis>(service.now() - *replica.contactAsOf).count()) : Json();
         return described;
     }
--- a/src/amaranthhall/table/io/table_service.hpp
+++ b/src/amaranthhall/table/io/table_service.hpp
@@ -27,6 +27,7 @@
     [[nodiscard]] const Replica& replica() const noexcept { return this->context.replica; }
     [[nodiscard]] EditRunner& editor() noexcept { return *this->runner; }
     [[nodiscard]] HeadStore& headStore() noexcept { return *this->store; }
+    [[nodiscard]] const std::map<std::string, kernel::Address>& electorate() const noexcept { return this->refresher->electorate(); }
     [[nodiscard]] Time now() const noexcept { return this->context.loop.now(); }
 
 private:
