--- a/src/amaranthhall/session/caller_session.cpp
+++ b/src/amaranthhall/session/caller_session.cpp
@@ -18,44 +18,6 @@
     constexpr std::size_t pendingBytes = 1U << 20U; // what may pile up while a statement runs
     constexpr auto startupTimeout = 10s;
 
-    constexpr auto serverParameters = std::to_array<std::pair<std::string_view, std::string_view>>({
-        { "server_version", "15.0" },
-        { "server_encoding", "UTF8" },
-        { "client_encoding", "UTF8" },
-        { "DateStyle", "ISO, MDY" },
-        { "IntervalStyle", "postgres" },
-        { "TimeZone", "UTC" },
-        { "integer_datetimes", "on" },
-        { "standard_conforming_strings", "on" },
-    });
-
-    bool isLoopback(const std::string& host)
-    {
-        return host.starts_with("127.") || host == "::1";
-    }
-
-    std::string quoteLiteral(std::string_view value)
-    {
-        std::string text = "'";
-        for (const char letter : value) {
-            text += letter;
-            if (letter == '\'')
-                text += letter;
-        }
-        return text + "'";
-    }
-
-    std::string quoteName(std::string_view value)
-    {
-        std::string text = "\"";
-        for (const char letter : value) {
-            text += letter;
-            if (letter == '"')
-                text += letter;
-        }
-        return text + "\"";
-    }
-
 }
 
 CallerSession::CallerSession(SessionContext& usedContext, SessionOwner& usedOwner, kernel::Socket socket)
@@ -69,7 +31,7 @@
                   if (this->runner)
                       this->runner->resumeReading(); },
           })
-    , reader(maximumStartupBytes)
+    , reader(maximumFrameBytes)
 {
     this->context.metrics.open.Increment();
 }
@@ -137,11 +99,11 @@
         fields.fields.push_back({ 'H', error.hint });
     pgwire::FrameWriter writer;
     writer.addErrorFields('E', fields);
-    this->stream.write(writer.bytes());
+    this->send(writer.bytes());
     this->stream.closeAfterWrite();
 }
 
-void CallerSession::received(std::string_view bytes)
+void CallerSession::receivePlaintext(std::string_view bytes)
 {
     this->reader.append(bytes);
     this->processFrames();
@@ -153,15 +115,21 @@
 {
     const auto held = this->shared_from_this();
     while (!this->isClosing && (!this->isBusy || (this->runner && this->runner->isCopyingIn() && !this->isCopyBlocked))) {
-        const auto frame = this->isStarted ? this->reader.nextTyped() : this->reader.nextUntyped();
+        const auto frame = this->isStarted || this->authentication ? this->reader.nextTyped() : this->reader.nextUntyped();
         if (!frame) {
             const bool isOversized = frame.error() == pgwire::WireError::Oversized;
             this->endWithError({ .sqlstate = "08P01", .message = isOversized ? "the message is too long" : "the message is malformed" });
             return;
         }
+        if (!*frame && !this->isStarted && this->reader.pending() > maximumStartupBytes) {
+            this->endWithError({ .sqlstate = "08P01", .message = "the startup message is too long" });
+            return;
+        }
         if (!*frame)
             break;
-        if (!this->isStarted)
+        if (this->authentication)
+            this->processPassword(**frame);
+        else if (!this->isStarted)
             this->processStartup((*frame)->body);
         else
             this->processFrame(**frame);
@@ -187,98 +155,6 @@
         this->runner.reset();
 }
 
-void CallerSession::processStartup(std::string_view body)
-{
-    const auto message = parseStartup(body);
-    if (!message) {
-        this->endWithError(message.error());
-        return;
-    }
-    switch (message->kind) {
-    case StartupKind::Ssl:
-    case StartupKind::Gss:
-        this->stream.write("N");
-        break;
-    case StartupKind::Cancel:
-        this->owner.cancel(message->cancel);
-        this->isClosing = true;
-        this->stream.closeAfterWrite();
-        break;
-    case StartupKind::Session:
-        this->openSession(*message);
-        break;
-    }
-}
-
-void CallerSession::openSession(const StartupMessage& message)
-{
-    const auto group = resolveGroup(this->context.table.image(), message.database);
-    if (!group) {
-        this->endWithError(group.error());
-        return;
-    }
-    const auto* service = table::findService(this->context.table.image(), group->service);
-    if (service && !this->owner.mayOpen(*service)) {
-        this->endWithError({ .sqlstate = "53300", .message = "not run: the service has as many callers on this daemon as its limit allows", .hint = "Come back after 1000 ms." });
-        return;
-    }
-    if (const auto error = this->authenticate()) {
-        this->endWithError(*error);
-        return;
-    }
-    this->state.group = *group;
-    if (const auto error = this->applyParameters(message)) {
-        this->endWithError(*error);
-        return;
-    }
-    this->welcome();
-}
-
-std::optional<StartupError> CallerSession::authenticate() const
-{
-    const auto& callers = this->context.settings.callers;
-    if (callers.trustLoopback && isLoopback(kernel::peerAddress(this->stream.connection()).host))
-        return std::nullopt;
-    return StartupError { .sqlstate = "28000", .message = "password authentication needs TLS, which this daemon does not offer" };
-}
-
-std::optional<StartupError> CallerSession::applyParameters(const StartupMessage& message)
-{
-    for (const auto& [name, value] : message.parameters) {
-        if (isOwnParameter(name)) {
-            if (const auto error = setOwnParameter(this->state, this->context.settings, { .name = name, .value = value }))
-                return StartupError { .sqlstate = std::string(error->sqlstate()), .message = std::string(error->message()) };
-            continue;
-        }
-        const bool isKnown = name == "application_name" || name.starts_with("_pq_.") || (name == "client_encoding" && (value == "UTF8" || value == "UTF-8" || value == "utf8" || value == "auto"));
-        if (isKnown)
-            continue;
-        if (name == "replication")
-            return StartupError { .sqlstate = "0A000", .message = "replication connections are not supported" };
-        this->state.settings.apply({ .kind = statement::StatementKind::Set, .text = "SET " + quoteName(name) + " = " + quoteLiteral(value), .assignment = { .name = name, .value = value } });
-    }
-    return std::nullopt;
-}
-
-void CallerSession::welcome()
-{
-    this->isStarted = true;
-    this->startupTimer.reset();
-    this->key = this->owner.makeCancelKey(*this);
-    pgwire::FrameWriter writer;
-    writer.begin('R');
-    writer.addInt32(0);
-    writer.end();
-    for (const auto& [name, value] : serverParameters)
-        writer.addParameterStatus(name, value);
-    writer.begin('K');
-    writer.addInt32(this->key.process);
-    writer.addInt32(this->key.secret);
-    writer.end();
-    writer.addReady(this->state.transaction);
-    this->stream.write(writer.bytes());
-}
-
 void CallerSession::processFrame(const pgwire::Frame& frame)
 {
     this->receivedAt = this->context.loop.now();
@@ -480,7 +356,7 @@
 void CallerSession::give(std::string_view frames)
 {
     if (!frames.empty() && !this->isClosing)
-        this->stream.write(frames);
+        this->send(frames);
 }
 
 std::size_t CallerSession::backlog() const noexcept
