--- a/src/amaranthhall/membership/io/member_service.hpp
+++ b/src/amaranthhall/membership/io/member_service.hpp
@@ -11,6 +11,7 @@
 #include "amaranthhall/telemetry/metrics.hpp"
 
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
@@ -38,6 +39,9 @@
     [[nodiscard]] Epoch epoch() const noexcept override { return this->detector.changes; }
     void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
 
+    /// @brief Describes the members as this daemon knows them, for operators.
+    [[nodiscard]] nlohmann::json describe() const;
+
 private:
     struct IndirectProbe;
 
--- a/src/amaranthhall/share/io/connection_release.cpp
+++ b/src/amaranthhall/share/io/connection_release.cpp
@@ -39,7 +39,7 @@
             this->finish(false);
             return;
         }
-        this->link.run({ .queries = { { .text = "SELECT * FROM ah_release(" + quote(this->vm) + ")" } } }, *this); }, [this] { this->finish(false); });
+        this->link.run({ .queries = { { .text = "SELECT released FROM ah_release(" + quote(this->vm) + ")" } } }, *this); }, [this] { this->finish(false); });
 }
 
 void ConnectionRelease::onCompleted(std::size_t, std::string_view)
--- a/src/amaranthhall/share/io/share_service.hpp
+++ b/src/amaranthhall/share/io/share_service.hpp
@@ -46,6 +46,9 @@
     /// @brief Describes what this daemon holds, for operators.
     [[nodiscard]] nlohmann::json describe() const;
 
+    /// @brief Tells whether this daemon holds a lease, so that it can get share.
+    [[nodiscard]] bool hasLease() const noexcept { return isLeaseValid(this->node.ledger, this->loop.now()); }
+
 private:
     void serve(std::string_view method);
     void act(const std::function<void(Actions&)>& decide);
