--- a/src/amaranthhall/share/ledger.hpp
+++ b/src/amaranthhall/share/ledger.hpp
@@ -18,7 +18,7 @@
 /// @brief Times of leases and transfers.
 struct ShareOptions {
     Duration lease { std::chrono::seconds(8) }; ///< From the sending of a renewal that a majority grants.
-    Duration renewInterval { std::chrono::milliseconds(2000) };
+    Duration renewInterval { std::chrono::milliseconds(3000) };
     Duration renewTimeout { std::chrono::milliseconds(1000) };
     Duration lapseMargin { std::chrono::milliseconds(900) }; ///< Covers a drift of two clocks of 5 % over a lease, and some more.
     Duration parkLimit { std::chrono::milliseconds(700) }; ///< Longest wait of a request for share that is in use.
