--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -10,6 +10,7 @@
 #include "amaranthhall/table/io/table_service.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
+#include "amaranthhall/telemetry/tracer.hpp"
 #include "amaranthhall/upstream/batched_confirmer.hpp"
 #include "amaranthhall/upstream/group_monitor.hpp"
 #include "amaranthhall/upstream/pooled_dispatcher.hpp"
@@ -28,6 +29,7 @@
     kernel::Loop loop;
     kernel::Registry registry;
     registry.add(std::make_unique<telemetry::Metrics>());
+    registry.add(std::make_unique<telemetry::Tracer>(settings.traceFile));
     auto& admin = registry.add(std::make_unique<admin::AdminServer>(loop, registry, settings));
     registry.add(std::make_unique<platform::HttpPlatform>(loop, registry, settings.platform));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
