--- a/src/amaranthhall/membership/io/member_service.cpp
+++ b/src/amaranthhall/membership/io/member_service.cpp
@@ -236,21 +236,4 @@
     this->observers.notify();
 }
 
-nlohmann::json MemberService::describe() const
-{
-    auto list = nlohmann::json::array();
-    for (const auto& member : this->listed) {
-        list.push_back({
-            { "id", member.id },
-            { "state", nameState(member.state) },
-            { "incarnation", member.incarnation },
-            { "region", member.region },
-            { "zone", member.zone },
-            { "peer", kernel::formatAddress(member.peer) },
-            { "admin", kernel::formatAddress(member.admin) },
-        });
-    }
-    return { { "vm", this->self().id }, { "epoch", this->epoch() }, { "members", list } };
-}
-
 }
--- a/src/amaranthhall/membership/io/member_service.hpp
+++ b/src/amaranthhall/membership/io/member_service.hpp
@@ -11,7 +11,6 @@
 #include "amaranthhall/telemetry/metrics.hpp"
 
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <vector>
 
@@ -39,9 +38,6 @@
     [[nodiscard]] Epoch epoch() const noexcept override { return this->detector.changes; }
     void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
 
-    /// @brief Describes the members as this daemon knows them, for operators.
-    [[nodiscard]] nlohmann::json describe() const;
-
 private:
     struct IndirectProbe;
 
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -33,15 +33,13 @@
     auto& admin = registry.add(std::make_unique<admin::AdminServer>(loop, registry, settings));
     registry.add(std::make_unique<platform::HttpPlatform>(loop, registry, settings.platform));
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
-    auto& members = registry.add(std::make_unique<membership::MemberService>(loop, registry, membership::MemberOptions { .vm = settings.vm, .admin = { .host = settings.listen.admin.host, .port = admin.port() } }));
+    registry.add(std::make_unique<membership::MemberService>(loop, registry, membership::MemberOptions { .vm = settings.vm, .admin = { .host = settings.listen.admin.host, .port = admin.port() } }));
     registry.add(std::make_unique<table::TableService>(loop, registry, settings.vm));
     auto& shares = registry.add(std::make_unique<share::ShareService>(loop, registry, share::ShareServiceOptions { .vm = settings.vm.id, .upstreams = settings.upstreams }));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings));
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
-    admin.route("/v1/members", [&members](const auto&, const auto& reply) { reply(admin::makeJsonResponse(200, members.describe())); });
-    admin.route("/v1/shares", [&shares](const auto&, const auto& reply) { reply(admin::makeJsonResponse(200, shares.describe())); });
     admin.addReadinessCheck([&shares] { return shares.hasLease() ? std::nullopt : std::optional<std::string>("no lease of connection shares"); });
     registry.start();
     telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port }, { "admin_port", admin.port() } });
--- a/src/amaranthhall/share/io/share_service.cpp
+++ b/src/amaranthhall/share/io/share_service.cpp
@@ -233,22 +233,4 @@
     });
 }
 
-nlohmann::json ShareService::describe() const
-{
-    const auto& ledger = this->node.ledger;
-    auto upstreams = nlohmann::json::array();
-    for (const auto& [id, holding] : ledger.holdings) {
-        const auto limit = ledger.epoch.limits.find(id);
-        upstreams.push_back({
-            { "upstream", group::formatId(id) },
-            { "allowed", this->allowance(id) },
-            { "open", holding.use.open },
-            { "busy", holding.use.busy },
-            { "waiting", holding.use.waiting },
-            { "limit", limit == ledger.epoch.limits.end() ? 0 : limit->second },
-        });
-    }
-    return { { "vm", ledger.self.vm }, { "epoch", ledger.epoch.epoch }, { "lease_valid", isLeaseValid(ledger, this->loop.now()) }, { "upstreams", upstreams } };
-}
-
 }
--- a/src/amaranthhall/share/io/share_service.hpp
+++ b/src/amaranthhall/share/io/share_service.hpp
@@ -43,9 +43,6 @@
     void reportUse(const group::UpstreamId& id, const ShareUse& use) override;
     void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
 
-    /// @brief Describes what this daemon holds, for operators.
-    [[nodiscard]] nlohmann::json describe() const;
-
     /// @brief Tells whether this daemon holds a lease, so that it can get share.
     [[nodiscard]] bool hasLease() const noexcept { return isLeaseValid(this->node.ledger, this->loop.now()); }
 
