A daemon is ready once it holds some share

Cause: with two daemons the first held all share when it was killed right after the start; the second refused a write with 53300 (test LibpqCallers AKilledDaemonLeavesNoHalfTransaction). Change: /readyz waits until the daemon holds share of each upstream, unless daemons outnumber connections. A daemon that has lent all of its idle share still waits for the next dealing when the borrower dies.

--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -40,7 +40,7 @@
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
-    admin.addReadinessCheck([&shares] { return shares.hasLease() ? std::nullopt : std::optional<std::string>("no lease of connection shares"); });
+    admin.addReadinessCheck([&shares] { return shares.isReady() ? std::nullopt : std::optional<std::string>("no connection share yet"); });
     registry.start();
     telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port }, { "admin_port", admin.port() } });
     const auto terminate = loop.onSignal(SIGTERM, [&] { registry.drain([&loop] { loop.stop(); }); });
--- a/src/amaranthhall/share/io/share_service.cpp
+++ b/src/amaranthhall/share/io/share_service.cpp
@@ -4,6 +4,8 @@
 #include "amaranthhall/share/message_json.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace amaranthhall::share {
 
 namespace {
@@ -78,6 +80,15 @@
     return computeAllowance(this->node.ledger, id, this->loop.now());
 }
 
+bool ShareService::isReady() const noexcept
+{
+    const auto& ledger = this->node.ledger;
+    const auto now = this->loop.now();
+    return isLeaseValid(ledger, now) && std::all_of(ledger.epoch.limits.begin(), ledger.epoch.limits.end(), [&](const auto& limit) {
+        return usablePart(ledger.options, limit.second) <= ledger.peers.size() || (ledger.holdings.contains(limit.first) && ledger.holdings.at(limit.first).tokens > 0);
+    });
+}
+
 void ShareService::reportUse(const group::UpstreamId& id, const ShareUse& use)
 {
     this->act([&](auto& actions) { receiveUse(this->node, id, use, this->loop.now(), actions); });
--- a/src/amaranthhall/share/io/share_service.hpp
+++ b/src/amaranthhall/share/io/share_service.hpp
@@ -43,8 +43,8 @@
     void reportUse(const group::UpstreamId& id, const ShareUse& use) override;
     void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
 
-    /// @brief Tells whether this daemon holds a lease, so that it can get share.
-    [[nodiscard]] bool hasLease() const noexcept { return isLeaseValid(this->node.ledger, this->loop.now()); }
+    /// @brief Tells whether this daemon holds a lease and, unless daemons outnumber connections, some share of each upstream.
+    [[nodiscard]] bool isReady() const noexcept;
 
 private:
     void serve(std::string_view method);
