--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -6,6 +6,7 @@
 #include "amaranthhall/peer/http_peer_network.hpp"
 #include "amaranthhall/platform/http_platform.hpp"
 #include "amaranthhall/session/caller_listener.hpp"
+#include "amaranthhall/share/io/share_service.hpp"
 #include "amaranthhall/table/io/table_service.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
@@ -34,10 +35,12 @@
     auto& peers = registry.add(std::make_unique<peer::HttpPeerNetwork>(loop, registry, peer::PeerOptions { .vm = settings.vm.id, .listen = settings.listen.peer, .keys = settings.peerKeys }));
     registry.add(std::make_unique<membership::MemberService>(loop, registry, membership::MemberOptions { .vm = settings.vm, .admin = { .host = settings.listen.admin.host, .port = admin.port() } }));
     registry.add(std::make_unique<table::TableService>(loop, registry, settings.vm));
+    auto& shares = registry.add(std::make_unique<share::ShareService>(loop, registry, share::ShareServiceOptions { .vm = settings.vm.id, .upstreams = settings.upstreams }));
     registry.add(std::make_unique<upstream::GroupMonitor>(loop, registry, settings));
     registry.add(std::make_unique<upstream::PooledDispatcher>(loop, registry, settings));
     registry.add(std::make_unique<upstream::BatchedConfirmer>(loop, registry, settings.vm.zone));
     auto& callers = registry.add(std::make_unique<session::CallerListener>(loop, registry, settings));
+    admin.addReadinessCheck([&shares] { return shares.isReady() ? std::nullopt : std::optional<std::string>("no connection share yet"); });
     registry.start();
     telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port }, { "admin_port", admin.port() } });
     const auto terminate = loop.onSignal(SIGTERM, [&] { registry.drain([&loop] { loop.stop(); }); });
--- a/src/amaranthhall/share/io/share_service.cpp
+++ b/src/amaranthhall/share/io/share_service.cpp
@@ -4,6 +4,8 @@
 #include "amaranthhall/share/message_json.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
+#include <algorithm>
+
 namespace amaranthhall::share {
 
 namespace {
@@ -78,6 +80,15 @@
     return computeAllowance(this->node.ledger, id, this->loop.now());
 }
 
+bool ShareService::isReady() const noexcept
+{
+    const auto& ledger = this->node.ledger;
+    const auto now = this->loop.now();
+    return isLeaseValid(ledger, now) && std::all_of(ledger.epoch.limits.begin(), ledger.epoch.limits.end(), [&](const auto& limit) {
+        return usablePart(ledger.options, limit.second) <= ledger.peers.size() || (ledger.holdings.contains(limit.first) && ledger.holdings.at(limit.first).tokens > 0);
+    });
+}
+
 void ShareService::reportUse(const group::UpstreamId& id, const ShareUse& use)
 {
     this->act([&](auto& actions) { receiveUse(this->node, id, use, this->loop.now(), actions); });
@@ -233,22 +244,4 @@
     });
 }
 
-nlohmann::json ShareService::describe() const
-{
-    const auto& ledger = this->node.ledger;
-    auto upstreams = nlohmann::json::array();
-    for (const auto& [id, holding] : ledger.holdings) {
-        const auto limit = ledger.epoch.limits.find(id);
-        upstreams.push_back({
-            { "upstream", group::formatId(id) },
-            { "allowed", this->allowance(id) },
-            { "open", holding.use.open },
-            { "busy", holding.use.busy },
-            { "waiting", holding.use.waiting },
-            { "limit", limit == ledger.epoch.limits.end() ? 0 : limit->second },
-        });
-    }
-    return { { "vm", ledger.self.vm }, { "epoch", ledger.epoch.epoch }, { "lease_valid", isLeaseValid(ledger, this->loop.now()) }, { "upstreams", upstreams } };
-}
-
 }
--- a/src/amaranthhall/share/io/share_service.hpp
+++ b/src/amaranthhall/share/io/share_service.hpp
@@ -43,8 +43,8 @@
     void reportUse(const group::UpstreamId& id, const ShareUse& use) override;
     void onChange(kernel::Observers::Callback callback) override { this->observers.add(std::move(callback)); }
 
-    /// @brief Describes what this daemon holds, for operators.
-    [[nodiscard]] nlohmann::json describe() const;
+    /// @brief Tells whether this daemon holds a lease and, unless daemons outnumber connections, some share of each upstream.
+    [[nodiscard]] bool isReady() const noexcept;
 
 private:
     void serve(std::string_view method);
