--- a/src/amaranthhall/kernel/settings.cpp
+++ b/src/amaranthhall/kernel/settings.cpp
@@ -206,6 +206,25 @@
 
 }
 
+std::vector<std::string_view> findRestartKeys(const Settings& before, const Settings& after)
+{
+    std::vector<std::string_view> keys;
+    const auto compare = [&](std::string_view key, bool isSame) {
+        if (!isSame)
+            keys.push_back(key);
+    };
+    compare("vm", before.vm == after.vm);
+    compare("listen", before.listen == after.listen);
+    compare("platform", before.platform == after.platform);
+    compare("peers", before.peerKeys == after.peerKeys);
+    compare("upstreams", before.upstreams == after.upstreams);
+    compare("callers", before.callers == after.callers);
+    compare("log.statements", before.logStatements == after.logStatements);
+    compare("traces", before.traceFile == after.traceFile);
+    compare("drain", before.drainLimit == after.drainLimit);
+    return keys;
+}
+
 std::string formatError(std::string_view file, const SettingsError& error)
 {
     std::string text(file);
--- a/src/amaranthhall/kernel/settings.hpp
+++ b/src/amaranthhall/kernel/settings.hpp
@@ -16,6 +16,8 @@
     std::string id;
     std::string region;
     std::string zone;
+
+    friend bool operator==(const VmSettings&, const VmSettings&) = default;
 };
 
 /// @brief Where this daemon listens; port 0 takes a free one, which the log tells.
@@ -23,6 +25,8 @@
     Address caller;
     Address peer;
     Address admin;
+
+    friend bool operator==(const ListenSettings&, const ListenSettings&) = default;
 };
 
 /// @brief How this daemon authenticates to upstreams.
@@ -31,12 +35,16 @@
     std::string password;
     std::string tlsMode { "prefer" }; ///< As libpq's `sslmode`.
     std::string tlsRootCertificate; ///< File; empty for none.
+
+    friend bool operator==(const UpstreamSettings&, const UpstreamSettings&) = default;
 };
 
 /// @brief One caller's name and its salted hash, in the form that PostgreSQL stores (`SCRAM-SHA-256$...`).
 struct CallerUser {
     std::string name;
     std::string secret;
+
+    friend bool operator==(const CallerUser&, const CallerUser&) = default;
 };
 
 /// @brief How callers authenticate.
@@ -45,6 +53,8 @@
     std::vector<CallerUser> users;
     std::string tlsCertificate; ///< File; empty refuses TLS.
     std::string tlsKey;
+
+    friend bool operator==(const CallerSettings&, const CallerSettings&) = default;
 };
 
 /// @brief Settings of a daemon, from its YAML file.
@@ -61,6 +71,12 @@
     std::chrono::milliseconds drainLimit { 30'000 };
 };
 
+/**
+ * @brief Compares settings before and after a reload.
+ * @return The top-level keys that differ and take effect only after a restart; the log level is not among them.
+ */
+[[nodiscard]] std::vector<std::string_view> findRestartKeys(const Settings& before, const Settings& after);
+
 /// @brief What is wrong with a settings file.
 struct SettingsError {
     int line { 0 }; ///< 1-based; 0 if the whole file is meant.
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -18,13 +18,38 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <iostream>
+#include <utility>
 
 namespace {
 
 namespace options = boost::program_options;
 using namespace amaranthhall;
 
-int runDaemon(const kernel::Settings& settings)
+telemetry::LogLevel toLevel(std::string_view name)
+{
+    if (name == "debug")
+        return telemetry::LogLevel::Debug;
+    if (name == "warning")
+        return telemetry::LogLevel::Warning;
+    return name == "error" ? telemetry::LogLevel::Error : telemetry::LogLevel::Info;
+}
+
+/// Reads the settings again and puts in force what can be without a restart.
+void reloadSettings(const std::string& file, const kernel::Settings& running)
+{
+    const auto loaded = kernel::loadSettings(file);
+    if (!loaded) {
+        telemetry::logEvent(telemetry::LogLevel::Error, "settings.refused", { { "problem", kernel::formatError(file, loaded.error()) } });
+        return;
+    }
+    telemetry::setLogLevel(toLevel(loaded->logLevel));
+    std::string needsRestart;
+    for (const auto key : kernel::findRestartKeys(running, *loaded))
+        needsRestart += (needsRestart.empty() ? "" : ", ") + std::string(key);
+    telemetry::logEvent(telemetry::LogLevel::Info, "settings.reloaded", { { "log_level", loaded->logLevel }, { "needs_restart", needsRestart } });
+}
+
+int runDaemon(const std::string& file, const kernel::Settings& settings)
 {
     kernel::Loop loop;
     kernel::Registry registry;
@@ -43,21 +68,19 @@
     admin.addReadinessCheck([&shares] { return shares.isReady() ? std::nullopt : std::optional<std::string>("no connection share yet"); });
     registry.start();
     telemetry::logEvent(telemetry::LogLevel::Info, "daemon.listening", { { "vm", settings.vm.id }, { "caller_port", callers.port() }, { "peer_port", peers.listenAddress().port }, { "admin_port", admin.port() } });
-    const auto terminate = loop.onSignal(SIGTERM, [&] { registry.drain([&loop] { loop.stop(); }); });
+    bool isDraining = false;
+    const auto terminate = loop.onSignal(SIGTERM, [&] {
+        if (std::exchange(isDraining, true))
+            callers.cutNow();
+        else
+            registry.drain([&loop] { loop.stop(); });
+    });
+    const auto reload = loop.onSignal(SIGHUP, [&] { reloadSettings(file, settings); });
     loop.run();
     registry.stop();
     return 0;
 }
 
-telemetry::LogLevel toLevel(std::string_view name)
-{
-    if (name == "debug")
-        return telemetry::LogLevel::Debug;
-    if (name == "warning")
-        return telemetry::LogLevel::Warning;
-    return name == "error" ? telemetry::LogLevel::Error : telemetry::LogLevel::Info;
-}
-
 int runProgram(int count, char** arguments)
 {
     options::options_description description("amaranthhalld: database proxy with session consistency");
@@ -81,7 +104,7 @@
         return 0;
     }
     telemetry::openLog(toLevel(settings->logLevel));
-    return runDaemon(*settings);
+    return runDaemon(file, *settings);
 }
 
 }
--- a/src/amaranthhall/rig/process.cpp
+++ b/src/amaranthhall/rig/process.cpp
@@ -1,8 +1,11 @@
 #include "amaranthhall/rig/process.hpp"
 
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <fcntl.h>
 #include <fstream>
+#include <set>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -19,6 +22,31 @@
 
     constexpr auto pollInterval = 5ms;
 
+    /// Processes that still have an owner; an exception that nobody catches destroys no owner.
+    std::set<pid_t>& ownedProcesses()
+    {
+        static std::set<pid_t> processes;
+        return processes;
+    }
+
+    void killOwnedProcesses()
+    {
+        for (const auto process : ownedProcesses())
+            ::kill(process, SIGKILL);
+    }
+
+    [[noreturn]] void endWithProcesses()
+    {
+        killOwnedProcesses();
+        std::abort();
+    }
+
+    void own(pid_t process)
+    {
+        ownedProcesses().insert(process);
+        std::set_terminate(endWithProcesses);
+    }
+
     pid_t spawnProgram(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
     {
         std::vector<std::string> words { program };
@@ -32,6 +60,7 @@
         posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
         posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         pid_t started = -1;
         const auto status = posix_spawn(&started, program.c_str(), &actions, nullptr, raw.data(), environ);
         posix_spawn_file_actions_destroy(&actions);
@@ -46,11 +75,13 @@
     : processId(spawnProgram(program, arguments, usedLogFile))
     , logFile(std::move(usedLogFile))
 {
+    own(this->processId);
 }
 
 Process::~Process()
 {
     this->kill();
+    ownedProcesses().erase(this->processId);
 }
 
 bool Process::isRunning()
--- a/test/kernel/test_settings.cpp
+++ b/test/kernel/test_settings.cpp
@@ -44,3 +44,13 @@
     const auto settings = kernel::parseSettings("vm: { id: vm-1, region: r, zone: z }\n");
     CHECK(settings.error().key == "listen.caller");
 }
+
+TEST(Settings, AReloadTellsWhatNeedsARestart)
+{
+    const auto before = kernel::parseSettings(complete);
+    const auto after = kernel::parseSettings(std::string(complete) + "log: { level: debug }\ndrain: { limit: 5s }\n");
+    const auto keys = kernel::findRestartKeys(*before, *after);
+    CHECK_EQUAL(1U, keys.size());
+    CHECK(keys.front() == "drain");
+    CHECK(kernel::findRestartKeys(*before, *before).empty());
+}
