A daemon without any share asks several peers at once

Cause: experiment failover with 14 daemons did not start: 'vm-02 is not ready: no connection share yet' after 20 s. A daemon below its fair part asked one of 13 peers every 500 ms, and one peer held all 27 tokens at first. Ruled out: epochs (all 14 had joined epoch 3 within 4 s).

--- a/src/amaranthhall/share/ledger.cpp
+++ b/src/amaranthhall/share/ledger.cpp
@@ -371,10 +371,16 @@
     for (const auto& [id, limit] : ledger.epoch.limits) {
         const auto fair = computeFairPart(ledger, id);
         const auto& holding = ledger.holdings[id];
-        if (holding.tokens >= fair || countInFlight(ledger, id).count > 0)
+        if (holding.tokens >= fair)
             continue;
-        if (const auto* peer = choosePeer(ledger, id, now))
+        // Without any share a statement would wait for the first peer that has some, so several are asked at once.
+        const auto most = holding.tokens == 0 ? ledger.options.takesInFlight : 1;
+        for (auto inFlight = countInFlight(ledger, id).count; inFlight < most; ++inFlight) {
+            const auto* peer = choosePeer(ledger, id, now);
+            if (!peer)
+                break;
             ask(ledger, id, *peer, fair - holding.tokens, Urgency::EvenOut, actions);
+        }
     }
 }
 
