Spans for each hop of a statement; one can be followed over two daemons

Cause: the tracer was there, but no hop used it. Change: caller.statement with dispatch.queue, upstream.prepare, upstream.execute, upstream.confirm and retry.pause below it, under the caller's own context; the statement's comment goes on to the upstream unchanged. Measured: integration test Traces passes (write on one daemon, read on another, one trace id, all hops in the files). Conclusion: spans of peer and platform calls and of opening a connection are left.

--- a/src/amaranthhall/rig/cluster.cpp
+++ b/src/amaranthhall/rig/cluster.cpp
@@ -278,6 +278,11 @@
         static_cast<void>(callHttp(this->platformPort, { .method = "DELETE", .path = "/admin/vms", .query = "id=" + node.vm }));
 }
 
+std::string Cluster::traceFile(const DaemonNode& node) const
+{
+    return this->options.workFolder + "/" + node.vm + ".trace.jsonl";
+}
+
 std::string Cluster::writeSettings(const DaemonNode& node) const
 {
     const auto file = this->options.workFolder + "/" + node.vm + ".yaml";
@@ -287,7 +292,8 @@
            << "platform: { address: 127.0.0.1:" << this->platformPort << " }\n"
            << "peers: { keys: [ 0123456789abcdef0123456789abcdef ] }\n"
            << "upstreams: { user: amaranthhall, tls: disable }\n"
-           << "callers: { trust_loopback: true }\n";
+           << "callers: { trust_loopback: true }\n"
+           << (this->options.traces ? "traces: { file: " + this->traceFile(node) + " }\n" : "");
     return file;
 }
 
--- a/src/amaranthhall/rig/cluster.hpp
+++ b/src/amaranthhall/rig/cluster.hpp
@@ -21,6 +21,7 @@
     std::size_t daemons { 1 };
     std::chrono::milliseconds connectDelay { 0 };
     std::uint32_t connectionLimit { 30 };
+    bool traces { false }; ///< Each daemon writes its spans to traceFile().
     bool faultProxy { false }; ///< Puts a fault proxy before each upstream and into each replica feed.
     std::uint64_t seed { 1 }; ///< Of the fault proxy's jitter.
 };
@@ -54,6 +55,9 @@
 
     [[nodiscard]] const ClusterOptions& settings() const noexcept { return this->options; }
 
+    /// @brief Gives the file of a daemon's spans.
+    [[nodiscard]] std::string traceFile(const DaemonNode& node) const;
+
     /// @brief Starts one more daemon, in the zone of its turn, and puts it on the platform's list of VMs.
     DaemonNode& addDaemon();
 
--- a/src/amaranthhall/session/session_context.cpp
+++ b/src/amaranthhall/session/session_context.cpp
@@ -19,6 +19,7 @@
     , dispatcher(registry.find<upstream::Dispatcher>("dispatch"))
     , confirmer(registry.find<upstream::Confirmer>("confirm"))
     , metrics(registry.find<telemetry::Metrics>("metrics"))
+    , tracer(registry.findOptional<telemetry::Tracer>("tracer"))
     , random(std::random_device {}())
 {
     if (!usedSettings.callers.tlsCertificate.empty())
--- a/src/amaranthhall/session/session_context.hpp
+++ b/src/amaranthhall/session/session_context.hpp
@@ -11,6 +11,7 @@
 #include "amaranthhall/session/tls.hpp"
 #include "amaranthhall/statement/classifier.hpp"
 #include "amaranthhall/table/table_source.hpp"
+#include "amaranthhall/telemetry/tracer.hpp"
 #include "amaranthhall/upstream/dispatcher.hpp"
 
 #include <list>
@@ -32,6 +33,7 @@
     upstream::Dispatcher& dispatcher;
     upstream::Confirmer& confirmer;
     SessionMetrics metrics;
+    const telemetry::Tracer* tracer; ///< Missing in a daemon without traces.
     statement::Classifier classifier;
     retry::Budget budget;
     Random random;
--- a/src/amaranthhall/session/statement_runner.cpp
+++ b/src/amaranthhall/session/statement_runner.cpp
@@ -30,6 +30,7 @@
     : context(usedContext)
     , state(usedState)
     , client(usedClient)
+    , trace(usedContext.tracer)
 {
 }
 
@@ -37,6 +38,7 @@
 {
     this->work = std::move(usedWork);
     this->received = usedReceived;
+    this->trace.begin(this->work);
     ++this->generation;
     this->retries = 0;
     this->keyTableMade = false;
@@ -91,6 +93,7 @@
         this->refuse({ .sqlstate = "57P03", .message = "this daemon takes no new work for the service now", .retryAfter = comeBackAfter });
         return;
     }
+    this->trace.enterHop("dispatch.queue");
     const auto age = this->allowedAge();
     const bool isRead = isReadOnly(this->work) && !this->needsPrimary;
     const upstream::WorkRequest request {
@@ -140,6 +143,8 @@
     this->phase = next;
     this->attempt = std::make_shared<Attempt>(static_cast<upstream::ResultSink&>(*this));
     const auto held = this->attempt;
+    this->trace.enterHop(next == Phase::Main ? "upstream.execute" : "upstream.prepare");
+    this->trace.tagHop("upstream", group::formatId(this->state.assignment.upstream));
     this->state.assignment.lease->run(batch, *held);
 }
 
@@ -223,6 +228,7 @@
     ++this->retries;
     this->context.metrics.retried.Increment();
     this->phase = Phase::Waiting;
+    this->trace.enterHop("retry.pause");
     this->keyed = false;
     this->copyingOut = false;
     const auto delay = retry::drawPause({}, this->retries - 1, this->context.random);
@@ -323,6 +329,7 @@
     if (this->state.transaction == pgwire::TransactionStatus::Idle)
         this->returnLease(true);
     this->phase = Phase::Confirming;
+    this->trace.enterHop("upstream.confirm");
     // A record of a later term may have replaced the write, so only the term in which it was sent counts.
     if (!status || status->role != group::Role::Primary || status->last.term > term) {
         this->confirmed(upstream::Confirmation::Superseded, {});
@@ -395,6 +402,7 @@
 {
     const bool usedKey = this->keyed || (!this->state.key.key.empty() && this->writes);
     this->phase = Phase::Idle;
+    this->trace.end(succeeded);
     this->timer.reset();
     this->pause.reset();
     this->ticket.reset();
--- a/src/amaranthhall/session/statement_runner.hpp
+++ b/src/amaranthhall/session/statement_runner.hpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/session/attempt.hpp"
 #include "amaranthhall/session/session_context.hpp"
 #include "amaranthhall/session/session_state.hpp"
+#include "amaranthhall/session/statement_trace.hpp"
 #include "amaranthhall/session/work.hpp"
 
 #include <cstddef>
@@ -132,6 +133,7 @@
     Phase phase { Phase::Idle };
     Work work;
     Answer answer;
+    StatementTrace trace;
     std::shared_ptr<Attempt> attempt;
     std::unique_ptr<upstream::Ticket> ticket;
     kernel::Registration timer;
