A connection counts until the upstream has closed it too

A daemon that was cut off closed its links after a timeout, gave the share back, and the upstream, which never saw the close, still held them. The fault proxy also opened connections to the target while it held their bytes, which a cut network does not do. Change: a pool counts a closed link until the upstream's own close or the network's verdict shows on its socket; the fault proxy connects to the target with the first bytes that go on.

--- a/src/amaranthhall/rig/caller.cpp
+++ b/src/amaranthhall/rig/caller.cpp
@@ -52,6 +52,8 @@
 Answer Caller::run(const std::string& text)
 {
     PGresult* result = PQexec(this->connection.get(), text.c_str());
+    if (!result)
+        return { .message = PQerrorMessage(this->connection.get()) };
     auto answer = readAnswer(result);
     PQclear(result);
     return answer;
--- a/src/amaranthhall/standin/fault_connection.cpp
+++ b/src/amaranthhall/standin/fault_connection.cpp
@@ -56,12 +56,16 @@
 void FaultLane::pump()
 {
     this->timer.reset();
-    while (!this->waiting.empty() && !this->fault.hold && this->target) {
+    while (!this->waiting.empty() && !this->fault.hold) {
         const auto now = this->loop.now();
         if (this->waiting.front().due > now) {
             this->timer = this->loop.after(this->waiting.front().due - now, [this] { this->pump(); });
             return;
         }
+        if (!this->target && this->firstPass)
+            std::exchange(this->firstPass, nullptr)();
+        if (!this->target)
+            return;
         auto bytes = std::move(this->waiting.front().bytes);
         this->waiting.pop_front();
         this->pass(std::move(bytes));
@@ -83,25 +87,38 @@
     this->cut();
 }
 
-FaultConnection::FaultConnection(kernel::Loop& usedLoop, Random& random, kernel::Socket sourceSocket, kernel::Socket targetSocket, Ended whenEnded)
+FaultConnection::FaultConnection(kernel::Loop& usedLoop, Random& random, kernel::Socket sourceSocket, kernel::Address usedTarget, Ended whenEnded)
     : loop(usedLoop)
+    , targetAddress(std::move(usedTarget))
     , ended(std::move(whenEnded))
     , alive(std::make_shared<int>(0))
     , toTarget(usedLoop, random, [this] { this->end(); })
     , toSource(usedLoop, random, [this] { this->end(); })
 {
-    const auto closedBy = [this](bool isSource) {
-        return [this, isSource, living = std::weak_ptr(this->alive)] {
-            if (!living.expired())
-                this->endSide(isSource);
-        };
-    };
     this->source = std::make_unique<kernel::ByteStream>(usedLoop, std::move(sourceSocket),
-        kernel::ByteStream::Callbacks { .received = [this](auto bytes) { this->takeFromSource(bytes); }, .closed = closedBy(true) });
-    this->target = std::make_unique<kernel::ByteStream>(usedLoop, std::move(targetSocket),
-        kernel::ByteStream::Callbacks { .received = [this](auto bytes) { this->toSource.take(bytes); }, .closed = closedBy(false) });
-    this->toTarget.setTarget(this->target.get());
+        kernel::ByteStream::Callbacks { .received = [this](auto bytes) { this->takeFromSource(bytes); }, .closed = this->closedBy(true) });
     this->toSource.setTarget(this->source.get());
+    this->toTarget.onFirstPass([this] { this->connectTarget(); });
+}
+
+kernel::ByteStream::Notice FaultConnection::closedBy(bool isSource)
+{
+    return [this, isSource, living = std::weak_ptr(this->alive)] {
+        if (!living.expired())
+            this->endSide(isSource);
+    };
+}
+
+void FaultConnection::connectTarget()
+{
+    auto socket = kernel::connectTo(this->targetAddress);
+    if (!socket) {
+        this->end();
+        return;
+    }
+    this->target = std::make_unique<kernel::ByteStream>(this->loop, std::move(socket),
+        kernel::ByteStream::Callbacks { .received = [this](auto bytes) { this->toSource.take(bytes); }, .closed = this->closedBy(false) });
+    this->toTarget.setTarget(this->target.get());
 }
 
 void FaultConnection::apply(const FaultRule& rule)
@@ -126,6 +143,10 @@
 
 void FaultConnection::endSide(bool isSource)
 {
+    if (!this->target) {
+        this->end();
+        return;
+    }
     // What the closed side sent before still arrives, then the other side is closed.
     auto& lane = isSource ? this->toTarget : this->toSource;
     auto& other = isSource ? this->target : this->source;
--- a/src/amaranthhall/standin/fault_connection.hpp
+++ b/src/amaranthhall/standin/fault_connection.hpp
@@ -23,6 +23,9 @@
     /// @brief Sets where bytes go.
     void setTarget(kernel::ByteStream* stream);
 
+    /// @brief Sets a callback for the first bytes that may go on while there is no target; it sets one.
+    void onFirstPass(std::function<void()> callback) { this->firstPass = std::move(callback); }
+
     /// @brief Takes bytes in.
     void take(std::string_view bytes);
 
@@ -49,6 +52,7 @@
     std::deque<Chunk> waiting;
     std::uint64_t passed { 0 };
     std::function<void()> emptied;
+    std::function<void()> firstPass;
     kernel::Registration timer;
 };
 
@@ -58,7 +62,8 @@
     /// @brief Called once when the connection has ended.
     using Ended = std::function<void()>;
 
-    FaultConnection(kernel::Loop& loop, Random& random, kernel::Socket source, kernel::Socket target, Ended ended);
+    /// @brief Takes over an accepted connection; the target is connected to once bytes may go on to it, as a cut network takes no connection.
+    FaultConnection(kernel::Loop& loop, Random& random, kernel::Socket source, kernel::Address target, Ended ended);
 
     /// @brief Gives what the source sent first, by which rules match.
     [[nodiscard]] const std::string& firstBytes() const noexcept { return this->first; }
@@ -71,10 +76,13 @@
 
 private:
     void takeFromSource(std::string_view bytes);
+    void connectTarget();
+    [[nodiscard]] kernel::ByteStream::Notice closedBy(bool isSource);
     void endSide(bool isSource);
     void end();
 
     kernel::Loop& loop;
+    kernel::Address targetAddress;
     Ended ended;
     std::shared_ptr<int> alive;
     std::string first;
--- a/src/amaranthhall/standin/fault_proxy.cpp
+++ b/src/amaranthhall/standin/fault_proxy.cpp
@@ -89,11 +89,8 @@
     auto source = kernel::acceptFrom(route.listener);
     if (!source)
         return;
-    auto target = kernel::connectTo(route.target);
-    if (!target)
-        return;
     auto& connection = this->connections.emplace_back(Connection { .route = route.name });
-    connection.proxied = std::make_unique<FaultConnection>(this->loop, this->random, std::move(source), std::move(target), [this, &connection] {
+    connection.proxied = std::make_unique<FaultConnection>(this->loop, this->random, std::move(source), route.target, [this, &connection] {
         this->connections.remove_if([&](const auto& other) { return &other == &connection; });
     });
     connection.proxied->identified = [this, &connection] { this->applyRules(connection); };
--- a/src/amaranthhall/upstream/group_dispatcher.cpp
+++ b/src/amaranthhall/upstream/group_dispatcher.cpp
@@ -55,7 +55,7 @@
         .symptom = [this, id = row.id](auto symptom) { this->environment.groups.report(id, symptom); },
         .status = [this, id = row.id](const auto& status) { this->environment.groups.observe(id, status); },
         .counted = [this, name = row.id.name, &open = this->environment.metrics.openGauge(row.id), &busy = this->environment.metrics.busyGauge(row.id)](const auto& counts) {
-            open.Set(counts.total());
+            open.Set(counts.held());
             busy.Set(counts.lent);
             if (const auto* member = this->findMember(name))
                 this->reportUse(*member); },
@@ -73,7 +73,7 @@
     if (!this->environment.shares || !member.pool)
         return;
     const auto& counts = member.pool->counts();
-    this->environment.shares->reportUse(member.row.id, { .open = counts.total(), .busy = counts.lent + counts.resetting, .waiting = member.waiting });
+    this->environment.shares->reportUse(member.row.id, { .open = counts.held(), .busy = counts.lent + counts.resetting, .waiting = member.waiting });
 }
 
 void GroupDispatcher::configure(const table::TableImage& image, const LinkOptions& common)
@@ -151,7 +151,7 @@
             .view = &upstream,
             .weight = member->row.weight,
             .idle = counts.idle,
-            .busy = counts.total() - counts.idle,
+            .busy = counts.held() - counts.idle,
             .allowance = this->allowanceOf(*member),
             .isFailing = member->pool->isFailing(),
         };
--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -3,6 +3,9 @@
 #include "amaranthhall/upstream/quiet_sink.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace amaranthhall::upstream {
 
@@ -12,6 +15,18 @@
 
     constexpr auto resetTimeout = 2s;
 
+    /// Reads what still comes and tells whether the other end has closed.
+    bool hasEnded(const kernel::Socket& socket)
+    {
+        std::array<char, 16384> dropped; // NOLINT: not zeroed, since recv fills it.
+        while (true) {
+            const auto count = recv(socket.descriptor(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+            if (count > 0)
+                continue;
+            return count == 0 || (errno != EAGAIN && errno != EINTR);
+        }
+    }
+
 }
 
 /// One connection of the pool, and the sink of its reset.
@@ -71,6 +86,12 @@
     bool isDiscarding { false };
 };
 
+/// A connection that is closed on this side only.
+struct Pool::ClosingLink {
+    kernel::Socket socket;
+    kernel::Registration watch;
+};
+
 Pool::Pool(kernel::Loop& usedLoop, Random& usedRandom, LinkOptions usedOptions, PoolHooks usedHooks)
     : loop(usedLoop)
     , random(usedRandom)
@@ -151,13 +172,37 @@
     const auto found = std::find_if(this->slots.begin(), this->slots.end(), [&](const auto& candidate) { return candidate.get() == &slot; });
     if (found == this->slots.end())
         return;
-    slot.link.close();
+    if (auto socket = slot.link.close())
+        this->awaitClose(std::move(socket));
     // The slot may be the one that is calling, so it goes on the next turn.
     this->loop.post([kept = *found, pool = this->shared_from_this()] {});
     this->slots.erase(found);
     this->announce();
 }
 
+void Pool::awaitClose(kernel::Socket socket)
+{
+    // Until the upstream closes too, or the network gives the connection up, it counts against the limit there.
+    ++this->tally.closing;
+    const auto closing = std::make_shared<ClosingLink>();
+    closing->socket = std::move(socket);
+    closing->watch = this->loop.watch(closing->socket.descriptor(), { .readable = true }, [pool = this->shared_from_this(), closing](auto) {
+        if (hasEnded(closing->socket))
+            pool->finishClose(*closing);
+    });
+}
+
+void Pool::finishClose(ClosingLink& closing)
+{
+    closing.socket.close();
+    --this->tally.closing;
+    this->announce();
+    if (this->reach != group::Reach::Down)
+        this->replan();
+    // The watch holds this record and the pool, and is calling, so it goes on the next turn.
+    this->loop.post([watch = std::make_shared<kernel::Registration>(std::move(closing.watch))] {});
+}
+
 void Pool::closeIdle(std::uint32_t count)
 {
     for (; count > 0 && !this->idle.empty(); --count) {
--- a/src/amaranthhall/upstream/pool.hpp
+++ b/src/amaranthhall/upstream/pool.hpp
@@ -65,6 +65,7 @@
 
 private:
     class Slot;
+    struct ClosingLink;
 
     void openOne();
     void opened(Slot& slot, const pgwire::ErrorFields& error);
@@ -72,6 +73,8 @@
     void finishReset(Slot& slot, bool isClean);
     void makeIdle(Slot& slot);
     void close(Slot& slot);
+    void awaitClose(kernel::Socket socket);
+    void finishClose(ClosingLink& closing);
     void closeIdle(std::uint32_t count);
     void replan();
     void wakeLater(Time at);
--- a/src/amaranthhall/upstream/pool_policy.cpp
+++ b/src/amaranthhall/upstream/pool_policy.cpp
@@ -33,11 +33,11 @@
         plan.wakeAt = plan.wakeAt ? std::min(*plan.wakeAt, at) : at;
     }
 
-    void planOpening(PoolPlan& plan, const PoolState& state, const PoolCounts& counts, std::uint32_t target, Time now)
+    void planOpening(PoolPlan& plan, const PoolState& state, const PoolCounts& counts, std::uint32_t target, std::uint32_t allowance, Time now)
     {
-        if (target <= counts.total())
+        if (target <= counts.total() || allowance <= counts.held())
             return;
-        const auto missing = target - counts.total();
+        const auto missing = std::min(target - counts.total(), allowance - counts.held());
         if (state.failures == 0) {
             plan.open = std::min(missing, mostOpening - std::min(mostOpening, counts.opening));
             return;
@@ -77,7 +77,7 @@
     rollWindow(state, wanted, now);
     const auto target = std::min(allowance, std::max({ wanted, state.recentPeak, state.formerPeak }));
     PoolPlan plan;
-    planOpening(plan, state, counts, target, now);
+    planOpening(plan, state, counts, target, allowance, now);
     planClosing(plan, state, counts, target, allowance, now);
     return plan;
 }
--- a/src/amaranthhall/upstream/pool_policy.hpp
+++ b/src/amaranthhall/upstream/pool_policy.hpp
@@ -14,8 +14,13 @@
     std::uint32_t lent { 0 };
     std::uint32_t resetting { 0 };
     std::uint32_t opening { 0 };
+    std::uint32_t closing { 0 }; ///< Closed here, while the upstream has not shown that it has closed them too.
 
+    /// @brief Gives the links that are or may become usable.
     [[nodiscard]] std::uint32_t total() const noexcept { return this->idle + this->lent + this->resetting + this->opening; }
+
+    /// @brief Gives the connections that the upstream may still hold.
+    [[nodiscard]] std::uint32_t held() const noexcept { return this->total() + this->closing; }
 };
 
 /// @brief What a pool remembers between decisions.
--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -1,5 +1,8 @@
 #include "amaranthhall/upstream/pq_link.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "amaranthhall/upstream/pq_result.hpp"
 
 #include <algorithm>
@@ -142,14 +145,20 @@
         this->markBroken();
 }
 
-void PqLink::close()
+kernel::Socket PqLink::close()
 {
+    kernel::Socket lingering;
+    if (this->connection && !this->hasBroken)
+        lingering = kernel::Socket(dup(PQsocket(this->connection.get())));
     this->markBroken();
     this->sink = nullptr;
     this->opened = nullptr;
     this->connectTimer.reset();
     this->keyTrace.reset();
     this->connection.reset();
+    if (lingering && shutdown(lingering.descriptor(), SHUT_WR) != 0)
+        lingering.close();
+    return lingering;
 }
 
 void PqLink::noteText(std::string_view text) noexcept
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/kernel/address.hpp"
 #include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/kernel/socket.hpp"
 #include "amaranthhall/upstream/cancel_request.hpp"
 #include "amaranthhall/upstream/link.hpp"
 
@@ -78,8 +79,12 @@
     /// @brief Gives up the connection: a running batch ends as lost on the next turn.
     void abandon();
 
-    /// @brief Closes the connection at once; no callback and no sink is called any more.
-    void close();
+    /**
+     * @brief Closes the connection; no callback and no sink is called any more.
+     * @return The socket, shut down for writing, on which the upstream's own close will show; empty
+     * if it has shown already or nothing was connected.
+     */
+    kernel::Socket close();
 
     /// @brief Forgets the state that a reset has dropped.
     void markClean() noexcept { this->stateLeft = false; }
--- a/test/standin/test_fault_proxy.cpp
+++ b/test/standin/test_fault_proxy.cpp
@@ -96,3 +96,13 @@
     CHECK(standin::encodeRule(*read) == standin::encodeRule(rule));
     CHECK(!standin::decodeRule("{").has_value());
 }
+
+TEST(FaultProxy, ACutNetworkTakesNoConnectionToTheTarget)
+{
+    Fixture fixture;
+    fixture.proxy.addRule({ .route = "echo", .toTarget = { .hold = true } });
+    fixture.client->write("hello");
+    CHECK(!fixture.runUntil([&] { return fixture.echo != nullptr; }, 100ms));
+    fixture.proxy.clearRules();
+    CHECK(fixture.runUntil([&] { return fixture.received == "hello"; }));
+}
--- a/test/upstream/test_pool_policy.cpp
+++ b/test/upstream/test_pool_policy.cpp
@@ -99,3 +99,12 @@
     });
     CHECK(isKept);
 }
+
+TEST(PoolPolicy, AConnectionThatTheUpstreamMayStillHoldLeavesNoRoom)
+{
+    PoolState state;
+    const PoolCounts counts { .lent = 1, .closing = 1 };
+    CHECK_EQUAL(0U, planPool(state, counts, 2, 2, Time()).open);
+    CHECK_EQUAL(1U, planPool(state, counts, 2, 3, Time()).open);
+    CHECK_EQUAL(0U, planPool(state, counts, 1, 2, Time()).closeIdle);
+}
