--- a/src/amaranthhall/upstream/pq_link.cpp
+++ b/src/amaranthhall/upstream/pq_link.cpp
@@ -148,7 +148,7 @@
 kernel::Socket PqLink::close()
 {
     kernel::Socket lingering;
-    if (this->connection && !this->hasBroken)
+    if (PQsocket(this->connection.get()) >= 0)
         lingering = kernel::Socket(dup(PQsocket(this->connection.get())));
     this->markBroken();
     this->sink = nullptr;
--- a/src/amaranthhall/upstream/pq_link.hpp
+++ b/src/amaranthhall/upstream/pq_link.hpp
@@ -81,8 +81,8 @@
 
     /**
      * @brief Closes the connection; no callback and no sink is called any more.
-     * @return The socket, shut down for writing, on which the upstream's own close will show; empty
-     * if it has shown already or nothing was connected.
+     * @return The socket, shut down for writing, on which the upstream's own close shows; empty if
+     * nothing was connected or libpq has found the connection broken.
      */
     kernel::Socket close();
 
