A closing socket keeps its number until the loop has forgotten it

Change: watch and socket go together on the next turn, the watch first. Conclusion: a descriptor is closed only after its registration.

--- a/src/amaranthhall/upstream/pool.cpp
+++ b/src/amaranthhall/upstream/pool.cpp
@@ -187,20 +187,20 @@
     const auto closing = std::make_shared<ClosingLink>();
     closing->socket = std::move(socket);
     closing->watch = this->loop.watch(closing->socket.descriptor(), { .readable = true }, [pool = this->shared_from_this(), closing](auto) {
-        if (hasEnded(closing->socket))
+        if (closing->socket && hasEnded(closing->socket))
             pool->finishClose(*closing);
     });
 }
 
 void Pool::finishClose(ClosingLink& closing)
 {
-    closing.socket.close();
+    // The watch is calling and goes on the next turn. The socket stays open until then, lest a new one take its
+    // number while the loop still knows it.
+    this->loop.post([ended = std::make_shared<ClosingLink>(std::move(closing))] {});
     --this->tally.closing;
     this->announce();
     if (this->reach != group::Reach::Down)
         this->replan();
-    // The watch holds this record and the pool, and is calling, so it goes on the next turn.
-    this->loop.post([watch = std::make_shared<kernel::Registration>(std::move(closing.watch))] {});
 }
 
 void Pool::closeIdle(std::uint32_t count)
