--- /dev/null
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "amaranthhall/catalog/configuration.hpp"
+#include "amaranthhall/catalog/upstream_entry.hpp"
+#include "amaranthhall/kernel/time.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhall::catalog {
+
+/// @brief An upstream as the catalog knows it.
+struct KnownUpstream {
+    UpstreamEntry entry;
+    std::uint64_t version { 0 }; ///< Version of the store at which the entry last changed.
+    std::uint64_t roleVersion { 0 }; ///< Version of the store at which the role last changed.
+    Time roleSeenAt; ///< When this daemon learned the role.
+    std::optional<Time> missingSince; ///< Set while the entry is gone from the store, yet still used.
+};
+
+/// @brief The configuration in force and the registered upstreams.
+class Catalog {
+public:
+    /// @brief How long an entry that is gone from a reachable store is still used.
+    static constexpr Duration missingGrace = std::chrono::milliseconds(2500);
+
+    /**
+     * @brief Puts a configuration in force.
+     * @return False if it is not newer than the one in force, which then stays.
+     */
+    bool apply(Configuration configuration);
+
+    /// @brief Gives the configuration in force; nullptr before the first one.
+    [[nodiscard]] std::shared_ptr<const Configuration> configuration() const noexcept { return this->current; }
+
+    /**
+     * @brief Takes in what an upstream registered.
+     * @param version Version of the store at which the entry changed.
+     */
+    void put(UpstreamEntry entry, std::uint64_t version, Time now);
+
+    /// @brief Takes in that an entry is gone from the store.
+    void markMissing(std::string_view id, std::uint64_t version, Time now);
+
+    /**
+     * @brief Takes in a whole listing: entries that it lacks are gone.
+     * @param ids Ids that the listing holds.
+     */
+    void retainOnly(const std::vector<std::string>& ids, Time now);
+
+    /**
+     * @brief Drops entries that have been gone for longer than the grace.
+     * @param storeSince When the store last became reachable; entries are kept while it is not.
+     * @return Ids of the dropped entries.
+     */
+    std::vector<std::string> expire(Time now, std::optional<Time> storeSince);
+
+    [[nodiscard]] const KnownUpstream* find(std::string_view id) const noexcept;
+
+    [[nodiscard]] const std::map<std::string, KnownUpstream, std::less<>>& upstreams() const noexcept { return this->known; }
+
+private:
+    std::shared_ptr<const Configuration> current;
+    std::map<std::string, KnownUpstream, std::less<>> known;
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/catalog/configuration.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace amaranthhall::catalog {
+
+/// @brief What a read must have seen.
+enum class Consistency : std::uint8_t {
+    Primary, ///< Every commit that was acknowledged before the read.
+    BoundedStaleness, ///< Every commit older than the allowance.
+    ReadYourWrites, ///< As BoundedStaleness, and every commit of the session.
+};
+
+/// @brief How statements for one database are served.
+struct Route {
+    std::string database;
+    std::string service;
+    Consistency consistency { Consistency::Primary };
+    std::chrono::milliseconds statementTimeout { 1000 };
+    std::chrono::milliseconds targetLatency { 100 };
+    std::chrono::milliseconds maximumStaleness { 0 };
+    unsigned priority { 0 }; ///< 0 is the most urgent.
+};
+
+/// @brief Limits of one service.
+struct ServiceSpec {
+    std::string name;
+    std::uint32_t maximumConnections { 0 }; ///< To each upstream, from all daemons together.
+};
+
+/// @brief One version of the operators' configuration.
+struct Configuration {
+    std::uint64_t version { 0 };
+    std::map<std::string, Route, std::less<>> routes; ///< By database.
+    std::map<std::string, ServiceSpec, std::less<>> services; ///< By name.
+    std::chrono::milliseconds transactionIdleLimit { 3000 };
+
+    /// @brief Finds the route of a database; gives nullptr if there is none.
+    [[nodiscard]] const Route* findRoute(std::string_view database) const noexcept
+    {
+        const auto found = this->routes.find(database);
+        return found == this->routes.end() ? nullptr : &found->second;
+    }
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/catalog/fwd.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace amaranthhall::catalog {
+
+class Catalog;
+struct Configuration;
+struct Route;
+struct UpstreamEntry;
+
+}
--- /dev/null
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "amaranthhall/admission/admission.hpp"
+#include "amaranthhall/catalog/catalog.hpp"
+#include "amaranthhall/engine/upstream_pool.hpp"
+#include "amaranthhall/freshness/sample_window.hpp"
+#include "amaranthhall/leadership/leader_record.hpp"
+#include "amaranthhall/placement/placement.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <utility>
+#include <vector>
+
+namespace amaranthhall::engine {
+
+/// @brief A link that is lent for one statement or transaction; it is given back when the loan ends.
+class Loan {
+public:
+    Loan() noexcept = default;
+    Loan(std::shared_ptr<UpstreamPool> pool, std::shared_ptr<PooledLink> link) noexcept;
+    Loan(Loan&&) noexcept = default;
+    Loan& operator=(Loan&& other) noexcept;
+    Loan(const Loan&) = delete;
+    Loan& operator=(const Loan&) = delete;
+    ~Loan();
+
+    [[nodiscard]] explicit operator bool() const noexcept { return this->link != nullptr; }
+    [[nodiscard]] bool isBroken() const noexcept { return this->link->isBroken; }
+    [[nodiscard]] PooledLink& state() const noexcept { return *this->link; }
+    [[nodiscard]] const std::string& upstream() const noexcept { return this->pool->entry().id; }
+
+    /// @brief Sends a command.
+    void send(const Command& command, Link::Done done) { this->pool->send(this->link, command, std::move(done)); }
+
+    /// @brief Gives the link back.
+    void reset();
+
+    /// @brief Closes the link in place of giving it back.
+    void discard();
+
+private:
+    std::shared_ptr<UpstreamPool> pool;
+    std::shared_ptr<PooledLink> link;
+};
+
+/// @brief What a statement needs of a link.
+struct Want {
+    std::string requestId;
+    std::string service;
+    bool needsLeader { false };
+    std::vector<std::string> tried; ///< Upstreams where an earlier attempt failed.
+    Time deadline;
+    unsigned priority { 0 };
+    const SessionSettings* settings { nullptr };
+};
+
+/// @brief Why no link is lent.
+struct Refusal {
+    std::string_view reason; ///< For the caller and the log.
+};
+
+/// @brief Lends links, and queues statements that wait for one.
+class Dispatcher {
+public:
+    using Granted = std::function<void(tl::expected<Loan, Refusal>)>;
+
+    /// @brief A place in the queue; destroying it leaves the queue.
+    class Ticket {
+    public:
+        Ticket() noexcept = default;
+        Ticket(Dispatcher& dispatcher, std::uint64_t number) noexcept
+            : dispatcher(&dispatcher)
+            , number(number)
+        {
+        }
+        Ticket(Ticket&& other) noexcept
+            : dispatcher(std::exchange(other.dispatcher, nullptr))
+            , number(other.number)
+        {
+        }
+        Ticket& operator=(Ticket&& other) noexcept;
+        Ticket(const Ticket&) = delete;
+        Ticket& operator=(const Ticket&) = delete;
+        ~Ticket() { this->reset(); }
+
+        void reset() noexcept;
+
+    private:
+        Dispatcher* dispatcher { nullptr };
+        std::uint64_t number { 0 };
+    };
+
+    /// @brief How a dispatcher is built.
+    struct Options {
+        std::string zone; ///< Of this daemon.
+    };
+
+    Dispatcher(kernel::Loop& loop, LinkFactory& factory, catalog::Catalog& catalog, Options options);
+
+    /// @brief Takes in that the catalog has changed.
+    void onCatalogChanged();
+
+    /// @brief Takes in the number of daemons that share each upstream's connections.
+    void setDaemons(std::size_t count);
+
+    /**
+     * @brief Asks for a link.
+     * @param granted Called once, later than acquire() returns, unless the ticket is destroyed before.
+     */
+    [[nodiscard]] Ticket acquire(Want want, Granted granted);
+
+    /// @brief Takes in that an upstream led when it was asked, and where its log stood.
+    void noteProof(std::string_view service, leadership::LeaderProof proof, freshness::Micros at);
+
+    /// @brief Takes in that an upstream refused as one that does not lead.
+    void noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt);
+
+    /// @brief Gives the samples of a service.
+    [[nodiscard]] const freshness::SampleWindow& samples(std::string_view service);
+
+    /// @brief Gives the upstream that most probably leads a service; nothing if none is known.
+    [[nodiscard]] std::optional<std::string> leader(std::string_view service);
+
+private:
+    struct Waiter {
+        std::uint64_t number { 0 };
+        Want want;
+        Granted granted;
+    };
+
+    struct Service {
+        std::list<Waiter> waiters; ///< The next one to be served first.
+        leadership::LeaderRecord leadership;
+        freshness::SampleWindow samples;
+        bool isPumping { false };
+    };
+
+    void cancel(std::uint64_t number) noexcept;
+    void schedulePump(const std::string& service);
+    void pump(const std::string& service);
+    [[nodiscard]] bool serve(Service& service, Waiter& waiter);
+    [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
+    [[nodiscard]] std::uint32_t limitFor(const catalog::UpstreamEntry& entry) const;
+    void tick();
+
+    kernel::Loop& loop;
+    LinkFactory& factory;
+    catalog::Catalog& catalog;
+    Options options;
+    std::size_t daemons { 1 };
+    std::uint64_t lastNumber { 0 };
+    std::map<std::string, std::shared_ptr<UpstreamPool>, std::less<>> pools; ///< By upstream.
+    std::map<std::string, Service, std::less<>> services;
+    kernel::Registration ticker;
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/engine/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace amaranthhall::engine {
+
+class CallerChannel;
+class Dispatcher;
+class Link;
+class LinkFactory;
+class Session;
+class UpstreamPool;
+struct Reply;
+struct Request;
+
+}
--- /dev/null
+++ b/src/amaranthhall/engine/request_log.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "amaranthhall/engine/reply_code.hpp"
+#include "amaranthhall/kernel/time.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace amaranthhall::engine {
+
+/// @brief What a log line tells of a request.
+struct RequestRecord {
+    std::string_view id;
+    std::string_view database;
+    std::string_view upstream; ///< Of the last attempt; empty if there was none.
+    std::string_view mode; ///< How it was run.
+    std::string_view reason; ///< Of a refusal or failure.
+    ReplyCode code { ReplyCode::None };
+    Duration taken { 0 };
+    unsigned retries { 0 };
+    std::uint64_t configurationVersion { 0 };
+};
+
+/// @brief Writes a line for each request, up to a rate, and counts what it leaves out.
+class RequestLog {
+public:
+    static constexpr double linesPerSecond = 100; // keeps the log under about 30 kB/s
+    static constexpr double burst = 300;
+
+    /// @brief Writes a line, unless too many were written lately.
+    void write(const RequestRecord& record, Time now);
+
+private:
+    [[nodiscard]] bool admit(Time now);
+
+    double tokens { burst };
+    Time refilledAt;
+    std::uint64_t leftOut { 0 };
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/freshness/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::freshness {
+
+class SampleWindow;
+class StoreClock;
+struct Sample;
+
+}
--- /dev/null
+++ b/src/amaranthhall/freshness/sample_window.cpp
@@ -0,0 +1,43 @@
+#include "amaranthhall/freshness/sample_window.hpp"
+
+#include <algorithm>
+
+namespace amaranthhall::freshness {
+
+void SampleWindow::add(const Sample& sample)
+{
+    const auto place = std::upper_bound(this->samples.begin(), this->samples.end(), sample.at, [](Micros at, const Sample& other) { return at < other.at; });
+    const auto index = place - this->samples.begin();
+    this->samples.insert(place, sample);
+    // Thin out: a sample between two neighbours that are close to each other tells nothing more.
+    if (index >= 2) {
+        const auto middle = this->samples.begin() + index - 1;
+        if ((middle + 1)->at - (middle - 1)->at < spacing)
+            this->samples.erase(middle);
+    }
+    while (this->samples.back().at - this->samples.front().at > span)
+        this->samples.pop_front();
+}
+
+std::optional<Sample> SampleWindow::newest() const noexcept
+{
+    if (this->samples.empty())
+        return std::nullopt;
+    return this->samples.back();
+}
+
+std::optional<group::LogPoint> SampleWindow::pointFor(Micros since) const noexcept
+{
+    std::optional<group::LogPoint> least;
+    for (const auto& sample : this->samples) {
+        if (sample.at < since)
+            continue;
+        // A point of an earlier term may have been rolled back, and then no log would ever hold it.
+        const bool isNewerTerm = least && sample.point.term > least->term;
+        if (!least || isNewerTerm || (sample.point.term == least->term && sample.point < *least))
+            least = sample.point;
+    }
+    return least;
+}
+
+}
--- /dev/null
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -0,0 +1,62 @@
+#include "amaranthhall/gateway/gateway_settings.hpp"
+
+#include "amaranthhall/kernel/settings_reader.hpp"
+
+#include <array>
+
+namespace amaranthhall::gateway {
+
+namespace {
+
+    using namespace kernel::settings_reader;
+
+    constexpr std::array<std::string_view, 4> logLevels { "debug", "info", "warning", "error" };
+
+    Key durationKey(std::string_view name, std::chrono::milliseconds& target)
+    {
+        return { name, [&target](const auto& node, const auto& path) { target = readDuration(node, path); } };
+    }
+
+    std::vector<Key> settingsKeys(GatewaySettings& settings)
+    {
+        return {
+            mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone) }),
+            mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("metrics", settings.metrics) }),
+            mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.orders) }),
+            mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
+            mapKey("log", { { "level", [&settings](const auto& node, const auto& path) { settings.logLevel = readChoice(node, path, logLevels); } } }),
+        };
+    }
+
+    void checkWhole(const GatewaySettings& settings)
+    {
+        demand(!settings.vm.empty(), "vm.id");
+        demand(!settings.zone.empty(), "vm.zone");
+        demand(!settings.callers.host.empty(), "listen.callers");
+        demand(!settings.ready.host.empty(), "listen.ready");
+        demand(!settings.peers.host.empty(), "listen.peers");
+        demand(!settings.metrics.host.empty(), "listen.metrics");
+        demand(!settings.store.host.empty(), "platform.store");
+        demand(!settings.orders.host.empty(), "platform.orders");
+    }
+
+}
+
+tl::expected<GatewaySettings, kernel::SettingsError> parseGatewaySettings(std::string_view yaml)
+{
+    GatewaySettings settings;
+    const auto error = read(yaml, settingsKeys(settings), [&settings] { checkWhole(settings); });
+    if (error)
+        return tl::unexpected(*error);
+    return settings;
+}
+
+tl::expected<GatewaySettings, kernel::SettingsError> loadGatewaySettings(const std::string& file)
+{
+    const auto text = readFile(file);
+    if (!text)
+        return tl::unexpected(text.error());
+    return parseGatewaySettings(*text);
+}
+
+}
--- a/src/amaranthhall/kernel/settings.hpp
+++ b/src/amaranthhall/kernel/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/kernel/address.hpp"
+#include "amaranthhall/kernel/settings_error.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -77,16 +78,6 @@
  */
 [[nodiscard]] std::vector<std::string_view> findRestartKeys(const Settings& before, const Settings& after);
 
-/// @brief What is wrong with a settings file.
-struct SettingsError {
-    int line { 0 }; ///< 1-based; 0 if the whole file is meant.
-    std::string key;
-    std::string problem;
-};
-
-/// @brief Formats an error as `file:line: key: problem`.
-[[nodiscard]] std::string formatError(std::string_view file, const SettingsError& error);
-
 /// @brief Reads and checks settings from YAML text.
 [[nodiscard]] tl::expected<Settings, SettingsError> parseSettings(std::string_view yaml);
 
--- /dev/null
+++ b/src/amaranthhall/leadership/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace amaranthhall::leadership {
+
+class LeaderRecord;
+struct LeaderProof;
+
+}
--- /dev/null
+++ b/src/amaranthhall/placement/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::placement {
+
+struct Candidate;
+struct Choice;
+struct UpstreamHealth;
+
+}
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -25,15 +25,6 @@
 namespace options = boost::program_options;
 using namespace amaranthhall;
 
-telemetry::LogLevel toLevel(std::string_view name)
-{
-    if (name == "debug")
-        return telemetry::LogLevel::Debug;
-    if (name == "warning")
-        return telemetry::LogLevel::Warning;
-    return name == "error" ? telemetry::LogLevel::Error : telemetry::LogLevel::Info;
-}
-
 /// Reads the settings again and puts in force what can be without a restart.
 void reloadSettings(const std::string& file, const kernel::Settings& running)
 {
@@ -42,7 +33,7 @@
         telemetry::logEvent(telemetry::LogLevel::Error, "settings.refused", { { "problem", kernel::formatError(file, loaded.error()) } });
         return;
     }
-    telemetry::setLogLevel(toLevel(loaded->logLevel));
+    telemetry::setLogLevel(telemetry::parseLogLevel(loaded->logLevel));
     std::string needsRestart;
     for (const auto key : kernel::findRestartKeys(running, *loaded))
         needsRestart += (needsRestart.empty() ? "" : ", ") + std::string(key);
@@ -103,7 +94,7 @@
         std::cout << file << ": correct\n";
         return 0;
     }
-    telemetry::openLog(toLevel(settings->logLevel));
+    telemetry::openLog(telemetry::parseLogLevel(settings->logLevel));
     return runDaemon(file, *settings);
 }
 
--- a/src/amaranthhall/retry/verdict.cpp
+++ b/src/amaranthhall/retry/verdict.cpp
@@ -36,7 +36,7 @@
 {
     if (outcome.lost)
         return decideLost(outcome, budget);
-    if (isTransient(outcome.sqlstate))
+    if (outcome.transient || isTransient(outcome.sqlstate))
         return retryOr(Decision::Answer, outcome, budget);
     return Decision::Answer;
 }
--- a/src/amaranthhall/retry/verdict.hpp
+++ b/src/amaranthhall/retry/verdict.hpp
@@ -17,6 +17,7 @@
     bool commits { true }; ///< The attempt ends its transaction; else a lost connection rolls it back.
     bool keyed { false }; ///< A request key makes a repeat harmless.
     bool expired { false }; ///< The deadline has passed.
+    bool transient { false }; ///< The upstream says that nothing is kept, and another attempt may succeed.
     std::size_t bytesGiven { 0 }; ///< Bytes of this answer that the caller already has.
     std::string_view sqlstate; ///< Of the upstream's error; empty if there was none.
     unsigned retries { 0 }; ///< Retries of the same statements so far.
--- /dev/null
+++ b/src/amaranthhall/store/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::store {
+
+class Store;
+class TableWatch;
+struct Row;
+
+}
--- /dev/null
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -0,0 +1,159 @@
+#include "amaranthhall/store/table_watch.hpp"
+
+#include "amaranthhall/retry/backoff.hpp"
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthhall::store {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Others tell of newer versions, so that a feed whose connection has died unnoticed costs no more than a moment.
+    constexpr auto feedWait = 10'000ms;
+    constexpr retry::BackoffOptions pauses { .first = 100ms, .limit = 1000ms };
+    constexpr Duration hintPatience = 300ms; // the feed itself may still bring it
+
+}
+
+TableWatch::TableWatch(kernel::Loop& usedLoop, Store& usedStore, Options usedOptions, Callbacks usedCallbacks)
+    : loop(usedLoop)
+    , store(usedStore)
+    , options(std::move(usedOptions))
+    , callbacks(std::move(usedCallbacks))
+    , random(this->options.seed)
+{
+}
+
+void TableWatch::start()
+{
+    this->list({});
+}
+
+void TableWatch::list(const std::string& from)
+{
+    if (from.empty()) {
+        ++this->round;
+        this->listing.clear();
+        this->listingVersion.reset();
+    }
+    this->askedAt = this->loop.now();
+    this->store.read(this->options.table, this->options.part, from, [this, expected = this->round](const StoreResult<Rows>& result) {
+        if (this->round == expected)
+            this->onListed(result);
+    });
+}
+
+void TableWatch::onListed(const StoreResult<Rows>& result)
+{
+    if (!result) {
+        this->fail(result.error());
+        return;
+    }
+    this->succeed();
+    if (!this->listingVersion)
+        this->listingVersion = result->version;
+    for (const auto& row : result->rows) {
+        this->listing[row.key.key] = row.version;
+        this->take(row);
+    }
+    if (result->hasMore && !result->rows.empty()) {
+        // The range begins with its first key, so the next page begins just after the last one.
+        this->list(result->rows.back().key.key + '\0');
+        return;
+    }
+    this->finishListing();
+    this->follow();
+}
+
+void TableWatch::finishListing()
+{
+    const auto before = this->known;
+    for (const auto& [key, version] : before) {
+        if (!this->listing.contains(key) && version <= *this->listingVersion)
+            this->take({ .key = { .table = this->options.table, .part = this->options.part, .key = key }, .version = *this->listingVersion, .isRemoved = true });
+    }
+    this->listed = true;
+    this->followed = *this->listingVersion;
+    this->callbacks.settled();
+}
+
+void TableWatch::take(const Row& row)
+{
+    const auto found = this->known.find(row.key.key);
+    const bool isOld = found != this->known.end() && row.version <= found->second;
+    if (isOld)
+        return;
+    this->newest = std::max(this->newest, row.version);
+    if (row.isRemoved)
+        this->known.erase(row.key.key);
+    else
+        this->known[row.key.key] = row.version;
+    this->callbacks.changed(row);
+}
+
+void TableWatch::follow()
+{
+    this->askedAt = this->loop.now();
+    this->store.follow(this->options.table, this->followed, feedWait, [this, expected = ++this->round](const StoreResult<Rows>& result) {
+        if (this->round == expected)
+            this->onChanges(result);
+    });
+}
+
+void TableWatch::onChanges(const StoreResult<Rows>& result)
+{
+    if (!result) {
+        this->fail(result.error());
+        return;
+    }
+    this->succeed();
+    for (const auto& row : result->rows)
+        this->take(row);
+    this->followed = std::max(this->followed, result->version);
+    if (!result->rows.empty())
+        this->callbacks.settled();
+    this->follow();
+}
+
+void TableWatch::hint(Version newestElsewhere)
+{
+    const bool isBehind = this->listed && newestElsewhere > this->newest && newestElsewhere > this->followed;
+    if (!isBehind || this->failures > 0 || this->loop.now() - this->askedAt < hintPatience)
+        return;
+    telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", this->followed }, { "newest", newestElsewhere } });
+    this->follow();
+}
+
+void TableWatch::fail(StoreError error)
+{
+    if (this->reachedAt || this->failures == 0) {
+        telemetry::logEvent(telemetry::LogLevel::Warning, "store.lost", { { "table", this->options.table }, { "error", nameOf(error) }, { "version", this->followed } });
+        this->reachedAt.reset();
+        this->callbacks.reached(false);
+    }
+    const auto pause = pauses.first / 2 + retry::drawPause(pauses, this->failures++, this->random);
+    const bool mustList = !this->listed || error == StoreError::HistoryGone || error == StoreError::Malformed;
+    ++this->round;
+    this->timer = this->loop.after(pause, [this, mustList] {
+        if (mustList)
+            this->list({});
+        else
+            this->follow();
+    });
+}
+
+void TableWatch::succeed()
+{
+    this->failures = 0;
+    if (this->reachedAt)
+        return;
+    this->reachedAt = this->loop.now();
+    telemetry::logEvent(telemetry::LogLevel::Info, "store.reached", { { "table", this->options.table } });
+    this->callbacks.reached(true);
+}
+
+}
--- /dev/null
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/kernel/random.hpp"
+#include "amaranthhall/store/store.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace amaranthhall::store {
+
+/**
+ * @brief Keeps a copy of a table up to date: one listing, then its feed.
+ *
+ * After a lost history or a failure of the listing it lists anew. A row that a listing lacks, and an earlier one or
+ * the feed had, is told as removed.
+ */
+class TableWatch {
+public:
+    /// @brief What a watch tells.
+    struct Callbacks {
+        std::function<void(const Row&)> changed; ///< A row is new, changed or removed.
+        std::function<void()> settled; ///< All changes of one answer were told.
+        std::function<void(bool isReachable)> reached; ///< The store was regained or lost.
+    };
+
+    /// @brief How a watch is built.
+    struct Options {
+        std::string table;
+        std::string part;
+        std::uint64_t seed { 0 }; ///< Of the pauses between failed calls.
+    };
+
+    TableWatch(kernel::Loop& loop, Store& store, Options options, Callbacks callbacks);
+
+    void start();
+
+    /// @brief Asks anew at once if others know a newer version of the table than this watch.
+    void hint(Version newest);
+
+    /// @brief Gives the newest version of a row that was seen; 0 before the first.
+    [[nodiscard]] Version newestRow() const noexcept { return this->newest; }
+
+    /// @brief Tells since when the store has answered without a failure; nothing while it does not.
+    [[nodiscard]] std::optional<Time> reachableSince() const noexcept { return this->reachedAt; }
+
+    /// @brief Tells whether a listing was taken in.
+    [[nodiscard]] bool isListed() const noexcept { return this->listed; }
+
+private:
+    void list(const std::string& from);
+    void onListed(const StoreResult<Rows>& result);
+    void follow();
+    void onChanges(const StoreResult<Rows>& result);
+    void take(const Row& row);
+    void finishListing();
+    void fail(StoreError error);
+    void succeed();
+
+    kernel::Loop& loop;
+    Store& store;
+    Options options;
+    Callbacks callbacks;
+    Random random;
+    std::map<std::string, Version> known; ///< Keys that exist.
+    std::map<std::string, Version> listing; ///< Of the listing under way.
+    Version newest { 0 };
+    Version followed { 0 };
+    std::optional<Version> listingVersion;
+    bool listed { false };
+    unsigned failures { 0 };
+    std::optional<Time> reachedAt;
+    std::uint64_t round { 0 }; ///< Answers of an earlier round are dropped.
+    Time askedAt;
+    kernel::Registration timer;
+};
+
+}
--- a/src/amaranthhall/telemetry/log.cpp
+++ b/src/amaranthhall/telemetry/log.cpp
@@ -33,6 +33,15 @@
 
 }
 
+LogLevel parseLogLevel(std::string_view name) noexcept
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 void openLog(LogLevel least)
 {
     auto logger = spdlog::stdout_logger_st("amaranthhall");
--- a/src/amaranthhall/telemetry/log.hpp
+++ b/src/amaranthhall/telemetry/log.hpp
@@ -41,6 +41,9 @@
     Error,
 };
 
+/// @brief Reads the name of a level as settings have it; one that is not known counts as `info`.
+[[nodiscard]] LogLevel parseLogLevel(std::string_view name) noexcept;
+
 /// @brief Sets the least level that is written and writes to standard output; call once at the start.
 void openLog(LogLevel least);
 
