--- a/src/amaranthhall/catalog/catalog.cpp
+++ b/src/amaranthhall/catalog/catalog.cpp
@@ -23,6 +23,10 @@
         upstream.roleVersion = version;
         upstream.roleSeenAt = now;
     }
+    if (!entry.draining)
+        upstream.drainingSince.reset();
+    else if (!upstream.drainingSince)
+        upstream.drainingSince = now;
     upstream.entry = std::move(entry);
     upstream.version = version;
     upstream.missingSince.reset();
--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -20,6 +20,7 @@
     std::uint64_t version { 0 }; ///< Version of the store at which the entry last changed.
     std::uint64_t roleVersion { 0 }; ///< Version of the store at which the role last changed.
     Time roleSeenAt; ///< When this daemon learned the role.
+    std::optional<Time> drainingSince; ///< When this daemon learned that it leaves.
     std::optional<Time> missingSince; ///< Set while the entry is gone from the store, yet still used.
 };
 
--- /dev/null
+++ b/src/amaranthhall/catalog/row_reader.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "amaranthhall/catalog/configuration.hpp"
+#include "amaranthhall/catalog/upstream_entry.hpp"
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace amaranthhall::catalog {
+
+/// @brief Knows where in the store registrations and configuration lie, and decodes them.
+class RowReader {
+public:
+    RowReader() = default;
+    RowReader(const RowReader&) = delete;
+    RowReader& operator=(const RowReader&) = delete;
+    virtual ~RowReader() = default;
+
+    [[nodiscard]] virtual std::string upstreamTable() const = 0;
+    [[nodiscard]] virtual std::string configurationTable() const = 0;
+    [[nodiscard]] virtual std::string configurationKey() const = 0;
+
+    /**
+     * @brief Decodes an upstream's registration.
+     * @param id Key of the row.
+     * @return The entry, or what is wrong with the row.
+     */
+    [[nodiscard]] virtual tl::expected<UpstreamEntry, std::string> readUpstream(std::string_view id, std::string_view value) const = 0;
+
+    /// @brief Decodes the operators' configuration.
+    [[nodiscard]] virtual tl::expected<Configuration, std::string> readConfiguration(std::string_view value) const = 0;
+};
+
+}
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace amaranthhall::engine {
@@ -14,6 +15,7 @@
     constexpr Duration tickInterval = 250ms;
     constexpr Duration idleRest = 3s; // extra links are closed after this long without use
     constexpr std::uint32_t keptLinks = 1; // warm links to each upstream
+    constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
     constexpr std::size_t mostWaiters = 256; // statements of one service that may wait on this daemon
 
 }
@@ -170,8 +172,12 @@
 {
     const auto now = this->loop.now();
     const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
-    const auto choice = waiter.want.needsLeader ? placement::chooseLeader(candidates, now) : placement::chooseAny(candidates, now);
+    auto choice = waiter.want.needsLeader ? placement::chooseLeader(candidates, now) : placement::chooseAny(candidates, now);
     using Step = placement::Choice::Step;
+    if (waiter.want.needsLeader && choice.step != Step::Refuse)
+        service.leaderlessSince.reset();
+    if (waiter.want.needsLeader && choice.step == Step::Refuse && this->mayWaitForLeader(waiter.want.service, service))
+        choice.step = Step::Wait;
     if (choice.step == Step::Wait && service.waiters.size() <= mostWaiters)
         return false;
     const auto number = waiter.number;
@@ -195,13 +201,29 @@
     return true;
 }
 
+/// Tells whether a leader may come soon: not if others reach the present one, and not for ever.
+bool Dispatcher::mayWaitForLeader(std::string_view name, Service& service)
+{
+    const auto now = this->loop.now();
+    if (!service.leaderlessSince)
+        service.leaderlessSince = now;
+    if (now - *service.leaderlessSince > longestChange)
+        return false;
+    const auto leader = this->leader(name);
+    const auto found = leader ? this->pool(*leader) : nullptr;
+    const auto failingSince = found ? found->health().failingSince : std::nullopt;
+    const auto& proof = service.leadership.newestProof();
+    const bool isReachedByOthers = failingSince && proof && proof->upstream == *leader && proof->at > *failingSince;
+    return !isReachedByOthers;
+}
+
 std::vector<placement::Candidate> Dispatcher::candidatesFor(std::string_view name, Service&, const Want& want)
 {
     const auto leader = this->leader(name);
     std::vector<placement::Candidate> candidates;
     for (const auto& [id, pool] : this->pools) {
         const auto& entry = pool->entry();
-        if (entry.service != name)
+        if (entry.service != name || (!want.only.empty() && want.only != id))
             continue;
         candidates.push_back({
             .id = id,
@@ -247,6 +269,50 @@
     return found ? std::optional<std::string>(*found) : std::nullopt;
 }
 
+std::shared_ptr<UpstreamPool> Dispatcher::pool(std::string_view upstream) const
+{
+    const auto found = this->pools.find(upstream);
+    return found == this->pools.end() ? nullptr : found->second;
+}
+
+const std::optional<leadership::LeaderProof>& Dispatcher::proof(std::string_view service)
+{
+    return this->services[std::string(service)].leadership.newestProof();
+}
+
+Dispatcher::Ticket Dispatcher::askStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done)
+{
+    static const SessionSettings anySettings;
+    Want want { .service = service, .only = upstream, .deadline = deadline, .settings = &anySettings };
+    return this->acquire(std::move(want), [this, done = std::move(done)](tl::expected<Loan, Refusal> result) {
+        if (!result) {
+            done(std::nullopt);
+            return;
+        }
+        const auto loan = std::make_shared<Loan>(std::move(*result));
+        loan->send({ .kind = Command::Kind::Status }, [this, loan, done](const Reply& reply) {
+            const auto status = this->factory.readStatus(reply);
+            if (reply.lost)
+                loan->discard();
+            else
+                loan->reset();
+            done(status);
+        });
+    });
+}
+
+std::vector<std::string> Dispatcher::serviceNames() const
+{
+    std::set<std::string> names;
+    if (const auto configuration = this->catalog.configuration()) {
+        for (const auto& [name, spec] : configuration->services)
+            names.insert(name);
+    }
+    for (const auto& [id, known] : this->catalog.upstreams())
+        names.insert(known.entry.service);
+    return { names.begin(), names.end() };
+}
+
 void Dispatcher::tick()
 {
     for (auto& [id, pool] : this->pools)
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -54,6 +54,7 @@
     std::string requestId;
     std::string service;
     bool needsLeader { false };
+    std::string only; ///< The one upstream that will do; empty for any.
     std::vector<std::string> tried; ///< Upstreams where an earlier attempt failed.
     Time deadline;
     unsigned priority { 0 };
@@ -127,6 +128,18 @@
     /// @brief Gives the upstream that most probably leads a service; nothing if none is known.
     [[nodiscard]] std::optional<std::string> leader(std::string_view service);
 
+    /// @brief Gives what this daemon has seen of an upstream; nullptr if it is not known.
+    [[nodiscard]] std::shared_ptr<UpstreamPool> pool(std::string_view upstream) const;
+
+    /// @brief Gives the last evidence of a service's leader.
+    [[nodiscard]] const std::optional<leadership::LeaderProof>& proof(std::string_view service);
+
+    /// @brief Asks an upstream for its status; `done` is called once, unless the ticket is destroyed before.
+    [[nodiscard]] Ticket askStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done);
+
+    /// @brief Names the services that have routes or upstreams.
+    [[nodiscard]] std::vector<std::string> serviceNames() const;
+
 private:
     struct Waiter {
         std::uint64_t number { 0 };
@@ -138,6 +151,7 @@
         std::list<Waiter> waiters; ///< The next one to be served first.
         leadership::LeaderRecord leadership;
         freshness::SampleWindow samples;
+        std::optional<Time> leaderlessSince; ///< Set while no leader can be used.
         bool isPumping { false };
     };
 
@@ -147,6 +161,7 @@
     [[nodiscard]] bool serve(Service& service, Waiter& waiter);
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
     [[nodiscard]] std::uint32_t limitFor(const catalog::UpstreamEntry& entry) const;
+    [[nodiscard]] bool mayWaitForLeader(std::string_view name, Service& service);
     void tick();
 
     kernel::Loop& loop;
--- a/src/amaranthhall/engine/link.hpp
+++ b/src/amaranthhall/engine/link.hpp
@@ -55,6 +55,12 @@
     virtual void close() = 0;
 };
 
+/// @brief What an upstream tells of itself when asked.
+struct UpstreamStatus {
+    bool isPrimary { false };
+    group::LogPoint received; ///< End of its log.
+};
+
 /// @brief How an opening ended.
 struct OpenResult {
     std::unique_ptr<Link> link; ///< Empty if it failed.
@@ -87,6 +93,9 @@
      * @param closed Called once if the link ends later without close().
      */
     [[nodiscard]] virtual std::unique_ptr<Opening> open(const catalog::UpstreamEntry& upstream, Duration timeout, Opened opened, std::function<void()> closed) = 0;
+
+    /// @brief Reads the answer to a status command; gives nothing if it can't be read.
+    [[nodiscard]] virtual std::optional<UpstreamStatus> readStatus(const Reply& reply) const = 0;
 };
 
 }
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -11,7 +11,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr Duration openTimeout = 1500ms; // a connection takes up to 27 ms of a slot, and may queue for one
+    constexpr Duration openTimeout = 1000ms; // a connection takes up to 27 ms of a slot, and may queue for one
 
     constexpr Duration longestReturn = 3s; // after which an upstream drops an unreachable connection, too
 
@@ -26,6 +26,7 @@
 }
 
 struct UpstreamPool::Opening {
+    Time startedAt;
     std::unique_ptr<LinkFactory::Opening> handle;
 };
 
@@ -129,7 +130,9 @@
         return; // onClosed() follows
     link->sentAt = now;
     link->inTransaction = reply.state != TransactionState::Idle;
-    this->state.heardAt = now;
+    placement::noteHeard(this->state, now);
+    if (reply.point)
+        this->lastPoint = reply.point;
     if (reply.code == ReplyCode::Busy)
         placement::noteBusy(this->state, now);
     else if (reply.code == ReplyCode::Lagging)
@@ -142,6 +145,7 @@
 {
     auto opening = std::make_unique<Opening>();
     auto* handle = opening.get();
+    opening->startedAt = this->loop.now();
     this->openings.push_back(std::move(opening));
     auto link = std::make_shared<PooledLink>();
     handle->handle = this->factory.open(
@@ -167,16 +171,14 @@
     if (result.link) {
         link->link = std::move(result.link);
         this->links.push_back(link);
-        this->state.failures = 0;
-        this->state.heardAt = now;
-        this->state.avoidUntil = Time();
+        placement::noteHeard(this->state, now);
         this->makeIdle(link);
         return;
     }
     if (result.code == ReplyCode::TooManyConnections)
         placement::noteBusy(this->state, now);
     else
-        placement::noteFailure(this->state, now);
+        placement::noteFailure(this->state, result.refused, now);
     telemetry::logEvent(telemetry::LogLevel::Info, "link.open_failed", { { "upstream", this->upstream.id }, { "code", nameOf(result.code) }, { "refused", result.refused } });
     this->callbacks.available();
 }
@@ -186,7 +188,7 @@
     const bool hadWork = link->running > 0 || link->isLent;
     this->discard(link);
     if (hadWork)
-        placement::noteFailure(this->state, this->loop.now());
+        placement::noteFailure(this->state, true, this->loop.now());
     this->callbacks.available();
 }
 
@@ -238,6 +240,8 @@
         if (link->running > 0)
             longest = std::max(longest, now - std::max(link->sentAt, this->state.heardAt));
     }
+    for (const auto& opening : this->openings)
+        longest = std::max(longest, now - std::max(opening->startedAt, this->state.heardAt));
     return longest;
 }
 
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -73,6 +73,9 @@
     [[nodiscard]] const catalog::UpstreamEntry& entry() const noexcept { return this->upstream; }
     [[nodiscard]] placement::UpstreamHealth& health() noexcept { return this->state; }
 
+    /// @brief Gives the position of its log in its last answer.
+    [[nodiscard]] const std::optional<group::LogPoint>& logPoint() const noexcept { return this->lastPoint; }
+
     /// @brief Gives how long the upstream has been silent although it owes an answer.
     [[nodiscard]] Duration silence(Time now) const noexcept;
 
@@ -90,6 +93,7 @@
     catalog::UpstreamEntry upstream;
     Callbacks callbacks;
     placement::UpstreamHealth state;
+    std::optional<group::LogPoint> lastPoint;
     std::uint32_t limit { 1 };
     std::vector<std::shared_ptr<PooledLink>> links;
     std::vector<std::unique_ptr<Opening>> openings;
--- a/src/amaranthhall/freshness/store_clock.hpp
+++ b/src/amaranthhall/freshness/store_clock.hpp
@@ -54,6 +54,14 @@
         return local + this->known->high + this->slack(local);
     }
 
+    /// @brief Gives a local moment that is surely not after a moment of the store's clock.
+    [[nodiscard]] std::optional<Micros> localBefore(Micros storeTime, Micros now) const noexcept
+    {
+        if (!this->known)
+            return std::nullopt;
+        return storeTime - this->known->high - this->slack(now);
+    }
+
 private:
     static constexpr Micros resolution = 1000; ///< The store tells whole milliseconds.
 
--- a/src/amaranthhall/gateway/fwd.hpp
+++ b/src/amaranthhall/gateway/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace amaranthhall::gateway {
 
+class Gateway;
 struct GatewaySettings;
 
 }
--- /dev/null
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -0,0 +1,233 @@
+#include "amaranthhall/gateway/gateway.hpp"
+
+#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/retry/backoff.hpp"
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <random>
+#include <utility>
+
+namespace amaranthhall::gateway {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using telemetry::logEvent;
+    using telemetry::LogLevel;
+
+    constexpr Duration tickInterval = 500ms;
+    constexpr Duration fetchInterval = 250ms;
+    constexpr Duration drainStep = 100ms;
+    constexpr Duration leaveRotation = 2200ms; // the platform stops sending callers after two missed checks, one a second
+    constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
+    constexpr Duration endMargin = 500ms; // before the platform kills the process
+    constexpr freshness::Micros newsSpan = 4'000'000; // µs; older evidence of a leader is not told
+    constexpr std::string_view fleetTable = "amaranthhall";
+    constexpr std::string_view daemonPrefix = "daemon/";
+
+    std::uint64_t drawNumber()
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+
+}
+
+Gateway::Gateway(kernel::Loop& usedLoop, const GatewaySettings& usedSettings, Ports usedPorts)
+    : loop(usedLoop)
+    , settings(usedSettings)
+    , ports(usedPorts)
+    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone })
+    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
+    , upstreamWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.upstreamTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onUpstreamRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
+    , configurationWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.configurationTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onConfigurationRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
+    , fleetWatch(usedLoop, usedPorts.store, { .table = std::string(fleetTable), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onFleetRow(row); }, .settled = [] {}, .reached = [](bool) {} })
+    , gossip(usedLoop, { .vm = usedSettings.vm, .listen = usedSettings.peers, .seeds = usedSettings.seeds, .seed = drawNumber() }, { .fill = [this](auto& digest) { this->fillDigest(digest); }, .received = [this](const auto& digest) { this->takeDigest(digest); } })
+    , exchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) {
+        auto* watch = this->watchOf(table);
+        return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
+    })
+    , succession({ .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .store = usedPorts.store, .fleet = this->fleetWatch, .peers = this->gossip.peers(), .promoter = usedPorts.promoter }, { .vm = usedSettings.vm, .zone = usedSettings.zone, .incarnation = drawNumber(), .table = std::string(fleetTable) }, [this] { this->gossip.tellUrgently(); })
+    , ticker(usedLoop.every(tickInterval, [this] { this->tick(); }))
+{
+}
+
+void Gateway::start()
+{
+    logEvent(LogLevel::Info, "daemon.started", { { "vm", this->settings.vm }, { "zone", this->settings.zone } });
+    this->configurationWatch.start();
+    this->upstreamWatch.start();
+    this->fleetWatch.start();
+    this->registerDaemon();
+}
+
+bool Gateway::isReady() const noexcept
+{
+    return !this->isDraining && this->catalog.configuration() && !this->catalog.upstreams().empty();
+}
+
+store::TableWatch* Gateway::watchOf(const std::string& table) noexcept
+{
+    if (table == fleetTable)
+        return &this->fleetWatch;
+    if (table == this->ports.rows.upstreamTable())
+        return &this->upstreamWatch;
+    return table == this->ports.rows.configurationTable() ? &this->configurationWatch : nullptr;
+}
+
+void Gateway::onUpstreamRow(const store::Row& row)
+{
+    if (row.isRemoved) {
+        logEvent(LogLevel::Info, "upstream.missing", { { "upstream", row.key.key }, { "version", row.version } });
+        this->catalog.markMissing(row.key.key, row.version, this->loop.now());
+        return;
+    }
+    auto entry = this->ports.rows.readUpstream(row.key.key, row.value);
+    if (!entry) {
+        logEvent(LogLevel::Warning, "upstream.entry_skipped", { { "upstream", row.key.key }, { "version", row.version }, { "problem", entry.error() } });
+        return;
+    }
+    logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", row.version } });
+    this->catalog.put(*std::move(entry), row.version, this->loop.now());
+}
+
+void Gateway::onConfigurationRow(const store::Row& row)
+{
+    if (row.key.key != this->ports.rows.configurationKey() || row.isRemoved)
+        return;
+    auto configuration = this->ports.rows.readConfiguration(row.value);
+    if (!configuration) {
+        logEvent(LogLevel::Error, "configuration.skipped", { { "version", row.version }, { "problem", configuration.error() } });
+        return;
+    }
+    const auto version = configuration->version;
+    const auto isNewer = this->catalog.apply(*std::move(configuration));
+    logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", row.version } });
+    this->gossip.tellUrgently();
+}
+
+void Gateway::onFleetRow(const store::Row& row)
+{
+    if (!row.key.key.starts_with(daemonPrefix))
+        return;
+    const auto vm = std::string_view(row.key.key).substr(daemonPrefix.size());
+    if (vm == this->settings.vm)
+        return;
+    const auto address = kernel::parseAddress(row.value);
+    if (row.isRemoved)
+        this->gossip.peers().remove(vm);
+    else if (address)
+        this->gossip.peers().add(vm, *address, this->loop.now());
+    else
+        logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", row.version } });
+}
+
+void Gateway::registerDaemon()
+{
+    store::Row row { .key = { .table = std::string(fleetTable), .key = std::string(daemonPrefix) + this->settings.vm }, .value = kernel::formatAddress(this->settings.peers) };
+    this->ports.store.commit({ .puts = { std::move(row) } }, [this](store::StoreResult<store::Version> result) {
+        if (result)
+            return;
+        constexpr retry::BackoffOptions pauses { .first = 200ms, .limit = 2000ms };
+        Random random(drawNumber());
+        logEvent(LogLevel::Warning, "daemon.not_registered", { { "error", store::nameOf(result.error()) } });
+        this->registration = this->loop.after(pauses.first + retry::drawPause(pauses, this->registrationFailures++, random), [this] { this->registerDaemon(); });
+    });
+}
+
+void Gateway::unregisterDaemon()
+{
+    this->registration.reset();
+    this->ports.store.commit({ .removals = { { .table = std::string(fleetTable), .key = std::string(daemonPrefix) + this->settings.vm } } }, [](store::StoreResult<store::Version> result) {
+        if (!result)
+            logEvent(LogLevel::Warning, "daemon.not_unregistered", { { "error", store::nameOf(result.error()) } });
+    });
+}
+
+void Gateway::fillDigest(gossip::Digest& digest)
+{
+    digest.versions = { .configuration = this->configurationWatch.newestRow(), .upstreams = this->upstreamWatch.newestRow(), .fleet = this->fleetWatch.newestRow() };
+    const auto& clock = this->ports.store.clock();
+    const auto now = engine::bootNow();
+    for (const auto& service : this->dispatcher.serviceNames()) {
+        const auto sample = this->dispatcher.samples(service).newest();
+        const auto& proof = this->dispatcher.proof(service);
+        if (!sample || !proof || now - sample->at > newsSpan)
+            continue;
+        if (const auto at = clock.earliest(sample->at))
+            digest.leaders.push_back({ .service = service, .upstream = proof->upstream, .point = sample->point, .at = *at });
+    }
+    this->succession.fill(digest, clock);
+}
+
+void Gateway::takeDigest(const gossip::Digest& digest)
+{
+    const auto& clock = this->ports.store.clock();
+    const auto now = engine::bootNow();
+    for (const auto& news : digest.leaders) {
+        const auto at = clock.localBefore(news.at, now);
+        if (!at || now - *at > newsSpan)
+            continue;
+        const auto age = std::chrono::microseconds(std::max<freshness::Micros>(0, now - *at));
+        this->dispatcher.noteProof(news.service, { .upstream = news.upstream, .point = news.point, .at = this->loop.now() - age }, *at);
+    }
+    this->succession.take(digest, clock);
+    this->catchUp(this->configurationWatch, this->ports.rows.configurationTable(), digest.versions.configuration, digest.address);
+    this->catchUp(this->upstreamWatch, this->ports.rows.upstreamTable(), digest.versions.upstreams, digest.address);
+    this->catchUp(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.address);
+}
+
+/// Learns newer rows that a peer has: from the store if it answers, else from the peer.
+void Gateway::catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer)
+{
+    if (newest <= watch.newestRow())
+        return;
+    if (watch.reachableSince() && watch.isListed()) {
+        watch.hint(newest);
+        return;
+    }
+    const auto now = this->loop.now();
+    auto& last = this->fetchedAt[table];
+    if (now - last < fetchInterval)
+        return;
+    last = now;
+    this->exchange.fetch(peer, table, watch.newestRow(), [&watch, table](const auto& rows) {
+        logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows.size() } });
+        watch.merge(rows);
+    });
+}
+
+void Gateway::tick()
+{
+    const auto gone = this->catalog.expire(this->loop.now(), this->upstreamWatch.reachableSince());
+    for (const auto& id : gone)
+        logEvent(LogLevel::Info, "upstream.gone", { { "upstream", id } });
+    if (!gone.empty())
+        this->dispatcher.onCatalogChanged();
+    this->dispatcher.setDaemons(this->gossip.peers().size() + 1);
+}
+
+void Gateway::drain(engine::CallerServer& callers, std::function<void()> done)
+{
+    if (std::exchange(this->isDraining, true))
+        return;
+    logEvent(LogLevel::Info, "daemon.draining", { { "sessions", callers.sessions() } });
+    this->drained = std::move(done);
+    this->drainingSince = this->loop.now();
+    this->unregisterDaemon();
+    this->drainTimer = this->loop.every(drainStep, [this, &callers] { this->stepDrain(callers); });
+}
+
+void Gateway::stepDrain(engine::CallerServer& callers)
+{
+    const auto passed = this->loop.now() - this->drainingSince;
+    if (passed >= this->settings.drainLimit / 2)
+        callers.abortTransactions();
+    if (passed >= leaveRotation)
+        callers.closeResting(restBeforeClose);
+    const bool isOver = callers.sessions() == 0 && passed >= leaveRotation;
+    if (isOver || passed >= this->settings.drainLimit - endMargin)
+        this->drained();
+}
+
+}
--- /dev/null
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "amaranthhall/catalog/catalog.hpp"
+#include "amaranthhall/catalog/row_reader.hpp"
+#include "amaranthhall/engine/caller_server.hpp"
+#include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/gateway/gateway_settings.hpp"
+#include "amaranthhall/gossip/gossip_node.hpp"
+#include "amaranthhall/gossip/row_exchange.hpp"
+#include "amaranthhall/store/table_watch.hpp"
+#include "amaranthhall/succession/succession_service.hpp"
+
+#include <functional>
+
+namespace amaranthhall::gateway {
+
+/// @brief What a platform gives to the gateway.
+struct Ports {
+    store::Store& store;
+    engine::LinkFactory& links;
+    succession::Promoter& promoter;
+    const catalog::RowReader& rows;
+};
+
+/// @brief The gateway daemon without its caller protocol: what it knows, and how statements reach upstreams.
+class Gateway {
+public:
+    Gateway(kernel::Loop& loop, const GatewaySettings& settings, Ports ports);
+
+    /// @brief Begins to watch the store.
+    void start();
+
+    /// @brief Gives what sessions share.
+    [[nodiscard]] engine::SessionContext& sessions() noexcept { return this->context; }
+
+    /// @brief Tells whether callers can be served.
+    [[nodiscard]] bool isReady() const noexcept;
+
+    /// @brief Takes no new callers and lets running work end.
+    void drain(engine::CallerServer& callers, std::function<void()> done);
+
+private:
+    void onUpstreamRow(const store::Row& row);
+    void onConfigurationRow(const store::Row& row);
+    void onFleetRow(const store::Row& row);
+    void fillDigest(gossip::Digest& digest);
+    void takeDigest(const gossip::Digest& digest);
+    void catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
+    void registerDaemon();
+    void unregisterDaemon();
+    void tick();
+    void stepDrain(engine::CallerServer& callers);
+    [[nodiscard]] store::TableWatch* watchOf(const std::string& table) noexcept;
+
+    kernel::Loop& loop;
+    GatewaySettings settings;
+    Ports ports;
+    catalog::Catalog catalog;
+    engine::Dispatcher dispatcher;
+    engine::RequestLog requestLog;
+    engine::SessionContext context;
+    store::TableWatch upstreamWatch;
+    store::TableWatch configurationWatch;
+    store::TableWatch fleetWatch;
+    gossip::GossipNode gossip;
+    gossip::RowExchange exchange;
+    succession::SuccessionService succession;
+    std::map<std::string, Time> fetchedAt; ///< Last call to a peer, by table.
+    kernel::Registration ticker;
+    kernel::Registration registration;
+    kernel::Registration drainTimer;
+    unsigned registrationFailures { 0 };
+    Time drainingSince;
+    bool isDraining { false };
+    std::function<void()> drained;
+};
+
+}
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -22,6 +22,7 @@
         return {
             mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone) }),
             mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("metrics", settings.metrics) }),
+            listKey("seeds", settings.seeds, readAddress),
             mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.orders) }),
             mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
             mapKey("log", { { "level", [&settings](const auto& node, const auto& path) { settings.logLevel = readChoice(node, path, logLevels); } } }),
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace amaranthhall::gateway {
 
@@ -17,6 +18,7 @@
     kernel::Address callers; ///< Listens for callers.
     kernel::Address ready; ///< Listens for the platform's readiness checks.
     kernel::Address peers; ///< Listens for other daemons, by TCP and UDP.
+    std::vector<kernel::Address> seeds; ///< Daemons to ask for others.
     kernel::Address metrics; ///< Serves metrics.
     kernel::Address store; ///< The platform's metadata store.
     kernel::Address orders; ///< The platform's endpoint for orders.
--- /dev/null
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "amaranthhall/freshness/store_clock.hpp"
+#include "amaranthhall/group/log_point.hpp"
+#include "amaranthhall/kernel/address.hpp"
+#include "amaranthhall/store/store.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhall::gossip {
+
+/// @brief Evidence that an upstream led; moments are store time, so that all daemons can compare them.
+struct LeaderNews {
+    std::string service;
+    std::string upstream;
+    group::LogPoint point;
+    freshness::Micros at { 0 };
+};
+
+/// @brief The sender's own suspicion that the primary of a service is down.
+struct SuspicionNews {
+    std::string service;
+    std::string upstream;
+    bool isRefusing { false };
+};
+
+/// @brief A promotion that was ordered.
+struct OrderNews {
+    std::string service;
+    std::string candidate;
+    store::Version fence { 0 };
+    freshness::Micros at { 0 };
+};
+
+/// @brief Newest versions of the store's tables that a daemon knows.
+struct TableVersions {
+    store::Version configuration { 0 };
+    store::Version upstreams { 0 };
+    store::Version fleet { 0 };
+};
+
+/// @brief What one daemon tells another in a datagram.
+struct Digest {
+    std::string vm;
+    kernel::Address address; ///< Where the sender takes datagrams and calls.
+    bool wantsPeers { false }; ///< The sender asks for the addresses of other daemons.
+    TableVersions versions;
+    std::vector<LeaderNews> leaders;
+    std::vector<SuspicionNews> suspicions;
+    std::vector<OrderNews> orders;
+    std::vector<kernel::Address> peers; ///< Answer to `wantsPeers`.
+};
+
+/// @brief Encodes a digest as CBOR.
+[[nodiscard]] std::string encodeDigest(const Digest& digest);
+
+/// @brief Decodes a digest; gives nothing if it is malformed.
+[[nodiscard]] std::optional<Digest> decodeDigest(std::string_view bytes);
+
+}
--- /dev/null
+++ b/src/amaranthhall/gossip/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::gossip {
+
+class GossipNode;
+class PeerBook;
+struct Digest;
+
+}
--- /dev/null
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -0,0 +1,88 @@
+#include "amaranthhall/gossip/gossip_node.hpp"
+
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <utility>
+
+namespace amaranthhall::gossip {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration interval = 200ms; // news reach 2,300 daemons in five rounds, about a second
+    constexpr std::size_t fanOut = 5;
+    constexpr std::size_t urgentFanOut = 40;
+    constexpr std::size_t mostPeersTold = 30; // addresses in one answer
+
+}
+
+GossipNode::GossipNode(kernel::Loop& usedLoop, Options usedOptions, Callbacks usedCallbacks)
+    : loop(usedLoop)
+    , options(std::move(usedOptions))
+    , callbacks(std::move(usedCallbacks))
+    , random(this->options.seed)
+    , socket(usedLoop, this->options.listen, [this](auto bytes) { this->receive(bytes); })
+    , timer(usedLoop.every(interval, [this] { this->tell(fanOut); }))
+{
+}
+
+Digest GossipNode::makeDigest()
+{
+    Digest digest { .vm = this->options.vm, .address = this->options.listen };
+    this->callbacks.fill(digest);
+    return digest;
+}
+
+void GossipNode::tell(std::size_t count)
+{
+    this->book.forgetSilent(this->loop.now());
+    auto targets = this->book.draw(count, this->random);
+    auto digest = this->makeDigest();
+    if (targets.empty()) {
+        targets = this->options.seeds;
+        digest.wantsPeers = true;
+    }
+    if (targets.empty())
+        return;
+    const auto bytes = encodeDigest(digest);
+    for (const auto& target : targets) {
+        if (target != this->options.listen)
+            this->socket.send(target, bytes);
+    }
+}
+
+void GossipNode::tellUrgently()
+{
+    if (!this->urgentTimer)
+        this->urgentTimer = this->loop.after(Duration::zero(), [this] {
+            this->urgentTimer.reset();
+            this->tell(urgentFanOut);
+        });
+}
+
+void GossipNode::receive(std::string_view bytes)
+{
+    const auto digest = decodeDigest(bytes);
+    if (!digest) {
+        telemetry::logEvent(telemetry::LogLevel::Warning, "gossip.malformed", { { "bytes", bytes.size() } });
+        return;
+    }
+    if (digest->vm == this->options.vm)
+        return;
+    this->book.noteHeard(digest->vm, digest->address, this->loop.now());
+    if (digest->wantsPeers) {
+        auto answer = this->makeDigest();
+        answer.peers = this->book.draw(mostPeersTold, this->random);
+        this->socket.send(digest->address, encodeDigest(answer));
+    }
+    for (const auto& address : digest->peers) {
+        if (address == this->options.listen)
+            continue;
+        auto hello = this->makeDigest();
+        this->socket.send(address, encodeDigest(hello));
+    }
+    this->callbacks.received(*digest);
+}
+
+}
--- /dev/null
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "amaranthhall/gossip/digest.hpp"
+#include "amaranthhall/gossip/peer_book.hpp"
+#include "amaranthhall/kernel/datagram_socket.hpp"
+#include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/kernel/random.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace amaranthhall::gossip {
+
+/// @brief Tells other daemons what this one knows, and takes in what they know, by datagrams.
+class GossipNode {
+public:
+    /// @brief What a node asks of its owner.
+    struct Callbacks {
+        std::function<void(Digest&)> fill; ///< Puts in what is to be told.
+        std::function<void(const Digest&)> received;
+    };
+
+    /// @brief How a node is built.
+    struct Options {
+        std::string vm;
+        kernel::Address listen;
+        std::vector<kernel::Address> seeds; ///< Daemons to ask for others.
+        std::uint64_t seed { 0 }; ///< Of the draws of peers.
+    };
+
+    GossipNode(kernel::Loop& loop, Options options, Callbacks callbacks);
+
+    /// @brief Tells news at once, to many peers.
+    void tellUrgently();
+
+    [[nodiscard]] PeerBook& peers() noexcept { return this->book; }
+
+private:
+    void tell(std::size_t fanOut);
+    void receive(std::string_view bytes);
+    [[nodiscard]] Digest makeDigest();
+
+    kernel::Loop& loop;
+    Options options;
+    Callbacks callbacks;
+    PeerBook book;
+    Random random;
+    kernel::DatagramSocket socket;
+    kernel::Registration timer;
+    kernel::Registration urgentTimer;
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/gossip/peer_book.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "amaranthhall/kernel/address.hpp"
+#include "amaranthhall/kernel/random.hpp"
+#include "amaranthhall/kernel/time.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranthhall::gossip {
+
+/// @brief Another daemon.
+struct Peer {
+    kernel::Address address;
+    Time heardAt; ///< Of its last datagram.
+    Time addedAt; ///< When this daemon learned of it.
+};
+
+/// @brief The other daemons that this one knows.
+class PeerBook {
+public:
+    static constexpr Duration liveSpan = std::chrono::milliseconds(1500); ///< A peer that was heard within this is alive.
+    static constexpr Duration forgetSpan = std::chrono::seconds(10); ///< A peer that was not heard for this is dropped.
+
+    /// @brief Takes in that a peer exists.
+    void add(std::string_view vm, const kernel::Address& address, Time now);
+
+    /// @brief Takes in a datagram of a peer.
+    void noteHeard(std::string_view vm, const kernel::Address& address, Time now);
+
+    /// @brief Drops a peer that has left.
+    void remove(std::string_view vm);
+
+    /// @brief Drops peers that were silent for long.
+    void forgetSilent(Time now);
+
+    /// @brief Draws peers to send to, live and silent ones alike.
+    [[nodiscard]] std::vector<kernel::Address> draw(std::size_t count, Random& random) const;
+
+    /// @brief Gives the names of the peers that are alive.
+    [[nodiscard]] std::vector<std::string> live(Time now) const;
+
+    [[nodiscard]] bool isLive(std::string_view vm, Time now) const noexcept;
+    [[nodiscard]] std::size_t size() const noexcept { return this->peers.size(); }
+    [[nodiscard]] std::optional<kernel::Address> addressOf(std::string_view vm) const noexcept;
+
+private:
+    std::map<std::string, Peer, std::less<>> peers;
+};
+
+/**
+ * @brief Ranks this daemon among the live ones for a task, 0 first, the same way on all daemons.
+ * @param task Name of the task, so that tasks spread over daemons.
+ */
+[[nodiscard]] std::size_t rankFor(std::string_view task, std::string_view self, const std::vector<std::string>& others);
+
+}
--- a/src/amaranthhall/kernel/socket.cpp
+++ b/src/amaranthhall/kernel/socket.cpp
@@ -125,6 +125,21 @@
     return socket;
 }
 
+Socket bindDatagrams(const Address& address)
+{
+    auto target = toSocketAddress(address);
+    Socket socket(::socket(target.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket || bind(socket.descriptor(), target.raw(), target.length) != 0)
+        throw std::system_error(errno, std::generic_category(), "cannot bind datagrams to " + formatAddress(address));
+    return socket;
+}
+
+bool sendDatagram(const Socket& socket, const Address& to, std::string_view bytes)
+{
+    auto target = toSocketAddress(to);
+    return sendto(socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL, target.raw(), target.length) == static_cast<ssize_t>(bytes.size());
+}
+
 std::uint16_t boundPort(const Socket& listener)
 {
     SocketAddress address;
--- a/src/amaranthhall/kernel/socket.hpp
+++ b/src/amaranthhall/kernel/socket.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/kernel/address.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace amaranthhall::kernel {
 
@@ -43,6 +44,12 @@
 /// @brief Begins to connect without blocking; gives an empty socket if that fails at once.
 [[nodiscard]] Socket connectTo(const Address& address);
 
+/// @brief Opens a non-blocking UDP socket; throws std::system_error if the address cannot be had.
+[[nodiscard]] Socket bindDatagrams(const Address& address);
+
+/// @brief Sends a datagram without blocking; tells whether the system took it.
+[[nodiscard]] bool sendDatagram(const Socket& socket, const Address& to, std::string_view bytes);
+
 /// @brief Gives the port to which a listener is bound.
 [[nodiscard]] std::uint16_t boundPort(const Socket& listener);
 
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -1,6 +1,11 @@
-#include "platform/gateway.hpp"
-#include "amaranthhall/gateway/gateway_settings.hpp"
+#include "amaranthhall/gateway/gateway.hpp"
 #include "amaranthhall/telemetry/log.hpp"
+#include "platform/line_link.hpp"
+#include "platform/line_server.hpp"
+#include "platform/promoter.hpp"
+#include "platform/readers.hpp"
+#include "platform/ready_probe.hpp"
+#include "platform/store_client.hpp"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -14,8 +19,15 @@
 int runGateway(const std::string& file, const gateway::GatewaySettings& settings)
 {
     kernel::Loop loop;
-    fleet::Gateway gateway(loop, settings);
-    const auto terminate = loop.onSignal(SIGTERM, [&] { gateway.drain([&loop] { loop.stop(); }); });
+    fleet::StoreClient store(loop, settings.store);
+    fleet::LineLinkFactory links(loop);
+    fleet::CloudPromoter promoter(loop, settings.orders);
+    const fleet::PlatformRows rows;
+    gateway::Gateway gateway(loop, settings, { .store = store, .links = links, .promoter = promoter, .rows = rows });
+    fleet::LineServer callers(loop, settings.callers, gateway.sessions());
+    const fleet::ReadyProbe probe(loop, settings.ready, [&gateway] { return gateway.isReady(); });
+    gateway.start();
+    const auto terminate = loop.onSignal(SIGTERM, [&] { gateway.drain(callers, [&loop] { loop.stop(); }); });
     const auto reload = loop.onSignal(SIGHUP, [&] {
         const auto loaded = gateway::loadGatewaySettings(file);
         if (!loaded) {
--- a/src/amaranthhall/store/store.hpp
+++ b/src/amaranthhall/store/store.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "amaranthhall/freshness/store_clock.hpp"
+
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -85,6 +87,9 @@
 
     /// @brief Makes changes; gives the version that they got.
     virtual void commit(const Transaction& transaction, CommitDone done) = 0;
+
+    /// @brief Gives the bounds of the store's clock, as the answers told it.
+    [[nodiscard]] virtual const freshness::StoreClock& clock() const noexcept = 0;
 };
 
 }
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -71,11 +71,13 @@
 
 void TableWatch::finishListing()
 {
-    const auto before = this->known;
-    for (const auto& [key, version] : before) {
-        if (!this->listing.contains(key) && version <= *this->listingVersion)
-            this->take({ .key = { .table = this->options.table, .part = this->options.part, .key = key }, .version = *this->listingVersion, .isRemoved = true });
+    std::vector<Row> gone;
+    for (const auto& [key, row] : this->known) {
+        if (!row.isRemoved && !this->listing.contains(key) && row.version <= *this->listingVersion)
+            gone.push_back({ .key = row.key, .version = *this->listingVersion, .isRemoved = true });
     }
+    for (const auto& row : gone)
+        this->take(row);
     this->listed = true;
     this->followed = *this->listingVersion;
     this->callbacks.settled();
@@ -83,18 +85,39 @@
 
 void TableWatch::take(const Row& row)
 {
-    const auto found = this->known.find(row.key.key);
-    const bool isOld = found != this->known.end() && row.version <= found->second;
-    if (isOld)
+    if (row.key.part != this->options.part)
+        return;
+    auto& place = this->known[row.key.key];
+    if (row.version <= place.version)
         return;
+    place = row;
     this->newest = std::max(this->newest, row.version);
-    if (row.isRemoved)
-        this->known.erase(row.key.key);
-    else
-        this->known[row.key.key] = row.version;
     this->callbacks.changed(row);
 }
 
+void TableWatch::merge(const std::vector<Row>& rows)
+{
+    for (const auto& row : rows)
+        this->take(row);
+    this->callbacks.settled();
+}
+
+std::vector<Row> TableWatch::rowsAfter(Version version) const
+{
+    std::vector<Row> rows;
+    for (const auto& [key, row] : this->known) {
+        if (row.version > version)
+            rows.push_back(row);
+    }
+    return rows;
+}
+
+const Row* TableWatch::find(const std::string& key) const noexcept
+{
+    const auto found = this->known.find(key);
+    return found == this->known.end() || found->second.isRemoved ? nullptr : &found->second;
+}
+
 void TableWatch::follow()
 {
     this->askedAt = this->loop.now();
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -14,7 +14,7 @@
 /**
  * @brief Keeps a copy of a table up to date: one listing, then its feed.
  *
- * After a lost history or a failure of the listing it lists anew. A row that a listing lacks, and an earlier one or
+ * The rows of one part of the table are kept. After a lost history or a failure of the listing it lists anew. A row that a listing lacks, and an earlier one or
  * the feed had, is told as removed.
  */
 class TableWatch {
@@ -40,6 +40,18 @@
     /// @brief Asks anew at once if others know a newer version of the table than this watch.
     void hint(Version newest);
 
+    /// @brief Takes in rows that another daemon has, in any order; older ones than known are dropped.
+    void merge(const std::vector<Row>& rows);
+
+    /// @brief Gives the rows that are newer than a version, removed ones among them.
+    [[nodiscard]] std::vector<Row> rowsAfter(Version version) const;
+
+    /// @brief Gives a row; nullptr if it does not exist.
+    [[nodiscard]] const Row* find(const std::string& key) const noexcept;
+
+    /// @brief Gives all rows by key, removed ones among them.
+    [[nodiscard]] const std::map<std::string, Row>& rows() const noexcept { return this->known; }
+
     /// @brief Gives the newest version of a row that was seen; 0 before the first.
     [[nodiscard]] Version newestRow() const noexcept { return this->newest; }
 
@@ -64,7 +76,7 @@
     Options options;
     Callbacks callbacks;
     Random random;
-    std::map<std::string, Version> known; ///< Keys that exist.
+    std::map<std::string, Row> known; ///< By key; removed rows stay, so that an older copy does not bring them back.
     std::map<std::string, Version> listing; ///< Of the listing under way.
     Version newest { 0 };
     Version followed { 0 };
--- /dev/null
+++ b/src/amaranthhall/succession/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::succession {
+
+class Promoter;
+class SuccessionService;
+struct Situation;
+
+}
--- /dev/null
+++ b/src/amaranthhall/succession/promoter.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "amaranthhall/store/store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace amaranthhall::succession {
+
+/// @brief An order that an upstream shall lead its service.
+struct PromotionOrder {
+    std::string service;
+    std::string candidate;
+    std::string holder; ///< Name of the daemon that holds the duty.
+    store::Version fence { 0 }; ///< Orders with a lower one than the platform has seen are refused.
+};
+
+/// @brief How an order ended.
+enum class OrderOutcome : std::uint8_t {
+    Accepted,
+    Refused, ///< A higher fence was seen, or the candidate does not run.
+    NotDone, ///< The platform did not take it: unreachable, unavailable or too many calls.
+    Unknown, ///< No answer; it may be carried out later.
+};
+
+/// @brief The platform's endpoint for promotions.
+class Promoter {
+public:
+    using Done = std::function<void(OrderOutcome)>;
+
+    Promoter() = default;
+    Promoter(const Promoter&) = delete;
+    Promoter& operator=(const Promoter&) = delete;
+    virtual ~Promoter() = default;
+
+    /// @brief Sends an order.
+    virtual void promote(const PromotionOrder& order, Done done) = 0;
+};
+
+}
--- /dev/null
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -0,0 +1,281 @@
+#include "amaranthhall/succession/succession_service.hpp"
+
+#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace amaranthhall::succession {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using telemetry::logEvent;
+    using telemetry::LogLevel;
+
+    constexpr Duration tickInterval = 50ms;
+    constexpr Duration frozenGap = 400ms; // a tick this late means that the process stood still
+    constexpr Duration wakingTime = 600ms; // after which silence of others is no longer one's own
+    constexpr Duration answerTime = 80ms; // for replicas to tell their positions
+    constexpr Duration retryPause = 100ms;
+    constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
+    constexpr Duration orderLife = 5s; // news of older orders are not told
+    constexpr Duration refusalMemory = 3s;
+    constexpr Duration suspicionLife = 1s; // of what a peer told
+
+    std::string dutyKey(std::string_view service)
+    {
+        return "duty/" + std::string(service);
+    }
+
+    std::string encodeHolder(const std::string& vm, std::uint64_t incarnation)
+    {
+        return nlohmann::json { { "holder", vm }, { "incarnation", incarnation } }.dump();
+    }
+
+}
+
+SuccessionService::SuccessionService(Parts usedParts, Options usedOptions, std::function<void()> usedNews)
+    : parts(usedParts)
+    , options(std::move(usedOptions))
+    , newsToTell(std::move(usedNews))
+    , tickedAt(usedParts.loop.now())
+    , wokenAt(usedParts.loop.now())
+    , ticker(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
+{
+}
+
+void SuccessionService::tick()
+{
+    const auto now = this->parts.loop.now();
+    if (now - std::exchange(this->tickedAt, now) > frozenGap) {
+        logEvent(LogLevel::Warning, "daemon.woken");
+        this->wokenAt = now;
+    }
+    for (const auto& service : this->parts.dispatcher.serviceNames())
+        this->watch(service, this->duties[service]);
+}
+
+void SuccessionService::watch(const std::string& service, Duty& duty)
+{
+    const auto now = this->parts.loop.now();
+    const auto leader = this->parts.dispatcher.leader(service);
+    if (!leader || duty.stage != Stage::Watching)
+        return;
+    const auto situation = this->situationOf(service, *leader, duty);
+    const auto cause = now - this->wokenAt < wakingTime ? Cause::None : judge(situation);
+    if (cause != duty.cause) {
+        logEvent(LogLevel::Warning, "succession.judged", { { "service", service }, { "upstream", *leader }, { "cause", nameOf(cause) }, { "peers", situation.peers }, { "live_peers", situation.livePeers }, { "agreeing", situation.agreeing } });
+        duty.cause = cause;
+        duty.causeSince = now;
+    }
+    if (cause == Cause::None || !this->isTimeToAct(service, duty))
+        return;
+    const auto fence = this->heldFence(service);
+    if (fence && !duty.needsFence)
+        this->askHeirs(service, *fence);
+    else
+        this->takeOver(service);
+}
+
+Situation SuccessionService::situationOf(const std::string& service, const std::string& leader, Duty& duty) const
+{
+    const auto now = this->parts.loop.now();
+    Situation situation { .now = now, .peers = this->parts.peers.size() };
+    if (const auto pool = this->parts.dispatcher.pool(leader)) {
+        situation.own.failingSince = pool->health().failingSince;
+        situation.own.isRefusing = pool->health().isRefusing;
+        situation.own.silence = pool->silence(now);
+    }
+    if (const auto* known = this->parts.catalog.find(leader)) {
+        situation.own.missingSince = known->missingSince;
+        situation.own.drainingSince = known->drainingSince;
+    }
+    situation.suspicion = suspect(situation.own, now);
+    const bool isNews = situation.suspicion.has_value() != duty.suspicion.has_value() || duty.suspect != leader;
+    duty.suspicion = situation.suspicion;
+    duty.suspect = leader;
+    if (isNews && duty.suspicion) {
+        logEvent(LogLevel::Warning, "succession.suspected", { { "service", service }, { "upstream", leader }, { "refusing", duty.suspicion->isRefusing } });
+        this->newsToTell();
+    }
+    const auto& proof = this->parts.dispatcher.proof(service);
+    if (proof && proof->upstream == leader)
+        situation.provenAt = proof->at;
+    situation.livePeers = this->parts.peers.live(now).size();
+    for (const auto& [key, told] : this->peerSuspicions) {
+        if (key.first == service && told.upstream == leader && now - told.heardAt < suspicionLife)
+            ++situation.agreeing;
+    }
+    return situation;
+}
+
+bool SuccessionService::isTimeToAct(const std::string& service, const Duty& duty) const
+{
+    const auto now = this->parts.loop.now();
+    if (now < duty.pauseUntil)
+        return false;
+    if (duty.order && now - duty.order->at < orderPatience)
+        return false;
+    const auto holder = this->holderOf(service);
+    if (holder == this->options.vm)
+        return true;
+    const auto rank = gossip::rankFor(dutyKey(service), this->options.vm, this->parts.peers.live(now));
+    return now - duty.causeSince >= takeoverDelay(rank, this->parts.peers.isLive(holder, now));
+}
+
+std::string SuccessionService::holderOf(const std::string& service) const
+{
+    const auto* row = this->parts.fleet.find(dutyKey(service));
+    if (!row)
+        return {};
+    const auto json = nlohmann::json::parse(row->value, nullptr, false);
+    return json.is_object() && json.contains("holder") && json["holder"].is_string() ? json["holder"].get<std::string>() : std::string();
+}
+
+std::optional<store::Version> SuccessionService::heldFence(const std::string& service) const
+{
+    const auto* row = this->parts.fleet.find(dutyKey(service));
+    if (!row || row->value != encodeHolder(this->options.vm, this->options.incarnation))
+        return std::nullopt;
+    return row->version;
+}
+
+void SuccessionService::takeOver(const std::string& service)
+{
+    auto& duty = this->duties[service];
+    duty.stage = Stage::TakingOver;
+    const store::RowKey key { .table = this->options.table, .key = dutyKey(service) };
+    const auto* row = this->parts.fleet.find(key.key);
+    const auto expected = row ? row->version : 0;
+    store::Row put { .key = key, .value = encodeHolder(this->options.vm, this->options.incarnation) };
+    logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", expected } });
+    this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
+        auto& taken = this->duties[service];
+        taken.stage = Stage::Watching;
+        if (!result) {
+            logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", store::nameOf(result.error()) } });
+            this->pause(taken, retryPause);
+            return;
+        }
+        taken.needsFence = false;
+        auto row = put;
+        row.version = *result;
+        this->parts.fleet.merge({ row });
+        logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", *result } });
+        this->askHeirs(service, *result);
+    });
+}
+
+void SuccessionService::askHeirs(const std::string& service, store::Version fence)
+{
+    auto& duty = this->duties[service];
+    const auto now = this->parts.loop.now();
+    duty.stage = Stage::Asking;
+    duty.heirs.clear();
+    duty.questions.clear();
+    for (const auto& [id, known] : this->parts.catalog.upstreams()) {
+        const auto refused = duty.refusedHeirs.find(id);
+        const bool wasRefused = refused != duty.refusedHeirs.end() && now - refused->second < refusalMemory;
+        if (known.entry.service != service || id == duty.suspect || known.entry.draining || known.missingSince || wasRefused)
+            continue;
+        duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, id, zone = known.entry.zone](std::optional<engine::UpstreamStatus> status) {
+            if (status)
+                this->duties[service].heirs.push_back({ .upstream = id, .point = status->received, .isNear = zone == this->options.zone });
+        }));
+    }
+    duty.timer = this->parts.loop.after(answerTime, [this, service, fence] {
+        this->duties[service].questions.clear();
+        this->order(service, fence);
+    });
+}
+
+void SuccessionService::order(const std::string& service, store::Version fence)
+{
+    auto& duty = this->duties[service];
+    // A replica that did not answer in time may still be the best one, by what it last told.
+    for (const auto& [id, known] : this->parts.catalog.upstreams()) {
+        const bool hasAnswered = std::any_of(duty.heirs.begin(), duty.heirs.end(), [&](const auto& heir) { return heir.upstream == id; });
+        const auto pool = this->parts.dispatcher.pool(id);
+        const bool isFallback = duty.heirs.empty() && known.entry.service == service && id != duty.suspect && !known.entry.draining && pool && pool->logPoint() && !pool->health().failingSince;
+        if (!hasAnswered && isFallback)
+            duty.heirs.push_back({ .upstream = id, .point = *pool->logPoint() });
+    }
+    const auto heir = chooseHeir(duty.heirs);
+    if (!heir) {
+        logEvent(LogLevel::Warning, "succession.no_heir", { { "service", service }, { "upstream", duty.suspect } });
+        duty.stage = Stage::Watching;
+        this->pause(duty, retryPause);
+        return;
+    }
+    duty.stage = Stage::Ordering;
+    PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.vm, .fence = fence };
+    logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", duty.suspect }, { "heir", *heir }, { "fence", fence }, { "asked", duty.heirs.size() }, { "cause", nameOf(duty.cause) } });
+    this->parts.promoter.promote(sent, [this, service, sent](OrderOutcome outcome) { this->onOrdered(service, sent, outcome); });
+}
+
+void SuccessionService::onOrdered(const std::string& service, const PromotionOrder& sent, OrderOutcome outcome)
+{
+    auto& duty = this->duties[service];
+    const auto now = this->parts.loop.now();
+    duty.stage = Stage::Watching;
+    logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", sent.candidate }, { "fence", sent.fence }, { "outcome", outcome == OrderOutcome::Accepted ? "accepted" : outcome == OrderOutcome::Refused ? "refused"
+                                                                                                                                             : outcome == OrderOutcome::NotDone                                                     ? "not_done"
+                                                                                                                                                                                                                                    : "unknown" } });
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        duty.order = KnownOrder { .candidate = sent.candidate, .fence = sent.fence, .at = now };
+        this->newsToTell();
+        return;
+    case OrderOutcome::Refused:
+        duty.refusedHeirs[sent.candidate] = now;
+        duty.needsFence = true;
+        this->pause(duty, retryPause);
+        return;
+    case OrderOutcome::NotDone:
+    case OrderOutcome::Unknown:
+        this->pause(duty, retryPause);
+        return;
+    }
+}
+
+void SuccessionService::pause(Duty& duty, Duration length)
+{
+    duty.pauseUntil = this->parts.loop.now() + length;
+}
+
+void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock) const
+{
+    const auto now = this->parts.loop.now();
+    for (const auto& [service, duty] : this->duties) {
+        if (duty.suspicion)
+            digest.suspicions.push_back({ .service = service, .upstream = duty.suspect, .isRefusing = duty.suspicion->isRefusing });
+        if (!duty.order || now - duty.order->at > orderLife)
+            continue;
+        const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - duty.order->at).count();
+        if (const auto at = clock.earliest(engine::bootNow() - age))
+            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at });
+    }
+}
+
+void SuccessionService::take(const gossip::Digest& digest, const freshness::StoreClock& clock)
+{
+    const auto now = this->parts.loop.now();
+    std::erase_if(this->peerSuspicions, [&](const auto& item) { return item.first.second == digest.vm; });
+    for (const auto& suspicion : digest.suspicions)
+        this->peerSuspicions[{ suspicion.service, digest.vm }] = { .upstream = suspicion.upstream, .heardAt = now };
+    for (const auto& told : digest.orders) {
+        auto& duty = this->duties[told.service];
+        if (duty.order && duty.order->fence >= told.fence)
+            continue;
+        const auto boot = engine::bootNow();
+        const auto local = clock.localBefore(told.at, boot);
+        const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
+        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age };
+        logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", told.fence }, { "from", digest.vm } });
+    }
+}
+
+}
--- /dev/null
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "amaranthhall/catalog/catalog.hpp"
+#include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/freshness/store_clock.hpp"
+#include "amaranthhall/gossip/digest.hpp"
+#include "amaranthhall/gossip/peer_book.hpp"
+#include "amaranthhall/store/store.hpp"
+#include "amaranthhall/store/table_watch.hpp"
+#include "amaranthhall/succession/judgement.hpp"
+#include "amaranthhall/succession/promoter.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranthhall::succession {
+
+/**
+ * @brief Replaces primaries that are down or leave.
+ *
+ * For each service one daemon holds the duty: it is named by a row of the store, and the row's version is the fence
+ * of its orders. Another daemon takes the duty over by a conditional write when the holder does not act.
+ */
+class SuccessionService {
+public:
+    /// @brief What the service works with.
+    struct Parts {
+        kernel::Loop& loop;
+        catalog::Catalog& catalog;
+        engine::Dispatcher& dispatcher;
+        store::Store& store;
+        store::TableWatch& fleet; ///< Table with the rows of the duties.
+        gossip::PeerBook& peers;
+        Promoter& promoter;
+    };
+
+    /// @brief How a service is built.
+    struct Options {
+        std::string vm;
+        std::string zone;
+        std::uint64_t incarnation { 0 }; ///< Tells a restart under the same name.
+        std::string table; ///< Of the rows of the duties.
+    };
+
+    SuccessionService(Parts parts, Options options, std::function<void()> newsToTell);
+
+    /// @brief Puts own suspicions and known orders into a digest.
+    void fill(gossip::Digest& digest, const freshness::StoreClock& clock) const;
+
+    /// @brief Takes in what another daemon tells.
+    void take(const gossip::Digest& digest, const freshness::StoreClock& clock);
+
+private:
+    enum class Stage : std::uint8_t {
+        Watching,
+        TakingOver, ///< A conditional write is under way.
+        Asking, ///< Replicas are asked for their positions.
+        Ordering, ///< An order is under way.
+    };
+
+    struct KnownOrder {
+        std::string candidate;
+        store::Version fence { 0 };
+        Time at;
+    };
+
+    struct Duty {
+        Stage stage { Stage::Watching };
+        std::optional<Suspicion> suspicion;
+        std::string suspect;
+        Cause cause { Cause::None };
+        Time causeSince;
+        std::optional<KnownOrder> order;
+        std::vector<Heir> heirs;
+        std::vector<engine::Dispatcher::Ticket> questions;
+        std::map<std::string, Time> refusedHeirs; ///< Candidates that the platform refused, and when.
+        bool needsFence { false }; ///< The fence held was refused.
+        Time pauseUntil;
+        kernel::Registration timer;
+    };
+
+    struct PeerSuspicion {
+        std::string upstream;
+        Time heardAt;
+    };
+
+    void tick();
+    void watch(const std::string& service, Duty& duty);
+    [[nodiscard]] Situation situationOf(const std::string& service, const std::string& leader, Duty& duty) const;
+    [[nodiscard]] bool isTimeToAct(const std::string& service, const Duty& duty) const;
+    [[nodiscard]] std::optional<store::Version> heldFence(const std::string& service) const;
+    [[nodiscard]] std::string holderOf(const std::string& service) const;
+    void takeOver(const std::string& service);
+    void askHeirs(const std::string& service, store::Version fence);
+    void order(const std::string& service, store::Version fence);
+    void onOrdered(const std::string& service, const PromotionOrder& sent, OrderOutcome outcome);
+    void pause(Duty& duty, Duration length);
+
+    Parts parts;
+    Options options;
+    std::function<void()> newsToTell;
+    std::map<std::string, Duty> duties;
+    std::map<std::pair<std::string, std::string>, PeerSuspicion> peerSuspicions; ///< By service and VM.
+    Time tickedAt;
+    Time wokenAt;
+    kernel::Registration ticker;
+};
+
+}
