--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/engine/dispatcher.hpp"
 
+#include "amaranthhall/engine/boot_clock.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -13,10 +14,13 @@
     using namespace std::chrono_literals;
 
     constexpr Duration tickInterval = 250ms;
-    constexpr Duration idleRest = 3s; // extra links are closed after this long without use
-    constexpr std::uint32_t keptLinks = 1; // warm links to each upstream
+    constexpr Duration idleRest = 5s; // extra links are closed after this long without use
+    constexpr std::uint32_t warmLinks = 2; // to each upstream, opened before they are needed
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
-    constexpr std::size_t mostWaiters = 256; // statements of one service that may wait on this daemon
+    constexpr std::string_view tooSlow = "the queue is too long to be served in time";
+    constexpr std::string_view queueFull = "the queue is full";
+    constexpr std::string_view noUpstream = "no upstream can serve now";
+    constexpr std::uint32_t mostWaiters = 256; // statements of one service that may wait on this daemon
 
 }
 
@@ -86,31 +90,46 @@
         if (isReplaced)
             pool->closeAll();
         if (!pool || isReplaced)
-            pool = std::make_shared<UpstreamPool>(this->loop, this->factory, known.entry, UpstreamPool::Callbacks { .available = [this, service = known.entry.service] { this->schedulePump(service); } });
+            pool = this->makePool(known.entry);
         pool->update(known.entry);
-        pool->setLimit(this->limitFor(known.entry));
+        // Half as many again as an even share: transactions come unevenly, and the upstream refuses truthfully.
+        pool->setLimit(this->shareOf(known.entry) * 3 / 2 + 1);
         this->schedulePump(known.entry.service);
     }
     std::erase_if(this->pools, [this](const auto& item) {
         if (this->catalog.find(item.first))
             return false;
+        this->services[item.second->entry().service].lags.erase(item.first);
         item.second->closeAll();
         this->loop.post([held = item.second] {});
         return true;
     });
 }
 
+std::shared_ptr<UpstreamPool> Dispatcher::makePool(const catalog::UpstreamEntry& entry)
+{
+    UpstreamPool::Callbacks callbacks {
+        .available = [this, service = entry.service] { this->schedulePump(service); },
+        .heldPoint = [this, service = entry.service, upstream = entry.id](const auto& point) { this->noteHeldPoint(service, upstream, point); },
+    };
+    return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
+}
+
+void Dispatcher::noteHeldPoint(const std::string& service, const std::string& upstream, const group::LogPoint& point)
+{
+    auto& state = this->services[service];
+    freshness::noteHeld(state.lags[upstream], state.samples, point, bootNow());
+}
+
 void Dispatcher::setDaemons(std::size_t count)
 {
     this->daemons = std::max<std::size_t>(1, count);
     this->onCatalogChanged();
 }
 
-std::uint32_t Dispatcher::limitFor(const catalog::UpstreamEntry& entry) const
+/// Gives this daemon's even share of an upstream's connections.
+std::uint32_t Dispatcher::shareOf(const catalog::UpstreamEntry& entry) const
 {
-    // Half as many again as an even share: pinned transactions come unevenly, and the upstream refuses truthfully.
-    constexpr std::size_t numerator = 3;
-    constexpr std::size_t denominator = 2;
     constexpr std::uint32_t least = 1;
     const auto configuration = this->catalog.configuration();
     if (!configuration)
@@ -118,18 +137,39 @@
     const auto spec = configuration->services.find(entry.service);
     if (spec == configuration->services.end())
         return least;
-    const auto share = spec->second.maximumConnections * numerator / denominator / this->daemons;
-    return std::max(least, static_cast<std::uint32_t>(share));
+    return std::max(least, static_cast<std::uint32_t>(spec->second.maximumConnections / this->daemons));
+}
+
+/// Opens a link in advance where fewer than the kept ones are open, and closes what rests beyond the share.
+void Dispatcher::keepWarm(UpstreamPool& pool)
+{
+    const auto share = this->shareOf(pool.entry());
+    const auto& health = pool.health();
+    const bool mayOpen = pool.opening() == 0 && pool.canOpen() && !pool.entry().draining && health.busyUntil <= this->loop.now();
+    // Half of the share is left free, so that daemons that all start anew find room beside their dead connections.
+    const auto warm = std::min(std::max(1U, share / 2), warmLinks);
+    if (pool.size() < warm && mayOpen)
+        pool.open();
+    pool.closeIdle(warm, idleRest);
 }
 
 Dispatcher::Ticket Dispatcher::acquire(Want want, Granted granted)
 {
     const auto number = ++this->lastNumber;
     const auto name = want.service;
-    auto& waiters = this->services[name].waiters;
-    // Urgent statements first, then the one that must be answered soonest.
+    auto& service = this->services[name];
+    auto& waiters = service.waiters;
+    const auto& lane = service.lanes[want.needsLeader ? 1 : 0];
+    const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters };
+    if (const auto shed = admission::admit(lane, arrival)) {
+        const auto reason = shed->reason == admission::ShedReason::TooSlow ? tooSlow : queueFull;
+        waiters.push_back(Waiter { .number = number, .want = std::move(want), .granted = std::move(granted), .refusal = reason });
+        this->schedulePump(name);
+        return { *this, number };
+    }
+    // Urgent statements first, then the one that is to be answered soonest.
     const auto place = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
-        return std::pair(want.priority, want.deadline) < std::pair(other.want.priority, other.want.deadline);
+        return std::pair(want.priority, want.target) < std::pair(other.want.priority, other.want.target);
     });
     waiters.insert(place, Waiter { .number = number, .want = std::move(want), .granted = std::move(granted) });
     this->schedulePump(name);
@@ -138,8 +178,11 @@
 
 void Dispatcher::cancel(std::uint64_t number) noexcept
 {
-    for (auto& [name, service] : this->services)
-        service.waiters.remove_if([number](const Waiter& waiter) { return waiter.number == number; });
+    for (auto& [name, service] : this->services) {
+        const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
+        if (found != service.waiters.end())
+            this->leave(service, found);
+    }
 }
 
 void Dispatcher::schedulePump(const std::string& service)
@@ -164,41 +207,66 @@
         const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
         if (found == service.waiters.end())
             continue;
-        static_cast<void>(this->serve(service, *found));
+        this->serve(service, *found);
     }
 }
 
-bool Dispatcher::serve(Service& service, Waiter& waiter)
+void Dispatcher::serve(Service& service, Waiter& waiter)
 {
     const auto now = this->loop.now();
+    using Step = placement::Choice::Step;
+    if (!waiter.refusal.empty()) {
+        this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = waiter.refusal }));
+        return;
+    }
     const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
     auto choice = waiter.want.needsLeader ? placement::chooseLeader(candidates, now) : placement::chooseAny(candidates, now);
-    using Step = placement::Choice::Step;
     if (waiter.want.needsLeader && choice.step != Step::Refuse)
         service.leaderlessSince.reset();
     if (waiter.want.needsLeader && choice.step == Step::Refuse && this->mayWaitForLeader(waiter.want.service, service))
         choice.step = Step::Wait;
-    if (choice.step == Step::Wait && service.waiters.size() <= mostWaiters)
-        return false;
-    const auto number = waiter.number;
-    if (choice.step == Step::Open) {
+    auto& lane = service.lanes[waiter.want.needsLeader ? 1 : 0];
+    switch (choice.step) {
+    case Step::Wait:
+        if (!std::exchange(waiter.isCounted, true))
+            ++lane.waiting;
+        return;
+    case Step::Open: {
         auto& pool = this->pools.find(candidates[choice.candidate].id)->second;
         if (pool->opening() < service.waiters.size())
             pool->open();
-        return false;
+        return;
     }
-    auto granted = std::move(waiter.granted);
-    std::optional<Loan> loan;
-    if (choice.step == Step::Serve) {
+    case Step::Serve: {
         auto& pool = this->pools.find(candidates[choice.candidate].id)->second;
-        loan.emplace(pool, pool->take(*waiter.want.settings));
+        if (waiter.isCounted) {
+            --lane.waiting;
+            waiter.isCounted = false;
+            admission::noteGrant(lane, now);
+        }
+        this->finish(service, waiter.number, Loan(pool, pool->take(*waiter.want.settings)));
+        return;
     }
-    service.waiters.remove_if([number](const Waiter& other) { return other.number == number; });
-    if (loan)
-        granted(std::move(*loan));
-    else
-        granted(tl::unexpected(Refusal { .reason = choice.step == Step::Wait ? "queue full" : "no upstream can serve now" }));
-    return true;
+    case Step::Refuse:
+        this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = noUpstream }));
+        return;
+    }
+}
+
+/// Takes a statement out of the queue and tells its outcome.
+void Dispatcher::finish(Service& service, std::uint64_t number, tl::expected<Loan, Refusal> result)
+{
+    const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
+    const auto granted = std::move(found->granted);
+    this->leave(service, found);
+    granted(std::move(result));
+}
+
+void Dispatcher::leave(Service& service, std::list<Waiter>::iterator waiter) noexcept
+{
+    if (waiter->isCounted)
+        --service.lanes[waiter->want.needsLeader ? 1 : 0].waiting;
+    service.waiters.erase(waiter);
 }
 
 /// Tells whether a leader may come soon: not if others reach the present one, and not for ever.
@@ -217,9 +285,10 @@
     return !isReachedByOthers;
 }
 
-std::vector<placement::Candidate> Dispatcher::candidatesFor(std::string_view name, Service&, const Want& want)
+std::vector<placement::Candidate> Dispatcher::candidatesFor(std::string_view name, Service& service, const Want& want)
 {
     const auto leader = this->leader(name);
+    const auto now = bootNow();
     std::vector<placement::Candidate> candidates;
     for (const auto& [id, pool] : this->pools) {
         const auto& entry = pool->entry();
@@ -230,10 +299,12 @@
             .health = &pool->health(),
             .slots = entry.slots,
             .running = pool->running(),
+            .limit = placement::statementLimit(pool->health(), entry.slots),
             .idle = pool->idle(),
             .canOpen = pool->canOpen(),
             .isLeader = leader == id,
             .isLeaving = entry.draining,
+            .isBehind = want.after && leader != id && !freshness::isExpectedToHold(service.lags[id], service.samples, *want.after, now),
             .isTried = std::find(want.tried.begin(), want.tried.end(), id) != want.tried.end(),
             .isNear = entry.zone == this->options.zone,
         });
@@ -283,7 +354,7 @@
 Dispatcher::Ticket Dispatcher::askStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done)
 {
     static const SessionSettings anySettings;
-    Want want { .service = service, .only = upstream, .deadline = deadline, .settings = &anySettings };
+    Want want { .service = service, .only = upstream, .target = deadline, .deadline = deadline, .settings = &anySettings };
     return this->acquire(std::move(want), [this, done = std::move(done)](tl::expected<Loan, Refusal> result) {
         if (!result) {
             done(std::nullopt);
@@ -316,7 +387,7 @@
 void Dispatcher::tick()
 {
     for (auto& [id, pool] : this->pools)
-        pool->closeIdle(keptLinks, idleRest);
+        this->keepWarm(*pool);
     for (auto& [name, service] : this->services) {
         if (!service.waiters.empty())
             this->schedulePump(name);
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -3,10 +3,12 @@
 #include "amaranthhall/admission/admission.hpp"
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/upstream_pool.hpp"
+#include "amaranthhall/freshness/replica_lag.hpp"
 #include "amaranthhall/freshness/sample_window.hpp"
 #include "amaranthhall/leadership/leader_record.hpp"
 #include "amaranthhall/placement/placement.hpp"
 
+#include <array>
 #include <functional>
 #include <list>
 #include <map>
@@ -54,8 +56,10 @@
     std::string requestId;
     std::string service;
     bool needsLeader { false };
+    std::optional<group::LogPoint> after; ///< Position that the upstream's log must hold.
     std::string only; ///< The one upstream that will do; empty for any.
     std::vector<std::string> tried; ///< Upstreams where an earlier attempt failed.
+    Time target; ///< When it is to be answered; the queue is kept short enough for it.
     Time deadline;
     unsigned priority { 0 };
     const SessionSettings* settings { nullptr };
@@ -145,12 +149,16 @@
         std::uint64_t number { 0 };
         Want want;
         Granted granted;
+        std::string_view refusal; ///< Set if it was refused on arrival.
+        bool isCounted { false }; ///< It had to wait, and its lane counts it.
     };
 
     struct Service {
         std::list<Waiter> waiters; ///< The next one to be served first.
         leadership::LeaderRecord leadership;
         freshness::SampleWindow samples;
+        std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< By upstream.
+        std::array<admission::LaneState, 2> lanes; ///< Of statements for any upstream, and for the leader.
         std::optional<Time> leaderlessSince; ///< Set while no leader can be used.
         bool isPumping { false };
     };
@@ -158,10 +166,15 @@
     void cancel(std::uint64_t number) noexcept;
     void schedulePump(const std::string& service);
     void pump(const std::string& service);
-    [[nodiscard]] bool serve(Service& service, Waiter& waiter);
+    void serve(Service& service, Waiter& waiter);
+    void finish(Service& service, std::uint64_t number, tl::expected<Loan, Refusal> result);
+    void leave(Service& service, std::list<Waiter>::iterator waiter) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
-    [[nodiscard]] std::uint32_t limitFor(const catalog::UpstreamEntry& entry) const;
+    [[nodiscard]] std::uint32_t shareOf(const catalog::UpstreamEntry& entry) const;
+    void keepWarm(UpstreamPool& pool);
     [[nodiscard]] bool mayWaitForLeader(std::string_view name, Service& service);
+    void noteHeldPoint(const std::string& service, const std::string& upstream, const group::LogPoint& point);
+    [[nodiscard]] std::shared_ptr<UpstreamPool> makePool(const catalog::UpstreamEntry& entry);
     void tick();
 
     kernel::Loop& loop;
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -12,6 +12,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration retryPause = 5ms; // about half a statement's time
+    constexpr unsigned mostLagRetries = 8;
     constexpr freshness::Micros clockMargin = 5'000; // µs that a read's bound is tightened by
 
     std::string linkName(bool writes, std::string_view shape)
@@ -187,7 +188,9 @@
         .requestId = plan.request.id,
         .service = plan.route.service,
         .needsLeader = plan.needsLeader,
+        .after = plan.after,
         .tried = plan.tried,
+        .target = plan.arrived + plan.route.targetLatency,
         .deadline = plan.deadline,
         .priority = plan.route.priority,
         .settings = &this->settings,
@@ -362,6 +365,13 @@
         this->failTransaction(std::move(reply));
         return;
     }
+    // A replica that lacks the position refuses before it takes a slot, so that another try costs the service nothing.
+    if (reply.code == ReplyCode::Lagging && plan.retries < mostLagRetries && this->context.loop.now() < plan.deadline) {
+        ++plan.retries;
+        plan.tried.push_back(plan.upstream);
+        this->retryLater();
+        return;
+    }
     const bool isWrite = this->writes(plan.request);
     retry::Outcome outcome {
         .sent = plan.isSent,
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -131,12 +131,12 @@
     link->sentAt = now;
     link->inTransaction = reply.state != TransactionState::Idle;
     placement::noteHeard(this->state, now);
-    if (reply.point)
+    if (reply.point) {
         this->lastPoint = reply.point;
+        this->callbacks.heldPoint(*reply.point);
+    }
     if (reply.code == ReplyCode::Busy)
         placement::noteBusy(this->state, now);
-    else if (reply.code == ReplyCode::Lagging)
-        placement::noteLag(this->state, now);
     else if (isWork)
         placement::noteAnswer(this->state, now - sentAt, now);
 }
@@ -176,7 +176,7 @@
         return;
     }
     if (result.code == ReplyCode::TooManyConnections)
-        placement::noteBusy(this->state, now);
+        placement::noteNoRoom(this->state, now);
     else
         placement::noteFailure(this->state, result.refused, now);
     telemetry::logEvent(telemetry::LogLevel::Info, "link.open_failed", { { "upstream", this->upstream.id }, { "code", nameOf(result.code) }, { "refused", result.refused } });
@@ -220,7 +220,10 @@
 
 bool UpstreamPool::canOpen() const noexcept
 {
-    return this->links.size() + this->openings.size() < this->limit;
+    const auto now = this->loop.now();
+    const bool isWelcome = this->state.openAfter <= now && this->state.avoidUntil <= now;
+    const bool hasFreeSlot = this->running() + this->openings.size() < std::max(1U, this->upstream.slots);
+    return isWelcome && hasFreeSlot && this->links.size() + this->openings.size() < this->limit;
 }
 
 std::uint32_t UpstreamPool::idle() const noexcept
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -37,6 +37,7 @@
     /// @brief What a pool tells its owner.
     struct Callbacks {
         std::function<void()> available; ///< A link is idle, or an opening ended.
+        std::function<void(const group::LogPoint&)> heldPoint; ///< An answer told where its log stands.
     };
 
     UpstreamPool(kernel::Loop& loop, LinkFactory& factory, catalog::UpstreamEntry entry, Callbacks callbacks);
@@ -66,7 +67,9 @@
     /// @brief Gives up on openings and links, as the upstream is gone.
     void closeAll();
 
+    /// @brief Tells whether one more link may be opened, and would not just wait for a slot.
     [[nodiscard]] bool canOpen() const noexcept;
+    [[nodiscard]] std::size_t size() const noexcept { return this->links.size(); }
     [[nodiscard]] std::uint32_t idle() const noexcept;
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t opening() const noexcept { return static_cast<std::uint32_t>(this->openings.size()); }
--- a/src/amaranthhall/freshness/sample_window.hpp
+++ b/src/amaranthhall/freshness/sample_window.hpp
@@ -33,6 +33,12 @@
      */
     [[nodiscard]] std::optional<group::LogPoint> pointFor(Micros since) const noexcept;
 
+    /// @brief Gives the first sample beyond a position.
+    [[nodiscard]] std::optional<Sample> firstAfter(const group::LogPoint& point) const noexcept;
+
+    /// @brief Gives the newest sample that is not younger than a moment.
+    [[nodiscard]] std::optional<Sample> newestBefore(Micros moment) const noexcept;
+
 private:
     std::deque<Sample> samples;
 };
--- a/src/amaranthhall/placement/placement.cpp
+++ b/src/amaranthhall/placement/placement.cpp
@@ -9,7 +9,7 @@
     constexpr int leaderPenalty = 2; // factor: the leader alone serves writes
     constexpr Duration openingTime = 12ms; // a connection takes a slot for about as long
     constexpr Duration farPenalty = 1ms; // way between two zones, there and back
-    constexpr Duration lagPenalty = 25ms; // a second attempt elsewhere
+    constexpr Duration lagPenalty = 100ms; // a refusal for lag is certain enough to use a slower upstream first
     constexpr Duration busyPenalty = 30ms;
 
     bool isUsable(const Candidate& candidate, Time now)
@@ -27,7 +27,7 @@
             expected += farPenalty;
         if (candidate.idle == 0)
             expected += openingTime;
-        if (candidate.health->laggingUntil > now)
+        if (candidate.isBehind)
             expected += lagPenalty;
         if (candidate.health->busyUntil > now)
             expected += busyPenalty;
@@ -36,6 +36,8 @@
 
     Choice::Step stepFor(const Candidate& candidate)
     {
+        if (candidate.running >= candidate.limit)
+            return Choice::Step::Wait;
         if (candidate.idle > 0)
             return Choice::Step::Serve;
         return candidate.canOpen ? Choice::Step::Open : Choice::Step::Wait;
--- a/src/amaranthhall/placement/placement.hpp
+++ b/src/amaranthhall/placement/placement.hpp
@@ -16,10 +16,12 @@
     const UpstreamHealth* health { nullptr };
     std::uint32_t slots { 1 }; ///< Statements that it runs at once.
     std::uint32_t running { 0 }; ///< Statements of this daemon that it has not answered.
+    std::uint32_t limit { 2 }; ///< Statements that this daemon may have running there.
     std::uint32_t idle { 0 }; ///< Links that can be lent at once.
     bool canOpen { false }; ///< One more link may be opened.
     bool isLeader { false };
     bool isLeaving { false };
+    bool isBehind { false }; ///< Its log is not expected to hold the wanted position yet.
     bool isTried { false }; ///< An earlier attempt of the same statement failed there.
     bool isNear { false }; ///< In this daemon's zone.
 };
--- a/src/amaranthhall/placement/upstream_health.hpp
+++ b/src/amaranthhall/placement/upstream_health.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace amaranthhall::placement {
@@ -17,7 +18,10 @@
     Time heardAt; ///< When the last byte came.
     Time avoidUntil; ///< After a failure, until the next trial.
     Time busyUntil; ///< It refused for want of capacity.
-    Time laggingUntil; ///< It lacked a wanted position.
+    Time openAfter; ///< It refused a connection for want of room, until the next trial.
+    double window { fullWindow }; ///< Part of its slots that this daemon may fill, over 1 for a queue there.
+
+    static constexpr double fullWindow = 1.0;
 };
 
 /// @brief Takes in that the upstream has sent something.
@@ -33,7 +37,9 @@
 inline void noteAnswer(UpstreamHealth& health, Duration taken, Time now) noexcept
 {
     constexpr int weight = 8; // of the past against one sample
+    constexpr double windowStep = 0.02; // 25 answers open a halved window again
     health.latency = (health.latency * (weight - 1) + taken) / weight;
+    health.window = std::min(UpstreamHealth::fullWindow, health.window + windowStep);
     noteHeard(health, now);
 }
 
@@ -50,17 +56,25 @@
         health.failingSince = now;
 }
 
-/// @brief Takes in that it refused for want of capacity.
+/// @brief Takes in that it refused a statement for want of capacity: fewer are sent to it until it keeps up again.
 inline void noteBusy(UpstreamHealth& health, Time now) noexcept
 {
+    constexpr double leastWindow = 0.1;
     health.busyUntil = now + std::max<Duration>(std::chrono::milliseconds(5), health.latency / 2);
+    health.window = std::max(leastWindow, health.window / 2);
+}
+
+/// @brief Takes in that it refused a connection for want of room.
+inline void noteNoRoom(UpstreamHealth& health, Time now) noexcept
+{
+    constexpr Duration pause = std::chrono::milliseconds(250); // room comes as others close, at worst after the 3 s that a dead VM's are held
+    health.openAfter = now + pause;
 }
 
-/// @brief Takes in that it lacked a position.
-inline void noteLag(UpstreamHealth& health, Time now) noexcept
+/// @brief Gives how many statements this daemon may have running there.
+[[nodiscard]] inline std::uint32_t statementLimit(const UpstreamHealth& health, std::uint32_t slots) noexcept
 {
-    constexpr Duration pause = std::chrono::milliseconds(20); // about the usual replication delay
-    health.laggingUntil = now + pause;
+    return std::max(1U, static_cast<std::uint32_t>(health.window * std::max(1U, slots)));
 }
 
 }
