Statements past their target are served last; daemons pace what they send to a congested upstream

Cause: both replicas of one service behind by more than routes allow, so all reads on the primary's two slots; 14 daemons kept 11 to 14 statements in its queue, and what was late kept what was on time waiting.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -17,6 +17,7 @@
     constexpr Duration idleRest = 5s; // extra links are closed after this long without use
     constexpr std::uint32_t warmLinks = 2; // to each upstream, opened before they are needed
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
+    constexpr Duration usualWork = 30ms; // a statement's time on an upstream with a short queue
     constexpr std::string_view tooSlow = "the queue is too long to be served in time";
     constexpr std::string_view queueFull = "the queue is full";
     constexpr std::string_view noUpstream = "no upstream can serve now";
@@ -92,6 +93,7 @@
         if (!pool || isReplaced)
             pool = this->makePool(known.entry);
         pool->update(known.entry);
+        pool->setDaemons(this->daemons);
         // Half as many again as an even share: transactions come unevenly, and the upstream refuses truthfully.
         pool->setLimit(this->shareOf(known.entry) * 3 / 2 + 1);
         this->schedulePump(known.entry.service);
@@ -159,7 +161,12 @@
     const auto name = want.service;
     auto& service = this->services[name];
     auto& waiters = service.waiters;
-    const auto& lane = service.lanes[want.needsLeader ? 1 : 0];
+    // Urgent statements first, then the one that is to be answered soonest.
+    const auto place = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
+        return std::pair(want.priority, want.target) < std::pair(other.want.priority, other.want.target);
+    });
+    auto lane = service.lanes[want.needsLeader ? 1 : 0];
+    lane.waiting = static_cast<std::uint32_t>(std::count_if(waiters.begin(), place, [&](const Waiter& other) { return other.want.needsLeader == want.needsLeader; }));
     const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters };
     if (const auto shed = admission::admit(lane, arrival)) {
         const auto reason = shed->reason == admission::ShedReason::TooSlow ? tooSlow : queueFull;
@@ -167,10 +174,6 @@
         this->schedulePump(name);
         return { *this, number };
     }
-    // Urgent statements first, then the one that is to be answered soonest.
-    const auto place = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
-        return std::pair(want.priority, want.target) < std::pair(other.want.priority, other.want.target);
-    });
     waiters.insert(place, Waiter { .number = number, .want = std::move(want), .granted = std::move(granted) });
     this->schedulePump(name);
     return { *this, number };
@@ -200,9 +203,13 @@
 {
     auto& service = this->services[name];
     // A callback may change the queue, so its end is found anew after each.
+    const auto now = this->loop.now();
     std::vector<std::uint64_t> numbers;
+    std::vector<std::uint64_t> late;
     for (const auto& waiter : service.waiters)
-        numbers.push_back(waiter.number);
+        (waiter.want.target >= now + usualWork ? numbers : late).push_back(waiter.number);
+    // What is late already gets only what the others leave.
+    numbers.insert(numbers.end(), late.begin(), late.end());
     for (const auto number : numbers) {
         const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
         if (found == service.waiters.end())
--- a/src/amaranthhall/engine/request_log.cpp
+++ b/src/amaranthhall/engine/request_log.cpp
@@ -27,10 +27,10 @@
     using telemetry::LogLevel;
     if (this->leftOut > 0)
         telemetry::logEvent(LogLevel::Warning, "log.lines_left_out", { { "count", std::exchange(this->leftOut, 0) } });
-    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(record.taken).count();
+    const auto micros = [](Duration duration) { return std::chrono::duration_cast<std::chrono::microseconds>(duration).count(); };
     telemetry::logEvent(record.code == ReplyCode::None ? LogLevel::Info : LogLevel::Warning, "request.answered",
         { { "request", record.id }, { "database", record.database }, { "upstream", record.upstream }, { "mode", record.mode }, { "code", nameOf(record.code) },
-            { "reason", record.reason }, { "taken_us", micros }, { "retries", record.retries }, { "configuration", record.configurationVersion } });
+            { "reason", record.reason }, { "waited_us", micros(record.waited) }, { "taken_us", micros(record.taken) }, { "retries", record.retries }, { "configuration", record.configurationVersion } });
 }
 
 }
--- a/src/amaranthhall/engine/request_log.hpp
+++ b/src/amaranthhall/engine/request_log.hpp
@@ -16,6 +16,7 @@
     std::string_view mode; ///< How it was run.
     std::string_view reason; ///< Of a refusal or failure.
     ReplyCode code { ReplyCode::None };
+    Duration waited { 0 }; ///< Until the last attempt was sent.
     Duration taken { 0 };
     unsigned retries { 0 };
     std::uint64_t configurationVersion { 0 };
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -541,7 +541,7 @@
     const auto now = this->context.loop.now();
     const auto configuration = this->context.catalog.configuration();
     constexpr std::string_view modes[] { "begin", "plain", "wrapped" };
-    this->context.log.write({ .id = done.request.id, .database = this->database, .upstream = done.upstream, .mode = this->transaction ? "transaction" : modes[static_cast<std::size_t>(done.mode)], .reason = reply.detail, .code = reply.code, .taken = now - done.arrived, .retries = done.retries, .configurationVersion = configuration ? configuration->version : 0 },
+    this->context.log.write({ .id = done.request.id, .database = this->database, .upstream = done.upstream, .mode = this->transaction ? "transaction" : modes[static_cast<std::size_t>(done.mode)], .reason = reply.detail, .code = reply.code, .waited = done.sentAt > done.arrived ? done.sentAt - done.arrived : Duration::zero(), .taken = now - done.arrived, .retries = done.retries, .configurationVersion = configuration ? configuration->version : 0 },
         now);
     this->watchIdleTransaction();
     this->channel.answer(reply);
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -137,8 +137,19 @@
     }
     if (reply.code == ReplyCode::Busy)
         placement::noteBusy(this->state, now);
-    else if (isWork)
+    else if (isWork) {
         placement::noteAnswer(this->state, now - sentAt, now);
+        this->pace();
+    }
+}
+
+void UpstreamPool::pace()
+{
+    const auto wait = placement::paceAfter(this->state, this->daemons, this->upstream.slots);
+    if (wait <= Duration::zero())
+        return;
+    this->state.paceUntil = this->loop.now() + wait;
+    this->paceTimer = this->loop.after(wait, [this] { this->callbacks.available(); });
 }
 
 void UpstreamPool::open()
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -46,6 +46,9 @@
     void update(const catalog::UpstreamEntry& fresh) { this->upstream = fresh; }
     void setLimit(std::uint32_t links) noexcept { this->limit = links; }
 
+    /// @brief Sets the number of daemons that send to the upstream.
+    void setDaemons(std::size_t count) noexcept { this->daemons = count; }
+
     /// @brief Lends the idle link whose session state is nearest to the wanted settings; nullptr if none is idle.
     [[nodiscard]] std::shared_ptr<PooledLink> take(const SessionSettings& wanted);
 
@@ -89,6 +92,7 @@
     void onClosed(const std::shared_ptr<PooledLink>& link);
     void onReply(const std::shared_ptr<PooledLink>& link, Time sentAt, bool isWork, const Reply& reply);
     void settle(const std::shared_ptr<PooledLink>& link);
+    void pace();
     void makeIdle(const std::shared_ptr<PooledLink>& link);
 
     kernel::Loop& loop;
@@ -97,6 +101,8 @@
     Callbacks callbacks;
     placement::UpstreamHealth state;
     std::optional<group::LogPoint> lastPoint;
+    std::size_t daemons { 1 };
+    kernel::Registration paceTimer;
     std::uint32_t limit { 1 };
     std::vector<std::shared_ptr<PooledLink>> links;
     std::vector<std::unique_ptr<Opening>> openings;
--- a/src/amaranthhall/placement/placement.cpp
+++ b/src/amaranthhall/placement/placement.cpp
@@ -34,9 +34,9 @@
         return expected;
     }
 
-    Choice::Step stepFor(const Candidate& candidate)
+    Choice::Step stepFor(const Candidate& candidate, Time now)
     {
-        if (candidate.running >= candidate.limit)
+        if (candidate.running >= candidate.limit || candidate.health->paceUntil > now)
             return Choice::Step::Wait;
         if (candidate.idle > 0)
             return Choice::Step::Serve;
@@ -54,7 +54,7 @@
         const auto& candidate = candidates[i];
         if (candidate.isLeaving || candidate.isTried || !isUsable(candidate, now))
             continue;
-        if (stepFor(candidate) == Choice::Step::Wait) {
+        if (stepFor(candidate, now) == Choice::Step::Wait) {
             isAnyFull = true;
             continue;
         }
@@ -65,7 +65,7 @@
         }
     }
     if (best)
-        return { .step = stepFor(candidates[*best]), .candidate = *best };
+        return { .step = stepFor(candidates[*best], now), .candidate = *best };
     return { .step = isAnyFull ? Choice::Step::Wait : Choice::Step::Refuse };
 }
 
@@ -74,7 +74,7 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& candidate = candidates[i];
         if (candidate.isLeader && isUsable(candidate, now))
-            return { .step = stepFor(candidate), .candidate = i };
+            return { .step = stepFor(candidate, now), .candidate = i };
     }
     return { .step = Choice::Step::Refuse };
 }
--- a/src/amaranthhall/placement/upstream_health.hpp
+++ b/src/amaranthhall/placement/upstream_health.hpp
@@ -19,6 +19,7 @@
     Time avoidUntil; ///< After a failure, until the next trial.
     Time busyUntil; ///< It refused for want of capacity.
     Time openAfter; ///< It refused a connection for want of room, until the next trial.
+    Time paceUntil; ///< No further statement is sent before, as all daemons together fill its queue.
     double window { fullWindow }; ///< Part of its slots that this daemon may fill, over 1 for a queue there.
 
     static constexpr double fullWindow = 1.0;
@@ -43,6 +44,22 @@
     noteHeard(health, now);
 }
 
+/**
+ * @brief Gives how long to wait after an answer before the next statement goes to an upstream.
+ *
+ * Answers the load of many daemons on one upstream whose slots are all taken: each daemon then sends only its part of
+ * what keeps the slots filled, so that statements wait at the daemons, in order of urgency, and not in the upstream's queue.
+ */
+[[nodiscard]] inline Duration paceAfter(const UpstreamHealth& health, std::size_t daemons, std::uint32_t slots) noexcept
+{
+    constexpr Duration congested = std::chrono::milliseconds(30); // well over a statement's work and well under a route's target
+    constexpr std::size_t wantedPerSlot = 2; // one at work, one that waits for it
+    const auto wanted = wantedPerSlot * std::max<std::size_t>(1, slots);
+    if (health.latency < congested || daemons <= wanted)
+        return Duration::zero();
+    return health.latency * (daemons - wanted) / wanted;
+}
+
 /// @brief Takes in a failure: the pause before the next trial doubles with each.
 inline void noteFailure(UpstreamHealth& health, bool isRefusal, Time now) noexcept
 {
