Home daemons and relays where an upstream has fewer connections than there are daemons; 16 followers of the store

New: relay (homes by rendezvous hashing, frames, client, server), sessions hand statements on; news of peers' ages by gossip where there are more than 30; silent upstreams and homes are left after 150 ms where a second attempt harms nothing.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -58,6 +58,12 @@
         this->pool->discard(dropped);
 }
 
+void Loan::discardStalled()
+{
+    this->pool->noteStall();
+    this->discard();
+}
+
 Dispatcher::Ticket& Dispatcher::Ticket::operator=(Ticket&& other) noexcept
 {
     if (this != &other) {
@@ -93,7 +99,7 @@
         if (!pool || isReplaced)
             pool = this->makePool(known.entry);
         pool->update(known.entry);
-        pool->setDaemons(this->daemons);
+        pool->setDaemons(std::max<std::size_t>(1, this->options.sharers(known.entry.service)));
         // Half as many again as an even share: transactions come unevenly, and the upstream refuses truthfully.
         pool->setLimit(this->shareOf(known.entry) * 3 / 2 + 1);
         this->schedulePump(known.entry.service);
@@ -123,23 +129,16 @@
     freshness::noteHeld(state.lags[upstream], state.samples, point, bootNow());
 }
 
-void Dispatcher::setDaemons(std::size_t count)
-{
-    this->daemons = std::max<std::size_t>(1, count);
-    this->onCatalogChanged();
-}
-
 /// Gives this daemon's even share of an upstream's connections.
 std::uint32_t Dispatcher::shareOf(const catalog::UpstreamEntry& entry) const
 {
-    constexpr std::uint32_t least = 1;
+    const auto sharers = this->options.sharers(entry.service);
     const auto configuration = this->catalog.configuration();
-    if (!configuration)
-        return least;
+    if (!configuration || sharers == 0)
+        return 0;
     const auto spec = configuration->services.find(entry.service);
-    if (spec == configuration->services.end())
-        return least;
-    return std::max(least, static_cast<std::uint32_t>(spec->second.maximumConnections / this->daemons));
+    const auto connections = spec == configuration->services.end() ? 1 : spec->second.maximumConnections;
+    return std::max(1U, static_cast<std::uint32_t>(connections / sharers));
 }
 
 /// Opens a link in advance where fewer than the kept ones are open, and closes what rests beyond the share.
@@ -149,7 +148,7 @@
     const auto& health = pool.health();
     const bool mayOpen = pool.opening() == 0 && pool.canOpen() && !pool.entry().draining && health.busyUntil <= this->loop.now();
     // Half of the share is left free, so that daemons that all start anew find room beside their dead connections.
-    const auto warm = std::min(std::max(1U, share / 2), warmLinks);
+    const auto warm = share == 0 ? 0 : std::min(std::max(1U, share / 2), warmLinks);
     if (pool.size() < warm && mayOpen)
         pool.open();
     pool.closeIdle(warm, idleRest);
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -37,6 +37,9 @@
     [[nodiscard]] PooledLink& state() const noexcept { return *this->link; }
     [[nodiscard]] const std::string& upstream() const noexcept { return this->pool->entry().id; }
 
+    /// @brief Gives how long the upstream has been silent although it owes answers.
+    [[nodiscard]] Duration silence(Time now) const noexcept { return this->pool->silence(now); }
+
     /// @brief Sends a command.
     void send(const Command& command, Link::Done done) { this->pool->send(this->link, command, std::move(done)); }
 
@@ -46,6 +49,9 @@
     /// @brief Closes the link in place of giving it back.
     void discard();
 
+    /// @brief Closes the link, as its upstream has fallen silent.
+    void discardStalled();
+
 private:
     std::shared_ptr<UpstreamPool> pool;
     std::shared_ptr<PooledLink> link;
@@ -104,6 +110,7 @@
     /// @brief How a dispatcher is built.
     struct Options {
         std::string zone; ///< Of this daemon.
+        std::function<std::size_t(std::string_view service)> sharers; ///< Daemons that share the connections of a service; 0 if this one keeps none.
     };
 
     Dispatcher(kernel::Loop& loop, LinkFactory& factory, catalog::Catalog& catalog, Options options);
@@ -111,9 +118,6 @@
     /// @brief Takes in that the catalog has changed.
     void onCatalogChanged();
 
-    /// @brief Takes in the number of daemons that share each upstream's connections.
-    void setDaemons(std::size_t count);
-
     /**
      * @brief Asks for a link.
      * @param granted Called once, later than acquire() returns, unless the ticket is destroyed before.
@@ -181,7 +185,6 @@
     LinkFactory& factory;
     catalog::Catalog& catalog;
     Options options;
-    std::size_t daemons { 1 };
     std::uint64_t lastNumber { 0 };
     std::map<std::string, std::shared_ptr<UpstreamPool>, std::less<>> pools; ///< By upstream.
     std::map<std::string, Service, std::less<>> services;
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -12,6 +12,8 @@
     using namespace std::chrono_literals;
 
     constexpr Duration retryPause = 5ms; // about half a statement's time
+    constexpr Duration stallLimit = 150ms; // silence on all links to an upstream that owes answers
+    constexpr std::chrono::milliseconds relayMargin { 10 }; // so that the other daemon's refusal comes before the deadline
     constexpr unsigned mostLagRetries = 8;
     constexpr freshness::Micros clockMargin = 5'000; // µs that a read's bound is tightened by
 
@@ -58,7 +60,8 @@
 {
     if (!this->transaction)
         return TransactionState::Idle;
-    return this->transaction->loan ? TransactionState::Open : TransactionState::Failed;
+    const bool isOpen = this->transaction->loan || this->transaction->stream;
+    return isOpen ? TransactionState::Open : TransactionState::Failed;
 }
 
 bool Session::writes(const Request& request) const
@@ -69,6 +72,18 @@
     return found != this->statements.end() && found->second.writes;
 }
 
+void Session::handleRelayed(RelayedRequest relayed)
+{
+    this->database = relayed.route.database;
+    this->relayedRoute = std::move(relayed.route);
+    this->relayedTime = relayed.timeLeft;
+    this->settings = std::move(relayed.settings);
+    this->lastCommit = relayed.lastCommit;
+    if (relayed.prepared)
+        this->statements[relayed.request.name] = *std::move(relayed.prepared);
+    this->handle(std::move(relayed.request));
+}
+
 void Session::handle(Request request)
 {
     ++this->generation;
@@ -136,14 +151,21 @@
     this->work.emplace(Work { .request = std::move(request), .arrived = now, .arrivedBoot = bootNow() });
     const auto configuration = this->context.catalog.configuration();
     const auto* route = configuration ? configuration->findRoute(this->database) : nullptr;
+    if (this->relayedRoute)
+        route = &*this->relayedRoute;
     if (!route && !this->transaction) {
         this->answerCode(ReplyCode::UnknownDatabase, "the configuration has no such database");
         return;
     }
     if (route)
         this->work->route = *route;
-    this->work->deadline = now + this->work->route.statementTimeout;
-    this->deadlineTimer = this->context.loop.after(this->work->route.statementTimeout, [this] { this->onDeadline(); });
+    const auto timeout = this->relayedRoute ? std::min(this->relayedTime, this->work->route.statementTimeout) : this->work->route.statementTimeout;
+    this->work->deadline = now + timeout;
+    this->deadlineTimer = this->context.loop.after(timeout, [this] { this->onDeadline(); });
+    if (this->transaction && this->transaction->stream) {
+        this->runRelayed();
+        return;
+    }
     if (this->transaction) {
         if (this->work->request.kind == RequestKind::Commit)
             this->runCommit();
@@ -184,6 +206,8 @@
     auto& plan = *this->work;
     plan.isSent = false;
     plan.upstream.clear();
+    if (this->startRelay())
+        return;
     Want want {
         .requestId = plan.request.id,
         .service = plan.route.service,
@@ -207,6 +231,7 @@
     }
     this->current = std::move(*result);
     this->work->upstream = this->current.upstream();
+    this->watchStall();
     this->prepareLink([this] {
         switch (this->work->mode) {
         case Mode::Begin:
@@ -409,6 +434,76 @@
     this->pauseTimer = this->context.loop.after(pause, [this] { this->attempt(); });
 }
 
+/// Hands the statement to another daemon, if that one and not this one holds connections for its service.
+bool Session::startRelay()
+{
+    const bool mayRelay = this->context.relays && !this->relayedRoute && !this->context.relays->isHome(this->work->route.service);
+    if (!mayRelay)
+        return false;
+    this->currentStream = this->context.relays->open(this->work->route.service, this->work->triedHomes);
+    if (!this->currentStream)
+        return false;
+    this->watchStall();
+    this->runRelayed();
+    return true;
+}
+
+void Session::runRelayed()
+{
+    auto& plan = *this->work;
+    auto& stream = this->transaction ? *this->transaction->stream : *this->currentStream;
+    plan.isSent = true;
+    plan.sentAt = this->context.loop.now();
+    plan.upstream = stream.vm();
+    if (this->transaction)
+        this->transaction->wrote = this->transaction->wrote || this->writes(plan.request);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(plan.deadline - plan.sentAt) - relayMargin;
+    RelayedRequest relayed { .request = plan.request, .route = plan.route, .settings = this->settings, .lastCommit = this->lastCommit, .timeLeft = left };
+    if (plan.request.kind == RequestKind::Execute)
+        relayed.prepared = this->statements.find(plan.request.name)->second;
+    stream.send(relayed, this->guarded([this](RelayedReply reply) { this->onRelayed(std::move(reply)); }));
+}
+
+void Session::onRelayed(RelayedReply relayed)
+{
+    if (relayed.reply.lost) {
+        this->onRelayLost();
+        return;
+    }
+    this->lastCommit = relayed.lastCommit ? relayed.lastCommit : this->lastCommit;
+    switch (relayed.reply.state) {
+    case TransactionState::Open:
+        if (!this->transaction)
+            this->transaction.emplace(Transaction { .stream = std::move(this->currentStream), .service = this->work->route.service });
+        break;
+    case TransactionState::Failed:
+        if (this->transaction)
+            this->transaction->stream.reset();
+        break;
+    case TransactionState::Idle:
+        this->transaction.reset();
+        this->currentStream.reset();
+        break;
+    }
+    this->answer(std::move(relayed.reply));
+}
+
+void Session::onRelayLost()
+{
+    if (!this->transaction) {
+        this->work->triedHomes.push_back(this->work->upstream);
+        this->currentStream.reset();
+        this->retryOrAnswer(Reply { .lost = true }, true);
+        return;
+    }
+    const bool isCommit = this->work->request.kind == RequestKind::Commit;
+    const bool isUnknown = isCommit && this->transaction->wrote;
+    this->transaction->stream.reset();
+    if (isCommit)
+        this->transaction.reset();
+    this->answerCode(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, "the connection to the daemon that ran the transaction was lost");
+}
+
 void Session::runInside()
 {
     auto& open = *this->transaction;
@@ -486,6 +581,30 @@
         this->answerCode(wrote ? ReplyCode::InDoubt : ReplyCode::Aborted, "the connection to the upstream was lost during the commit");
 }
 
+/// Gives up on an upstream that has fallen silent, if another attempt harms nothing: nothing is written yet.
+void Session::watchStall()
+{
+    this->stallTimer = this->context.loop.after(stallLimit, [this] {
+        const bool isWaiting = this->current || this->currentStream;
+        if (!this->work || this->transaction || !isWaiting || this->writes(this->work->request))
+            return;
+        const auto now = this->context.loop.now();
+        const auto silence = this->current ? this->current.silence(now) : this->currentStream->silence(now);
+        if (silence < stallLimit) {
+            this->watchStall();
+            return;
+        }
+        ++this->generation;
+        if (this->current)
+            this->current.discardStalled();
+        if (this->currentStream) {
+            this->currentStream->noteStall();
+            this->onRelayLost();
+        } else
+            this->retryOrAnswer(Reply { .lost = true }, true);
+    });
+}
+
 void Session::onDeadline()
 {
     auto& plan = *this->work;
@@ -496,14 +615,15 @@
         const bool isCommit = plan.request.kind == RequestKind::Commit;
         const bool isUnknown = isCommit && plan.isSent && this->transaction->wrote;
         this->transaction->loan.discard();
+        this->transaction->stream.reset();
         if (isCommit)
             this->transaction.reset();
         this->answerCode(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, "no answer within the statement timeout");
         return;
     }
     const bool isUnknown = plan.isSent && this->writes(plan.request);
-    if (this->current)
-        this->current.discard();
+    this->current.discard();
+    this->currentStream.reset();
     if (isUnknown)
         this->answerCode(ReplyCode::InDoubt, "no answer within the statement timeout");
     else
@@ -512,13 +632,16 @@
 
 void Session::abortTransaction(std::string_view)
 {
-    if (this->transaction && !this->work)
-        this->transaction->loan.reset();
+    if (!this->transaction || this->work)
+        return;
+    this->transaction->loan.reset();
+    this->transaction->stream.reset();
 }
 
 void Session::watchIdleTransaction()
 {
-    if (this->state() != TransactionState::Open)
+    // The daemon that holds the caller's session watches a relayed transaction.
+    if (this->state() != TransactionState::Open || this->relayedRoute)
         return;
     const auto configuration = this->context.catalog.configuration();
     if (configuration)
@@ -535,6 +658,7 @@
     ++this->generation;
     this->deadlineTimer.reset();
     this->pauseTimer.reset();
+    this->stallTimer.reset();
     const auto done = std::move(*this->work);
     this->work.reset();
     reply.state = this->state();
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/engine/caller_channel.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/engine/relay.hpp"
 #include "amaranthhall/engine/request.hpp"
 #include "amaranthhall/engine/request_log.hpp"
 #include "amaranthhall/retry/budget.hpp"
@@ -22,6 +23,7 @@
     Dispatcher& dispatcher;
     RequestLog& log;
     retry::Budget budget;
+    RelayRouter* relays { nullptr }; ///< Daemons that hold connections in place of this one; nullptr if there are none.
 };
 
 /**
@@ -42,6 +44,12 @@
     /// @brief Runs a request; the channel gets its answer within the call or later.
     void handle(Request request);
 
+    /// @brief Runs a statement of another daemon's session, with what it needs of that session.
+    void handleRelayed(RelayedRequest request);
+
+    /// @brief Gives the position of the session's last commit.
+    [[nodiscard]] const std::optional<group::LogPoint>& newestCommit() const noexcept { return this->lastCommit; }
+
     /// @brief Tells whether a request waits for its answer.
     [[nodiscard]] bool isBusy() const noexcept { return this->work.has_value(); }
 
@@ -52,13 +60,9 @@
     void abortTransaction(std::string_view reason);
 
 private:
-    struct Prepared {
-        bool writes { false };
-        std::string shape;
-    };
-
     struct Transaction {
-        Loan loan; ///< Empty once it has failed.
+        Loan loan; ///< Empty once it has failed, or if another daemon runs it.
+        std::unique_ptr<RelayStream> stream; ///< To the daemon that runs it, if this one does not.
         std::string service;
         bool wrote { false };
     };
@@ -84,6 +88,7 @@
         bool isSent { false }; ///< The statement itself may have reached an upstream.
         unsigned retries { 0 };
         std::vector<std::string> tried;
+        std::vector<std::string> triedHomes; ///< Daemons to which the way broke.
         std::string upstream; ///< Of the last attempt.
     };
 
@@ -98,6 +103,10 @@
     void runWrapped();
     void runBegin();
     void runInside();
+    [[nodiscard]] bool startRelay();
+    void runRelayed();
+    void onRelayed(RelayedReply relayed);
+    void onRelayLost();
     void runCommit();
     void sendStatement(Link::Done done);
     void onReply(Reply reply);
@@ -107,6 +116,7 @@
     void settle(Reply reply);
     void retryOrAnswer(Reply reply, bool wasLost);
     void retryLater();
+    void watchStall();
     void onDeadline();
     void failTransaction(Reply reply);
     void noteProof(const Reply& reply);
@@ -123,14 +133,18 @@
     CallerChannel& channel;
     std::string database;
     SessionSettings settings;
-    std::map<std::string, Prepared, std::less<>> statements;
+    std::map<std::string, PreparedStatement, std::less<>> statements;
     std::optional<group::LogPoint> lastCommit;
     std::optional<Transaction> transaction;
     std::optional<Work> work;
+    std::optional<catalog::Route> relayedRoute; ///< Of another daemon's session, which knows its configuration.
+    std::chrono::milliseconds relayedTime { 0 }; ///< That the other daemon's statement has left.
     Loan current;
+    std::unique_ptr<RelayStream> currentStream; ///< Of a statement outside a transaction.
     Dispatcher::Ticket ticket;
     kernel::Registration deadlineTimer;
     kernel::Registration pauseTimer;
+    kernel::Registration stallTimer;
     kernel::Registration idleTimer;
     std::uint64_t generation { 0 }; ///< Replies of an earlier request or attempt are dropped.
     std::shared_ptr<int> alive { std::make_shared<int>(0) };
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -87,6 +87,11 @@
     this->callbacks.available();
 }
 
+void UpstreamPool::noteStall()
+{
+    placement::noteFailure(this->state, false, this->loop.now());
+}
+
 void UpstreamPool::discard(const std::shared_ptr<PooledLink>& link)
 {
     const auto found = std::find(this->links.begin(), this->links.end(), link);
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -55,6 +55,9 @@
     /// @brief Takes a link back; one that is in a transaction is rolled back before it is lent again.
     void giveBack(const std::shared_ptr<PooledLink>& link);
 
+    /// @brief Takes in that the upstream has fallen silent.
+    void noteStall();
+
     /// @brief Closes a link.
     void discard(const std::shared_ptr<PooledLink>& link);
 
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <random>
+#include <set>
 #include <utility>
 
 namespace amaranthhall::gateway {
@@ -22,6 +23,8 @@
     constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
     constexpr Duration endMargin = 500ms; // before the platform kills the process
     constexpr freshness::Micros newsSpan = 4'000'000; // µs; older evidence of a leader is not told
+    constexpr std::size_t mostFollowers = 16; // daemons that follow the store; the others learn its rows from them
+    constexpr std::string_view followTask = "follow";
     constexpr std::string_view fleetTable = "amaranthhall";
     constexpr std::string_view daemonPrefix = "daemon/";
 
@@ -37,23 +40,26 @@
     : loop(usedLoop)
     , settings(usedSettings)
     , ports(usedPorts)
-    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone })
+    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone, .sharers = [this](auto service) { return this->homes.sharers(service); } })
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
     , upstreamWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.upstreamTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onUpstreamRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
     , configurationWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.configurationTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onConfigurationRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
     , fleetWatch(usedLoop, usedPorts.store, { .table = std::string(fleetTable), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onFleetRow(row); }, .settled = [] {}, .reached = [](bool) {} })
-    , gossip(usedLoop, { .vm = usedSettings.vm, .listen = usedSettings.peers, .seeds = usedSettings.seeds, .seed = drawNumber() }, { .fill = [this](auto& digest) { this->fillDigest(digest); }, .received = [this](const auto& digest) { this->takeDigest(digest); } })
+    , gossip(usedLoop, { .vm = usedSettings.vm, .listen = usedSettings.peers, .seeds = usedSettings.seeds, .seed = drawNumber() }, { .fill = [this](auto& digest) { this->fillDigest(digest); }, .received = [this](const auto& digest) { this->takeDigest(digest); }, .partners = [this] { return this->partners(); } })
+    , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .relayPort = usedSettings.relay.port })
+    , relays(usedLoop, usedSettings.relay, this->context)
     , exchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) {
         auto* watch = this->watchOf(table);
         return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
     })
-    , succession({ .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .store = usedPorts.store, .fleet = this->fleetWatch, .peers = this->gossip.peers(), .promoter = usedPorts.promoter }, { .vm = usedSettings.vm, .zone = usedSettings.zone, .incarnation = drawNumber(), .table = std::string(fleetTable) }, [this] { this->gossip.tellUrgently(); })
+    , succession({ .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .store = usedPorts.store, .fleet = this->fleetWatch, .peers = this->gossip.peers(), .promoter = usedPorts.promoter, .group = [this](const auto& service) { return this->homes.homes(service); } }, { .vm = usedSettings.vm, .zone = usedSettings.zone, .incarnation = drawNumber(), .table = std::string(fleetTable) }, [this] { this->gossip.tellUrgently(); })
     , ticker(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
 }
 
 void Gateway::start()
 {
+    this->context.relays = &this->homes;
     logEvent(LogLevel::Info, "daemon.started", { { "vm", this->settings.vm }, { "zone", this->settings.zone } });
     this->configurationWatch.start();
     this->upstreamWatch.start();
@@ -150,6 +156,8 @@
     const auto& clock = this->ports.store.clock();
     const auto now = engine::bootNow();
     for (const auto& service : this->dispatcher.serviceNames()) {
+        if (!this->homes.isHome(service))
+            continue;
         const auto sample = this->dispatcher.samples(service).newest();
         const auto& proof = this->dispatcher.proof(service);
         if (!sample || !proof || now - sample->at > newsSpan)
@@ -177,12 +185,25 @@
     this->catchUp(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.address);
 }
 
+/// Gives the other daemons that have links to the same services, where not all have.
+std::vector<std::string> Gateway::partners()
+{
+    std::set<std::string> names;
+    for (const auto& service : this->dispatcher.serviceNames()) {
+        const auto& group = this->homes.homes(service);
+        if (group.size() <= this->gossip.peers().size() && this->homes.isHome(service))
+            names.insert(group.begin(), group.end());
+    }
+    names.erase(this->settings.vm);
+    return { names.begin(), names.end() };
+}
+
 /// Learns newer rows that a peer has: from the store if it answers, else from the peer.
 void Gateway::catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer)
 {
     if (newest <= watch.newestRow())
         return;
-    if (watch.reachableSince() && watch.isListed()) {
+    if (watch.follows() && watch.reachableSince() && watch.isListed()) {
         watch.hint(newest);
         return;
     }
@@ -204,7 +225,11 @@
         logEvent(LogLevel::Info, "upstream.gone", { { "upstream", id } });
     if (!gone.empty())
         this->dispatcher.onCatalogChanged();
-    this->dispatcher.setDaemons(this->gossip.peers().size() + 1);
+    this->homes.refresh();
+    this->dispatcher.onCatalogChanged();
+    const bool follows = gossip::rankFor(followTask, this->settings.vm, this->gossip.peers().live(this->loop.now())) < mostFollowers;
+    for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch })
+        watch->setFollowing(follows);
 }
 
 void Gateway::drain(engine::CallerServer& callers, std::function<void()> done)
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -8,6 +8,8 @@
 #include "amaranthhall/gateway/gateway_settings.hpp"
 #include "amaranthhall/gossip/gossip_node.hpp"
 #include "amaranthhall/gossip/row_exchange.hpp"
+#include "amaranthhall/relay/home_router.hpp"
+#include "amaranthhall/relay/relay_server.hpp"
 #include "amaranthhall/store/table_watch.hpp"
 #include "amaranthhall/succession/succession_service.hpp"
 
@@ -49,6 +51,7 @@
     void catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
     void registerDaemon();
     void unregisterDaemon();
+    [[nodiscard]] std::vector<std::string> partners();
     void tick();
     void stepDrain(engine::CallerServer& callers);
     [[nodiscard]] store::TableWatch* watchOf(const std::string& table) noexcept;
@@ -64,6 +67,8 @@
     store::TableWatch configurationWatch;
     store::TableWatch fleetWatch;
     gossip::GossipNode gossip;
+    relay::HomeRouter homes;
+    relay::RelayServer relays;
     gossip::RowExchange exchange;
     succession::SuccessionService succession;
     std::map<std::string, Time> fetchedAt; ///< Last call to a peer, by table.
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -21,7 +21,7 @@
     {
         return {
             mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone) }),
-            mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("metrics", settings.metrics) }),
+            mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("relay", settings.relay), addressKey("metrics", settings.metrics) }),
             listKey("seeds", settings.seeds, readAddress),
             mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.orders) }),
             mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
@@ -36,6 +36,7 @@
         demand(!settings.callers.host.empty(), "listen.callers");
         demand(!settings.ready.host.empty(), "listen.ready");
         demand(!settings.peers.host.empty(), "listen.peers");
+        demand(!settings.relay.host.empty(), "listen.relay");
         demand(!settings.metrics.host.empty(), "listen.metrics");
         demand(!settings.store.host.empty(), "platform.store");
         demand(!settings.orders.host.empty(), "platform.orders");
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -18,6 +18,7 @@
     kernel::Address callers; ///< Listens for callers.
     kernel::Address ready; ///< Listens for the platform's readiness checks.
     kernel::Address peers; ///< Listens for other daemons, by TCP and UDP.
+    kernel::Address relay; ///< Listens for statements that other daemons hand on.
     std::vector<kernel::Address> seeds; ///< Daemons to ask for others.
     kernel::Address metrics; ///< Serves metrics.
     kernel::Address store; ///< The platform's metadata store.
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -23,6 +23,11 @@
         return Json::array({ news.service, news.candidate, news.fence, news.at });
     }
 
+    Json encode(const AgeNews& news)
+    {
+        return Json::array({ news.vm, news.age.count() });
+    }
+
     template <typename News>
     void put(Json& json, const char* field, const std::vector<News>& news)
     {
@@ -59,6 +64,7 @@
     put(json, "leaders", digest.leaders);
     put(json, "suspicions", digest.suspicions);
     put(json, "orders", digest.orders);
+    put(json, "ages", digest.ages);
     for (const auto& peer : digest.peers)
         json["peers"].push_back(kernel::formatAddress(peer));
     std::string bytes;
@@ -82,6 +88,9 @@
         take(json, "orders", [&](const Json& item) {
             digest.orders.push_back({ .service = item.at(0).get<std::string>(), .candidate = item.at(1).get<std::string>(), .fence = item.at(2).get<store::Version>(), .at = item.at(3).get<freshness::Micros>() });
         });
+        take(json, "ages", [&](const Json& item) {
+            digest.ages.push_back({ .vm = item.at(0).get<std::string>(), .age = std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
+        });
         take(json, "peers", [&](const Json& item) { digest.peers.push_back(decodeAddress(item)); });
         return digest;
     } catch (const Json::exception&) {
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -43,6 +43,12 @@
     store::Version fleet { 0 };
 };
 
+/// @brief How long ago a daemon was heard of.
+struct AgeNews {
+    std::string vm;
+    std::chrono::milliseconds age { 0 };
+};
+
 /// @brief What one daemon tells another in a datagram.
 struct Digest {
     std::string vm;
@@ -52,6 +58,7 @@
     std::vector<LeaderNews> leaders;
     std::vector<SuspicionNews> suspicions;
     std::vector<OrderNews> orders;
+    std::vector<AgeNews> ages; ///< Of daemons that the sender has heard of lately.
     std::vector<kernel::Address> peers; ///< Answer to `wantsPeers`.
 };
 
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/telemetry/log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthhall::gossip {
@@ -13,6 +14,7 @@
     constexpr Duration interval = 200ms; // news reach 2,300 daemons in five rounds, about a second
     constexpr std::size_t fanOut = 5;
     constexpr std::size_t urgentFanOut = 40;
+    constexpr std::size_t agesTold = 16; // a peer's age is told on about four times a second
     constexpr std::size_t mostPeersTold = 30; // addresses in one answer
 
 }
@@ -31,6 +33,10 @@
 {
     Digest digest { .vm = this->options.vm, .address = this->options.listen };
     this->callbacks.fill(digest);
+    if (this->book.size() > PeerBook::largeSize) {
+        for (const auto& [vm, age] : this->book.drawAges(agesTold, this->loop.now(), this->random))
+            digest.ages.push_back({ .vm = vm, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
+    }
     return digest;
 }
 
@@ -38,6 +44,11 @@
 {
     this->book.forgetSilent(this->loop.now());
     auto targets = this->book.draw(count, this->random);
+    for (const auto& partner : this->callbacks.partners()) {
+        const auto address = this->book.addressOf(partner);
+        if (address && std::find(targets.begin(), targets.end(), *address) == targets.end())
+            targets.push_back(*address);
+    }
     auto digest = this->makeDigest();
     if (targets.empty()) {
         targets = this->options.seeds;
@@ -70,7 +81,10 @@
     }
     if (digest->vm == this->options.vm)
         return;
-    this->book.noteHeard(digest->vm, digest->address, this->loop.now());
+    const auto now = this->loop.now();
+    this->book.noteHeard(digest->vm, digest->address, now);
+    for (const auto& news : digest->ages)
+        this->book.noteHeardOf(news.vm, now - news.age);
     if (digest->wantsPeers) {
         auto answer = this->makeDigest();
         answer.peers = this->book.draw(mostPeersTold, this->random);
--- a/src/amaranthhall/gossip/peer_book.cpp
+++ b/src/amaranthhall/gossip/peer_book.cpp
@@ -47,16 +47,43 @@
 {
     std::vector<std::string> names;
     for (const auto& [vm, peer] : this->peers) {
-        if (now - peer.heardAt <= liveSpan)
+        if (now - peer.heardAt <= this->span())
             names.push_back(vm);
     }
     return names;
 }
 
+std::vector<std::string> PeerBook::names() const
+{
+    std::vector<std::string> all;
+    for (const auto& [vm, peer] : this->peers)
+        all.push_back(vm);
+    return all;
+}
+
+void PeerBook::noteHeardOf(std::string_view vm, Time heardAt) noexcept
+{
+    const auto found = this->peers.find(vm);
+    if (found != this->peers.end() && found->second.heardAt < heardAt)
+        found->second.heardAt = heardAt;
+}
+
+std::vector<std::pair<std::string, Duration>> PeerBook::drawAges(std::size_t count, Time now, Random& random) const
+{
+    std::vector<std::pair<std::string, Duration>> heard;
+    for (const auto& [vm, peer] : this->peers) {
+        if (now - peer.heardAt <= this->span())
+            heard.emplace_back(vm, now - peer.heardAt);
+    }
+    std::vector<std::pair<std::string, Duration>> drawn;
+    std::sample(heard.begin(), heard.end(), std::back_inserter(drawn), count, random);
+    return drawn;
+}
+
 bool PeerBook::isLive(std::string_view vm, Time now) const noexcept
 {
     const auto found = this->peers.find(vm);
-    return found != this->peers.end() && now - found->second.heardAt <= liveSpan;
+    return found != this->peers.end() && now - found->second.heardAt <= this->span();
 }
 
 std::optional<kernel::Address> PeerBook::addressOf(std::string_view vm) const noexcept
--- a/src/amaranthhall/gossip/peer_book.hpp
+++ b/src/amaranthhall/gossip/peer_book.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace amaranthhall::gossip {
@@ -24,6 +25,8 @@
 class PeerBook {
 public:
     static constexpr Duration liveSpan = std::chrono::milliseconds(1500); ///< A peer that was heard within this is alive.
+    static constexpr Duration largeLiveSpan = std::chrono::milliseconds(4000); ///< The same where news of most peers come by others.
+    static constexpr std::size_t largeSize = 30; ///< Peers from which on few datagrams come from each of them.
     static constexpr Duration forgetSpan = std::chrono::seconds(10); ///< A peer that was not heard for this is dropped.
 
     /// @brief Takes in that a peer exists.
@@ -32,6 +35,12 @@
     /// @brief Takes in a datagram of a peer.
     void noteHeard(std::string_view vm, const kernel::Address& address, Time now);
 
+    /// @brief Takes in that another daemon has heard of a peer.
+    void noteHeardOf(std::string_view vm, Time heardAt) noexcept;
+
+    /// @brief Draws peers, with the time since they were heard of, to tell others.
+    [[nodiscard]] std::vector<std::pair<std::string, Duration>> drawAges(std::size_t count, Time now, Random& random) const;
+
     /// @brief Drops a peer that has left.
     void remove(std::string_view vm);
 
@@ -44,11 +53,16 @@
     /// @brief Gives the names of the peers that are alive.
     [[nodiscard]] std::vector<std::string> live(Time now) const;
 
+    /// @brief Gives the names of all peers.
+    [[nodiscard]] std::vector<std::string> names() const;
+
     [[nodiscard]] bool isLive(std::string_view vm, Time now) const noexcept;
     [[nodiscard]] std::size_t size() const noexcept { return this->peers.size(); }
     [[nodiscard]] std::optional<kernel::Address> addressOf(std::string_view vm) const noexcept;
 
 private:
+    [[nodiscard]] Duration span() const noexcept { return this->peers.size() > largeSize ? largeLiveSpan : liveSpan; }
+
     std::map<std::string, Peer, std::less<>> peers;
 };
 
--- /dev/null
+++ b/src/amaranthhall/relay/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::relay {
+
+class HomeRouter;
+class RelayClient;
+class RelayServer;
+
+}
--- /dev/null
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -0,0 +1,233 @@
+#include "amaranthhall/relay/relay_client.hpp"
+
+#include "amaranthhall/kernel/byte_stream.hpp"
+#include "amaranthhall/relay/frame.hpp"
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+#include <vector>
+
+namespace amaranthhall::relay {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using engine::RelayedReply;
+
+    constexpr Duration connectTimeout = 300ms; // within a zone or between two it takes about 2 ms
+    constexpr Duration avoidance = 1s; // after a failure or a stall
+
+}
+
+/// @brief The connection to one daemon.
+class RelayConnection : public std::enable_shared_from_this<RelayConnection> {
+public:
+    RelayConnection(kernel::Loop& usedLoop, std::string usedVm, kernel::Address usedAddress)
+        : vm(std::move(usedVm))
+        , address(std::move(usedAddress))
+        , loop(usedLoop)
+    {
+    }
+
+    [[nodiscard]] std::uint64_t begin()
+    {
+        this->connect();
+        return ++this->lastStream;
+    }
+
+    void send(std::uint64_t stream, const engine::RelayedRequest& request, engine::RelayStream::Done done)
+    {
+        this->connect();
+        if (this->waiting.empty())
+            this->heardAt = this->loop.now();
+        this->waiting[stream] = std::move(done);
+        this->write(StatementFrame { .stream = stream, .request = request });
+    }
+
+    void end(std::uint64_t stream)
+    {
+        this->waiting.erase(stream);
+        if (this->stream || this->isConnecting)
+            this->write(EndFrame { .stream = stream });
+    }
+
+    void noteStall()
+    {
+        this->avoidUntil = this->loop.now() + avoidance;
+    }
+
+    [[nodiscard]] Duration silence(Time now) const noexcept
+    {
+        return this->waiting.empty() ? Duration::zero() : now - this->heardAt;
+    }
+
+    [[nodiscard]] std::size_t outstanding() const noexcept { return this->waiting.size(); }
+    [[nodiscard]] bool isAvoided(Time now) const noexcept { return this->avoidUntil > now; }
+
+    std::string vm;
+    kernel::Address address;
+
+private:
+    void connect()
+    {
+        if (this->stream || this->isConnecting)
+            return;
+        this->socket = kernel::connectTo(this->address);
+        this->isConnecting = true;
+        this->pending.clear();
+        this->reader = FrameReader();
+        this->timer = this->loop.after(this->socket ? connectTimeout : Duration::zero(), [this] { this->fail(); });
+        if (this->socket)
+            this->watch = this->loop.watch(this->socket.descriptor(), { .writable = true }, [this](auto) { this->onConnected(); });
+    }
+
+    void onConnected()
+    {
+        this->watch.reset();
+        int error = 0;
+        socklen_t length = sizeof(error);
+        getsockopt(this->socket.descriptor(), SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            this->fail();
+            return;
+        }
+        this->timer.reset();
+        this->isConnecting = false;
+        kernel::ByteStream::Callbacks callbacks {
+            .received = [this](auto bytes) { this->receive(bytes); },
+            .closed = [this, living = this->weak_from_this(), number = ++this->connectionNumber] {
+                if (!living.expired() && number == this->connectionNumber)
+                    this->fail(); },
+        };
+        this->stream = std::make_unique<kernel::ByteStream>(this->loop, std::move(this->socket), std::move(callbacks));
+        this->stream->write(std::exchange(this->pending, {}));
+    }
+
+    void write(const Frame& frame)
+    {
+        std::string bytes;
+        appendFrame(bytes, frame);
+        if (this->stream)
+            this->stream->write(bytes);
+        else
+            this->pending += bytes;
+    }
+
+    void receive(std::string_view bytes)
+    {
+        this->heardAt = this->loop.now();
+        this->reader.append(bytes);
+        const auto self = this->shared_from_this();
+        while (auto frame = this->reader.next()) {
+            auto* answer = std::get_if<AnswerFrame>(&*frame);
+            if (!answer)
+                continue;
+            const auto found = this->waiting.find(answer->stream);
+            if (found == this->waiting.end())
+                continue;
+            const auto done = std::move(found->second);
+            this->waiting.erase(found);
+            done(std::move(answer->reply));
+        }
+        if (this->reader.isBroken())
+            this->fail();
+    }
+
+    void fail()
+    {
+        telemetry::logEvent(telemetry::LogLevel::Info, "relay.lost", { { "vm", this->vm }, { "outstanding", this->waiting.size() } });
+        ++this->connectionNumber;
+        this->noteStall();
+        this->timer.reset();
+        this->watch.reset();
+        this->socket.close();
+        this->isConnecting = false;
+        // The stream may be calling, so it is destroyed on a later turn.
+        this->loop.post([held = std::shared_ptr<kernel::ByteStream>(std::move(this->stream))] {});
+        const auto self = this->shared_from_this();
+        for (auto& [number, done] : std::exchange(this->waiting, {}))
+            done(RelayedReply { .reply = { .lost = true } });
+    }
+
+    kernel::Loop& loop;
+    kernel::Socket socket;
+    kernel::Registration watch;
+    kernel::Registration timer;
+    std::unique_ptr<kernel::ByteStream> stream;
+    std::string pending; ///< Frames that wait for the connection.
+    FrameReader reader;
+    std::map<std::uint64_t, engine::RelayStream::Done> waiting; ///< By stream.
+    std::uint64_t lastStream { 0 };
+    std::uint64_t connectionNumber { 0 };
+    Time heardAt;
+    Time avoidUntil;
+    bool isConnecting { false };
+};
+
+namespace {
+
+    class ClientStream final : public engine::RelayStream {
+    public:
+        ClientStream(kernel::Loop& usedLoop, std::shared_ptr<RelayConnection> usedConnection)
+            : loop(usedLoop)
+            , connection(std::move(usedConnection))
+            , number(this->connection->begin())
+        {
+        }
+
+        ~ClientStream() override
+        {
+            if (this->isUsed)
+                this->connection->end(this->number);
+        }
+
+        void send(const engine::RelayedRequest& request, Done done) override
+        {
+            this->isUsed = true;
+            this->connection->send(this->number, request, std::move(done));
+        }
+
+        [[nodiscard]] const std::string& vm() const noexcept override { return this->connection->vm; }
+        [[nodiscard]] Duration silence(Time now) const noexcept override { return this->connection->silence(now); }
+        void noteStall() override { this->connection->noteStall(); }
+
+    private:
+        kernel::Loop& loop;
+        std::shared_ptr<RelayConnection> connection;
+        std::uint64_t number;
+        bool isUsed { false };
+    };
+
+}
+
+RelayClient::RelayClient(kernel::Loop& usedLoop)
+    : loop(usedLoop)
+{
+}
+
+RelayClient::~RelayClient() = default;
+
+std::unique_ptr<engine::RelayStream> RelayClient::open(const std::string& vm, const kernel::Address& address)
+{
+    auto& connection = this->connections[vm];
+    if (!connection || connection->address != address)
+        connection = std::make_shared<RelayConnection>(this->loop, vm, address);
+    return std::make_unique<ClientStream>(this->loop, connection);
+}
+
+std::size_t RelayClient::outstanding(const std::string& vm) const noexcept
+{
+    const auto found = this->connections.find(vm);
+    return found == this->connections.end() ? 0 : found->second->outstanding();
+}
+
+bool RelayClient::isAvoided(const std::string& vm, Time now) const noexcept
+{
+    const auto found = this->connections.find(vm);
+    return found != this->connections.end() && found->second->isAvoided(now);
+}
+
+}
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -12,8 +12,10 @@
 
     using namespace std::chrono_literals;
 
-    // Others tell of newer versions, so that a feed whose connection has died unnoticed costs no more than a moment.
-    constexpr auto feedWait = 10'000ms;
+    // Drawn, so that the daemons' calls end at different moments: others tell of newer versions, and a feed whose
+    // connection has died unnoticed costs no more than a moment.
+    constexpr int leastFeedWait = 12'000; // ms
+    constexpr int mostFeedWait = 25'000; // ms; the store allows 30 s
     constexpr retry::BackoffOptions pauses { .first = 100ms, .limit = 1000ms };
     constexpr Duration hintPatience = 300ms; // the feed itself may still bring it
 
@@ -120,8 +122,11 @@
 
 void TableWatch::follow()
 {
+    if (!this->isFollowing)
+        return;
     this->askedAt = this->loop.now();
-    this->store.follow(this->options.table, this->followed, feedWait, [this, expected = ++this->round](const StoreResult<Rows>& result) {
+    const std::chrono::milliseconds wait(std::uniform_int_distribution<int>(leastFeedWait, mostFeedWait)(this->random));
+    this->store.follow(this->options.table, this->followed, wait, [this, expected = ++this->round](const StoreResult<Rows>& result) {
         if (this->round == expected)
             this->onChanges(result);
     });
@@ -142,9 +147,17 @@
     this->follow();
 }
 
+void TableWatch::setFollowing(bool follows)
+{
+    if (std::exchange(this->isFollowing, follows) || !follows)
+        return;
+    if (this->listed && this->reachedAt)
+        this->list({});
+}
+
 void TableWatch::hint(Version newestElsewhere)
 {
-    const bool isBehind = this->listed && newestElsewhere > this->newest && newestElsewhere > this->followed;
+    const bool isBehind = this->listed && this->isFollowing && newestElsewhere > this->newest && newestElsewhere > this->followed;
     if (!isBehind || this->failures > 0 || this->loop.now() - this->askedAt < hintPatience)
         return;
     telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", this->followed }, { "newest", newestElsewhere } });
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -37,6 +37,10 @@
 
     void start();
 
+    /// @brief Sets whether it keeps asking the store; if not, rows come by merge() alone.
+    void setFollowing(bool follows);
+    [[nodiscard]] bool follows() const noexcept { return this->isFollowing; }
+
     /// @brief Asks anew at once if others know a newer version of the table than this watch.
     void hint(Version newest);
 
@@ -81,6 +85,7 @@
     Version newest { 0 };
     Version followed { 0 };
     std::optional<Version> listingVersion;
+    bool isFollowing { true };
     bool listed { false };
     unsigned failures { 0 };
     std::optional<Time> reachedAt;
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -54,8 +54,22 @@
         logEvent(LogLevel::Warning, "daemon.woken");
         this->wokenAt = now;
     }
-    for (const auto& service : this->parts.dispatcher.serviceNames())
-        this->watch(service, this->duties[service]);
+    for (const auto& service : this->parts.dispatcher.serviceNames()) {
+        const auto group = this->parts.group(service);
+        if (std::find(group.begin(), group.end(), this->options.vm) != group.end())
+            this->watch(service, this->duties[service]);
+        else
+            this->duties[service].suspicion.reset();
+    }
+}
+
+/// Gives the other daemons of a service's group that are alive.
+std::vector<std::string> SuccessionService::liveOthers(const std::string& service) const
+{
+    const auto now = this->parts.loop.now();
+    auto others = this->parts.group(service);
+    std::erase_if(others, [&](const auto& vm) { return vm == this->options.vm || !this->parts.peers.isLive(vm, now); });
+    return others;
 }
 
 void SuccessionService::watch(const std::string& service, Duty& duty)
@@ -83,7 +97,7 @@
 Situation SuccessionService::situationOf(const std::string& service, const std::string& leader, Duty& duty) const
 {
     const auto now = this->parts.loop.now();
-    Situation situation { .now = now, .peers = this->parts.peers.size() };
+    Situation situation { .now = now, .peers = this->parts.group(service).size() - 1 };
     if (const auto pool = this->parts.dispatcher.pool(leader)) {
         situation.own.failingSince = pool->health().failingSince;
         situation.own.isRefusing = pool->health().isRefusing;
@@ -104,7 +118,7 @@
     const auto& proof = this->parts.dispatcher.proof(service);
     if (proof && proof->upstream == leader)
         situation.provenAt = proof->at;
-    situation.livePeers = this->parts.peers.live(now).size();
+    situation.livePeers = this->liveOthers(service).size();
     for (const auto& [key, told] : this->peerSuspicions) {
         if (key.first == service && told.upstream == leader && now - told.heardAt < suspicionLife)
             ++situation.agreeing;
@@ -122,7 +136,7 @@
     const auto holder = this->holderOf(service);
     if (holder == this->options.vm)
         return true;
-    const auto rank = gossip::rankFor(dutyKey(service), this->options.vm, this->parts.peers.live(now));
+    const auto rank = gossip::rankFor(dutyKey(service), this->options.vm, this->liveOthers(service));
     return now - duty.causeSince >= takeoverDelay(rank, this->parts.peers.isLive(holder, now));
 }
 
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -35,6 +35,7 @@
         store::TableWatch& fleet; ///< Table with the rows of the duties.
         gossip::PeerBook& peers;
         Promoter& promoter;
+        std::function<std::vector<std::string>(const std::string& service)> group; ///< Daemons, this one among them, that have links to a service.
     };
 
     /// @brief How a service is built.
@@ -87,6 +88,7 @@
         Time heardAt;
     };
 
+    [[nodiscard]] std::vector<std::string> liveOthers(const std::string& service) const;
     void tick();
     void watch(const std::string& service, Duty& duty);
     [[nodiscard]] Situation situationOf(const std::string& service, const std::string& leader, Duty& duty) const;
