--- /dev/null
+++ b/test/catalog/test_catalog.cpp
@@ -0,0 +1,72 @@
+#include "amaranthhall/catalog/catalog.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Catalog)
+{
+    catalog::Catalog known;
+    Time now { 100s };
+
+    void put(const char* id, std::uint64_t version, catalog::Role role = catalog::Role::Replica, bool draining = false)
+    {
+        this->known.put({ .id = id, .service = "s", .role = role, .draining = draining }, version, this->now);
+    }
+};
+
+TEST(Catalog, AConfigurationNeverGoesBack)
+{
+    CHECK_TRUE(this->known.apply({ .version = 7 }));
+    CHECK_FALSE(this->known.apply({ .version = 7 }));
+    CHECK_FALSE(this->known.apply({ .version = 3 }));
+    LONGS_EQUAL(7, this->known.configuration()->version);
+    CHECK_TRUE(this->known.apply({ .version = 12 }));
+}
+
+TEST(Catalog, AnOlderCopyOfAnEntryIsDropped)
+{
+    this->put("a", 5, catalog::Role::Primary);
+    this->put("a", 4, catalog::Role::Replica);
+    CHECK(this->known.find("a")->entry.role == catalog::Role::Primary);
+}
+
+TEST(Catalog, TheVersionOfARoleChangesWithTheRoleOnly)
+{
+    this->put("a", 5, catalog::Role::Primary);
+    this->put("a", 9, catalog::Role::Primary, true);
+    LONGS_EQUAL(5, this->known.find("a")->roleVersion);
+    this->put("a", 11, catalog::Role::Replica);
+    LONGS_EQUAL(11, this->known.find("a")->roleVersion);
+}
+
+TEST(Catalog, AMissingEntryIsUsedForAWhileAndComesBack)
+{
+    this->put("a", 5);
+    this->known.markMissing("a", 6, this->now);
+    CHECK_TRUE(this->known.expire(this->now + 2s, this->now - 10s).empty());
+    this->put("a", 7);
+    CHECK_FALSE(this->known.find("a")->missingSince.has_value());
+    CHECK_TRUE(this->known.expire(this->now + 60s, this->now - 10s).empty());
+}
+
+TEST(Catalog, AnEntryIsGoneOnlyAfterTheGraceOfAReachableStore)
+{
+    this->put("a", 5);
+    this->known.markMissing("a", 6, this->now);
+    CHECK_TRUE(this->known.expire(this->now + 60s, std::nullopt).empty());
+    CHECK_TRUE(this->known.expire(this->now + 60s, this->now + 59s).empty());
+    LONGS_EQUAL(1, this->known.expire(this->now + 62s, this->now + 59s).size());
+    POINTERS_EQUAL(nullptr, this->known.find("a"));
+}
+
+TEST(Catalog, DrainingIsRememberedFromItsFirstWord)
+{
+    this->put("a", 5, catalog::Role::Primary, true);
+    this->now += 1s;
+    this->put("a", 6, catalog::Role::Replica, true);
+    CHECK(this->known.find("a")->drainingSince == this->now - 1s);
+    this->put("a", 7);
+    CHECK_FALSE(this->known.find("a")->drainingSince.has_value());
+}
--- /dev/null
+++ b/test/engine/test_session.cpp
@@ -0,0 +1,324 @@
+#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/engine/session.hpp"
+#include "engine/fake_links.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+using engine::Reply;
+using engine::ReplyCode;
+using engine::RequestKind;
+using engine::TransactionState;
+
+namespace {
+
+/// Keeps what a session answers.
+class RecordingChannel final : public engine::CallerChannel {
+public:
+    void welcome() override { this->isWelcome = true; }
+    void refuse(ReplyCode code, std::string_view) override { this->refusal = code; }
+    void answer(const Reply& reply) override { this->answers.push_back(reply); }
+    void close() override { }
+
+    bool isWelcome { false };
+    ReplyCode refusal { ReplyCode::None };
+    std::vector<Reply> answers;
+};
+
+catalog::Configuration configuration()
+{
+    catalog::Configuration result { .version = 1, .transactionIdleLimit = 60ms };
+    const auto add = [&](const char* database, catalog::Consistency consistency) {
+        result.routes[database] = { .database = database, .service = "s", .consistency = consistency, .statementTimeout = 250ms, .targetLatency = 200ms, .maximumStaleness = 2000ms };
+    };
+    add("strict", catalog::Consistency::Primary);
+    add("stale", catalog::Consistency::BoundedStaleness);
+    add("own", catalog::Consistency::ReadYourWrites);
+    result.services["s"] = { .name = "s", .maximumConnections = 30 };
+    return result;
+}
+
+}
+
+TEST_GROUP(EngineSession)
+{
+    kernel::Loop loop;
+    catalog::Catalog known;
+    engine::fakes::FakeLinkFactory links { this->loop };
+    std::unique_ptr<engine::Dispatcher> dispatcher;
+    engine::RequestLog log;
+    std::unique_ptr<engine::SessionContext> context;
+    RecordingChannel channel;
+    std::unique_ptr<engine::Session> session;
+
+    void setup() override
+    {
+        this->known.apply(configuration());
+        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 1, this->loop.now());
+        this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Replica, .slots = 2 }, 2, this->loop.now());
+        this->dispatcher = std::make_unique<engine::Dispatcher>(this->loop, this->links, this->known, engine::Dispatcher::Options { .zone = "z", .sharers = [](auto) { return std::size_t { 1 }; } });
+        this->dispatcher->onCatalogChanged();
+        this->context = std::make_unique<engine::SessionContext>(engine::SessionContext { .loop = this->loop, .catalog = this->known, .dispatcher = *this->dispatcher, .log = this->log, .budget = {} });
+    }
+
+    void teardown() override { this->session.reset(); }
+
+    void open(const char* database)
+    {
+        this->session = std::make_unique<engine::Session>(*this->context, this->channel);
+        this->session->start(database);
+    }
+
+    /// Sends a statement and gives its answer.
+    Reply ask(RequestKind kind, const char* text, std::string name = {}, std::string value = {}, bool writes = false)
+    {
+        const auto before = this->channel.answers.size();
+        this->session->handle({ .id = "q" + std::to_string(before), .kind = kind, .text = text, .name = std::move(name), .value = std::move(value), .writes = writes });
+        this->runWhile([&] { return this->channel.answers.size() == before; });
+        CHECK(this->channel.answers.size() == before + 1);
+        return this->channel.answers.back();
+    }
+
+    void runWhile(const std::function<bool()>& condition, Duration limit = 2s)
+    {
+        const auto end = this->loop.now() + limit;
+        const auto ticker = this->loop.every(1ms, [&] {
+            if (!condition() || this->loop.now() > end)
+                this->loop.stop();
+        });
+        this->loop.run();
+    }
+
+    void runFor(Duration span)
+    {
+        this->runWhile([] { return true; }, span);
+    }
+
+    Reply read() { return this->ask(RequestKind::Read, "READ a"); }
+    Reply write() { return this->ask(RequestKind::Write, "WRITE a b", {}, {}, true); }
+
+    [[nodiscard]] bool wasSent(const char* upstream, const std::string& part) { return this->countSent(upstream, part) > 0; }
+
+    [[nodiscard]] long countSent(const char* upstream, const std::string& part)
+    {
+        const auto& sent = this->links.upstreams[upstream].sent;
+        return std::count_if(sent.begin(), sent.end(), [&](const auto& text) { return text.find(part) != std::string::npos; });
+    }
+};
+
+TEST(EngineSession, AnUnknownDatabaseIsRefused)
+{
+    this->open("nowhere");
+    CHECK(this->channel.refusal == ReplyCode::UnknownDatabase);
+}
+
+TEST(EngineSession, AStrictReadRunsWithinATransactionThatOnlyALeaderGrants)
+{
+    this->open("strict");
+    CHECK_EQUAL(std::string("digest"), this->read().digest);
+    CHECK_TRUE(this->wasSent("p", "- BEGIN"));
+    CHECK_TRUE(this->wasSent("p", "q0 READ a"));
+    this->runFor(5ms);
+    CHECK_TRUE(this->wasSent("p", "- ROLLBACK"));
+    CHECK(this->links.upstreams["r"].sent.empty());
+}
+
+TEST(EngineSession, AStaleReadGoesToAReplicaThatHoldsTheSample)
+{
+    this->open("stale");
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    // A replica is not expected to hold what the leader wrote a moment ago.
+    this->runFor(10ms);
+    CHECK(this->read().succeeded());
+    CHECK_TRUE(this->wasSent("r", "q0 AFTER 1.7 READ a"));
+}
+
+TEST(EngineSession, WithoutASampleAStaleReadAsksTheLeader)
+{
+    this->open("stale");
+    CHECK(this->read().succeeded());
+    CHECK_TRUE(this->wasSent("p", "- BEGIN"));
+}
+
+TEST(EngineSession, AReadSeesItsOwnSessionsWrite)
+{
+    this->open("own");
+    this->links.upstreams["p"].point = { .term = 1, .position = 42 };
+    CHECK(this->write().succeeded());
+    CHECK(this->read().succeeded());
+    const bool isBound = this->wasSent("p", "AFTER 1.42 READ a") || this->wasSent("r", "AFTER 1.42 READ a");
+    CHECK_TRUE(isBound);
+}
+
+TEST(EngineSession, AReplicaThatLagsIsLeftForTheLeader)
+{
+    this->open("stale");
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    this->links.upstreams["r"].replies["READ"] = { Reply { .code = ReplyCode::Lagging } };
+    this->links.upstreams["r"].point = { .term = 1, .position = 1 };
+    CHECK(this->read().succeeded());
+    CHECK_TRUE(this->wasSent("p", "AFTER 1.7 READ a"));
+}
+
+TEST(EngineSession, ALostWriteIsInDoubtAndIsNotSentAgain)
+{
+    this->open("strict");
+    this->links.upstreams["p"].replies["WRITE"] = { Reply { .lost = true } };
+    CHECK(this->write().code == ReplyCode::InDoubt);
+    LONGS_EQUAL(1, this->countSent("p", "WRITE"));
+}
+
+TEST(EngineSession, ALostReadIsTriedAgain)
+{
+    this->open("strict");
+    this->links.upstreams["p"].replies["READ"] = { Reply { .lost = true }, Reply { .digest = "second", .state = TransactionState::Open } };
+    CHECK_EQUAL(std::string("second"), this->read().digest);
+}
+
+TEST(EngineSession, AWriteThatARefusedLeaderDidNotRunGoesToTheNextOne)
+{
+    this->open("strict");
+    this->links.upstreams["p"].replies["WRITE"] = { Reply { .code = ReplyCode::ReadOnly } };
+    this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 3, this->loop.now() + 1ms);
+    this->runFor(2ms);
+    CHECK(this->write().succeeded());
+}
+
+TEST(EngineSession, ATransactionStaysOnItsLink)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").state == TransactionState::Open);
+    CHECK(this->read().state == TransactionState::Open);
+    CHECK(this->write().state == TransactionState::Open);
+    const auto commit = this->ask(RequestKind::Commit, "COMMIT");
+    CHECK(commit.state == TransactionState::Idle);
+    CHECK_EQUAL(std::string("digest"), commit.digest);
+    LONGS_EQUAL(1, this->countSent("p", "BEGIN"));
+}
+
+TEST(EngineSession, AnotherSessionsStatementNeverEntersATransaction)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    RecordingChannel other;
+    engine::Session second(*this->context, other);
+    second.start("strict");
+    second.handle({ .id = "z", .kind = RequestKind::Write, .text = "WRITE z", .writes = true });
+    this->runWhile([&] { return other.answers.empty(); });
+    CHECK_TRUE(other.answers.at(0).succeeded());
+    LONGS_EQUAL(2, this->links.upstreams["p"].opened);
+}
+
+TEST(EngineSession, ATransactionLostBeforeItsCommitIsAborted)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    this->links.upstreams["p"].replies["WRITE"] = { Reply { .lost = true } };
+    const auto reply = this->write();
+    CHECK(reply.code == ReplyCode::Aborted);
+    CHECK(reply.state == TransactionState::Failed);
+    CHECK(this->read().code == ReplyCode::Malformed);
+    CHECK(this->ask(RequestKind::Rollback, "ROLLBACK").state == TransactionState::Idle);
+}
+
+TEST(EngineSession, ACommitThatIsLostAfterAWriteIsInDoubtElseAborted)
+{
+    this->open("strict");
+    this->links.upstreams["p"].replies["COMMIT"] = { Reply { .lost = true } };
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    CHECK(this->write().succeeded());
+    CHECK(this->ask(RequestKind::Commit, "COMMIT").code == ReplyCode::InDoubt);
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    CHECK(this->read().succeeded());
+    CHECK(this->ask(RequestKind::Commit, "COMMIT").code == ReplyCode::Aborted);
+}
+
+TEST(EngineSession, ATransactionThatRestsTooLongIsRolledBackAndToldSo)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    this->runFor(100ms);
+    CHECK_TRUE(this->wasSent("p", "- ROLLBACK"));
+    CHECK(this->ask(RequestKind::Commit, "COMMIT").code == ReplyCode::Aborted);
+}
+
+TEST(EngineSession, SettingsAndStatementsAreBroughtToTheLink)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Set, "SET a 1", "a", "1").succeeded());
+    CHECK(this->ask(RequestKind::Prepare, "PREPARE s WRITE q", "s", "q", true).succeeded());
+    CHECK(this->ask(RequestKind::Execute, "EXECUTE s k v", "s", "k v").succeeded());
+    CHECK_TRUE(this->wasSent("p", "- SET a 1"));
+    CHECK_TRUE(this->wasSent("p", "- PREPARE w_q q"));
+    CHECK_TRUE(this->wasSent("p", "q2 EXECUTE w_q k v"));
+    CHECK(this->ask(RequestKind::Execute, "EXECUTE s k v", "s", "k v").succeeded());
+    LONGS_EQUAL(1, this->countSent("p", "SET"));
+    LONGS_EQUAL(1, this->countSent("p", "PREPARE"));
+}
+
+TEST(EngineSession, ALinkWithAnothersSettingsIsResetBeforeItIsLent)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Set, "SET a 1", "a", "1").succeeded());
+    CHECK(this->write().succeeded());
+    this->session.reset();
+    this->open("strict");
+    // Only one link is open, and it holds the first session's settings.
+    CHECK(this->write().succeeded());
+    CHECK_TRUE(this->wasSent("p", "- RESET"));
+}
+
+TEST(EngineSession, AnUnknownPreparedStatementIsToldSo)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Execute, "EXECUTE nothing k", "nothing", "k").code == ReplyCode::UnknownStatement);
+}
+
+TEST(EngineSession, ASilentReplicaIsLeftForAnother)
+{
+    this->open("stale");
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    this->links.upstreams["r"].isSilent = true;
+    CHECK(this->read().succeeded());
+    CHECK_TRUE(this->wasSent("p", "READ a"));
+}
+
+TEST(EngineSession, ASilentLeadersWriteIsInDoubtAtItsDeadline)
+{
+    this->open("strict");
+    this->links.upstreams["p"].isSilent = true;
+    CHECK(this->write().code == ReplyCode::InDoubt);
+}
+
+TEST(EngineSession, WithoutALeaderAStatementIsNotRunAndToldSo)
+{
+    this->open("strict");
+    this->links.upstreams["p"].refusesConnections = true;
+    const auto reply = this->write();
+    CHECK(reply.code == ReplyCode::Aborted || reply.code == ReplyCode::Busy);
+    CHECK(this->links.upstreams["p"].sent.empty());
+}
+
+TEST(EngineSession, ADroppedRouteEndsWithTheNextTransaction)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    auto next = configuration();
+    next.version = 2;
+    next.routes.erase("strict");
+    this->known.apply(next);
+    CHECK(this->read().succeeded());
+    CHECK(this->ask(RequestKind::Commit, "COMMIT").succeeded());
+    CHECK(this->read().code == ReplyCode::UnknownDatabase);
+}
+
+TEST(EngineSession, ACallerThatLeavesRollsBack)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    this->session.reset();
+    this->runFor(5ms);
+    CHECK_TRUE(this->wasSent("p", "- ROLLBACK"));
+}
--- /dev/null
+++ b/test/fleet/test_line_reader.cpp
@@ -0,0 +1,45 @@
+#include "platform/line_reader.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+using amaranthhall::fleet::LineReader;
+
+TEST_GROUP(LineReader)
+{
+    LineReader reader;
+};
+
+TEST(LineReader, LinesComeWholeHoweverTheyAreCut)
+{
+    const std::string bytes = "STARTUP a b\r\nQUERY 1 READ x\r\n\r\nTERMINATE\r\n";
+    const std::vector<std::string> expected { "STARTUP a b", "QUERY 1 READ x", "", "TERMINATE" };
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+        LineReader cut;
+        std::vector<std::string> lines;
+        for (std::size_t i = 0; i < bytes.size(); i += piece) {
+            cut.append(bytes.substr(i, piece));
+            while (const auto line = cut.next())
+                lines.emplace_back(*line);
+        }
+        CHECK(lines == expected);
+        CHECK_TRUE(cut.isEmpty());
+    }
+}
+
+TEST(LineReader, ALineOverTheLimitIsTold)
+{
+    this->reader.append(std::string(LineReader::maximumLine, 'x'));
+    CHECK_FALSE(this->reader.next().has_value());
+    CHECK_FALSE(this->reader.isOverlong());
+    this->reader.append("x");
+    CHECK_TRUE(this->reader.isOverlong());
+}
+
+TEST(LineReader, ALoneLineFeedEndsNothing)
+{
+    this->reader.append("a\nb\rc\r\n");
+    CHECK(this->reader.next() == "a\nb\rc");
+}
--- /dev/null
+++ b/test/gateway/test_gateway_settings.cpp
@@ -0,0 +1,56 @@
+#include "amaranthhall/gateway/gateway_settings.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <string>
+
+using namespace amaranthhall;
+
+namespace {
+
+constexpr std::string_view whole = R"(vm:
+  id: "front-1"
+  zone: "a"
+listen:
+  callers: "10.1.0.8:1"
+  ready: "10.1.0.8:2"
+  peers: "10.1.0.8:3"
+  relay: "10.1.0.8:4"
+  metrics: "10.1.0.8:5"
+seeds: ["10.1.0.8:3","10.2.0.6:3"]
+platform:
+  store: "10.200.1.7:8783"
+  orders: "10.200.0.160:8783"
+drain:
+  daemon: "6s"
+  upstream: "7000ms"
+)";
+
+std::string problemOf(std::string_view from, std::string_view to)
+{
+    std::string text(whole);
+    text.replace(text.find(from), from.size(), to);
+    const auto read = gateway::parseGatewaySettings(text);
+    return read ? "" : kernel::formatError("f", read.error());
+}
+
+}
+
+TEST_GROUP(GatewaySettings) {};
+
+TEST(GatewaySettings, AWholeFileIsRead)
+{
+    const auto read = gateway::parseGatewaySettings(whole);
+    CHECK_TRUE(read.has_value());
+    CHECK_EQUAL(std::string("front-1"), read->vm);
+    LONGS_EQUAL(2, read->seeds.size());
+    LONGS_EQUAL(6000, read->drainLimit.count());
+    LONGS_EQUAL(7000, read->upstreamDrainLimit.count());
+}
+
+TEST(GatewaySettings, AProblemNamesFileLineAndKey)
+{
+    STRCMP_EQUAL("f:2: vm.idd: unknown key; did you mean 'id'?", problemOf("id:", "idd:").c_str());
+    STRCMP_CONTAINS("f:5: listen.callers: an address", problemOf("10.1.0.8:1\"", "nowhere\"").c_str());
+    STRCMP_CONTAINS("drain.daemon: a duration with its unit", problemOf("6s", "6").c_str());
+    STRCMP_CONTAINS("vm.zone: is required", problemOf("\"a\"", "\"\"").c_str());
+}
--- /dev/null
+++ b/test/gossip/test_digest.cpp
@@ -0,0 +1,41 @@
+#include "amaranthhall/gossip/digest.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace amaranthhall;
+
+TEST_GROUP(Digest) {};
+
+TEST(Digest, WhatIsToldArrives)
+{
+    gossip::Digest sent { .vm = "front-1", .address = { .host = "10.0.0.1", .port = 8782 }, .wantsPeers = true, .versions = { .configuration = 3, .upstreams = 40, .fleet = 41 } };
+    sent.leaders.push_back({ .service = "s", .upstream = "i-1", .point = { .term = 2, .position = 99 }, .at = 123'456 });
+    sent.suspicions.push_back({ .service = "s", .upstream = "i-2", .isRefusing = true });
+    sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = 77, .at = 5 });
+    sent.ages.push_back({ .vm = "front-2", .age = std::chrono::milliseconds(1200) });
+    sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
+    const auto got = gossip::decodeDigest(gossip::encodeDigest(sent));
+    CHECK_TRUE(got.has_value());
+    CHECK_EQUAL(sent.vm, got->vm);
+    CHECK(got->address == sent.address);
+    CHECK_TRUE(got->wantsPeers);
+    LONGS_EQUAL(40, got->versions.upstreams);
+    CHECK(got->leaders.at(0).point == sent.leaders[0].point);
+    LONGS_EQUAL(123'456, got->leaders[0].at);
+    CHECK_TRUE(got->suspicions.at(0).isRefusing);
+    LONGS_EQUAL(77, got->orders.at(0).fence);
+    LONGS_EQUAL(1200, got->ages.at(0).age.count());
+    CHECK(got->peers.at(0) == sent.peers[0]);
+}
+
+TEST(Digest, AnyBytesAreRefusedOrRead)
+{
+    const bool holds = rc::check("any datagram is read or refused", [](const std::string& bytes) {
+        static_cast<void>(gossip::decodeDigest(bytes));
+    });
+    CHECK_TRUE(holds);
+    const auto whole = gossip::encodeDigest({ .vm = "a", .address = { .host = "10.0.0.1", .port = 1 } });
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        CHECK_FALSE(gossip::decodeDigest(std::string_view(whole).substr(0, length)).has_value());
+}
--- /dev/null
+++ b/test/placement/test_placement.cpp
@@ -0,0 +1,144 @@
+#include "amaranthhall/placement/placement.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <array>
+#include <vector>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+using placement::Candidate;
+using Step = placement::Choice::Step;
+
+TEST_GROUP(Placement)
+{
+    Time now { 100s };
+    std::array<placement::UpstreamHealth, 3> health;
+    std::vector<Candidate> candidates {
+        { .id = "a", .health = &this->health[0], .slots = 2, .limit = 2, .idle = 1, .isLeader = true, .isNear = true },
+        { .id = "b", .health = &this->health[1], .slots = 2, .limit = 2, .idle = 1, .isNear = true },
+        { .id = "c", .health = &this->health[2], .slots = 2, .limit = 2, .idle = 1 },
+    };
+
+    placement::Choice any() { return placement::chooseAny(this->candidates, this->now); }
+};
+
+TEST(Placement, ReadsGoToTheNearReplica)
+{
+    CHECK(this->any().step == Step::Serve);
+    LONGS_EQUAL(1, this->any().candidate);
+}
+
+TEST(Placement, ASlowReplicaIsLeftForAFarOneAndBothForTheLeader)
+{
+    this->health[1].latency = 50ms;
+    LONGS_EQUAL(2, this->any().candidate);
+    this->health[2].latency = 50ms;
+    LONGS_EQUAL(0, this->any().candidate);
+}
+
+TEST(Placement, AReplicaThatIsBehindIsUsedLast)
+{
+    this->candidates[1].isBehind = true;
+    this->candidates[2].isBehind = true;
+    LONGS_EQUAL(0, this->any().candidate);
+    this->candidates[0].limit = 0;
+    LONGS_EQUAL(1, this->any().candidate);
+}
+
+TEST(Placement, FailedLeavingAndTriedOnesAreLeftOut)
+{
+    this->health[1].avoidUntil = this->now + 10ms;
+    this->candidates[2].isLeaving = true;
+    this->candidates[0].isTried = true;
+    CHECK(this->any().step == Step::Refuse);
+}
+
+TEST(Placement, WithoutAnIdleLinkOneIsOpenedOrWaitedFor)
+{
+    for (auto& candidate : this->candidates)
+        candidate.idle = 0;
+    CHECK(this->any().step == Step::Wait);
+    this->candidates[2].canOpen = true;
+    CHECK(this->any().step == Step::Open);
+    LONGS_EQUAL(2, this->any().candidate);
+}
+
+TEST(Placement, TheLeaderAloneServesWrites)
+{
+    auto choice = placement::chooseLeader(this->candidates, this->now);
+    CHECK(choice.step == Step::Serve);
+    LONGS_EQUAL(0, choice.candidate);
+    this->health[0].avoidUntil = this->now + 10ms;
+    CHECK(placement::chooseLeader(this->candidates, this->now).step == Step::Refuse);
+}
+
+TEST(Placement, APacedUpstreamIsWaitedFor)
+{
+    this->health[0].paceUntil = this->now + 10ms;
+    CHECK(placement::chooseLeader(this->candidates, this->now).step == Step::Wait);
+}
+
+TEST_GROUP(UpstreamHealth)
+{
+    Time now { 100s };
+    placement::UpstreamHealth health;
+};
+
+TEST(UpstreamHealth, RefusalsForCapacityShrinkWhatIsSentAndAnswersGrowItAgain)
+{
+    LONGS_EQUAL(4, placement::statementLimit(this->health, 4));
+    placement::noteBusy(this->health, this->now);
+    LONGS_EQUAL(2, placement::statementLimit(this->health, 4));
+    for (int i = 0; i < 10; ++i)
+        placement::noteBusy(this->health, this->now);
+    LONGS_EQUAL(1, placement::statementLimit(this->health, 4));
+    for (int i = 0; i < 60; ++i)
+        placement::noteAnswer(this->health, 5ms, this->now);
+    LONGS_EQUAL(4, placement::statementLimit(this->health, 4));
+}
+
+TEST(UpstreamHealth, FailuresPauseLongerEachTimeUntilItIsHeard)
+{
+    placement::noteFailure(this->health, true, this->now);
+    const auto first = this->health.avoidUntil - this->now;
+    placement::noteFailure(this->health, true, this->now + 1s);
+    CHECK(this->health.avoidUntil - (this->now + 1s) > first);
+    CHECK(this->health.failingSince == this->now);
+    placement::noteHeard(this->health, this->now + 2s);
+    CHECK_FALSE(this->health.failingSince.has_value());
+}
+
+/// Plays 14 daemons on one upstream with two slots of 14 ms a statement: its queue must stay near what they may fill.
+TEST(UpstreamHealth, DaemonsTogetherKeepTheQueueOfACongestedUpstreamShort)
+{
+    constexpr std::size_t daemons = 14;
+    constexpr std::uint32_t slots = 2;
+    constexpr Duration work = 14ms;
+    struct Sender {
+        placement::UpstreamHealth health;
+        Duration readyAt { 0 };
+    };
+    std::array<Sender, daemons> senders;
+    std::array<Duration, slots> slotFreeAt {};
+    Duration worst { 0 };
+    int served = 0;
+    for (Duration clock { 0 }; clock < 10s; clock += 1ms) {
+        for (auto& sender : senders) {
+            if (clock < sender.readyAt)
+                continue;
+            auto& slot = *std::min_element(slotFreeAt.begin(), slotFreeAt.end());
+            const auto end = std::max(slot, clock) + work;
+            slot = end;
+            const auto taken = end - clock;
+            placement::noteAnswer(sender.health, taken, Time(end));
+            sender.readyAt = end + placement::paceAfter(sender.health, daemons, slots);
+            ++served;
+            if (clock > 2s)
+                worst = std::max(worst, taken);
+        }
+    }
+    // All would fill the queue to 14 statements, 98 ms; half of the target of 200 ms is to be left for the way and the wait.
+    CHECK(worst < 100ms);
+    // The slots stay filled: 10 s of two slots hold 1,428 statements.
+    CHECK(served > 1250);
+}
--- /dev/null
+++ b/test/relay/test_frame.cpp
@@ -0,0 +1,69 @@
+#include "amaranthhall/relay/frame.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace amaranthhall;
+
+TEST_GROUP(RelayFrame)
+{
+    relay::FrameReader reader;
+};
+
+TEST(RelayFrame, AStatementArrivesWithAllThatItNeeds)
+{
+    relay::StatementFrame sent { .stream = 9 };
+    sent.request.request = { .id = "5c0e", .kind = engine::RequestKind::Execute, .text = "EXECUTE s 1", .name = "s", .value = "1", .writes = true };
+    sent.request.route = { .database = "d", .service = "svc", .consistency = catalog::Consistency::ReadYourWrites, .priority = 2 };
+    sent.request.settings = { { "a", "b" } };
+    sent.request.prepared = engine::PreparedStatement { .writes = true, .shape = "q" };
+    sent.request.lastCommit = group::LogPoint { .term = 2, .position = 5 };
+    sent.request.timeLeft = std::chrono::milliseconds(700);
+    std::string bytes;
+    relay::appendFrame(bytes, sent);
+    // Byte by byte, as a slow connection brings it.
+    for (std::size_t i = 0; i + 1 < bytes.size(); ++i) {
+        this->reader.append(bytes.substr(i, 1));
+        CHECK_FALSE(this->reader.next().has_value());
+    }
+    this->reader.append(bytes.substr(bytes.size() - 1));
+    const auto frame = this->reader.next();
+    const auto* got = std::get_if<relay::StatementFrame>(&*frame);
+    CHECK(got != nullptr);
+    LONGS_EQUAL(9, got->stream);
+    CHECK_EQUAL(sent.request.request.text, got->request.request.text);
+    CHECK(got->request.route.consistency == catalog::Consistency::ReadYourWrites);
+    CHECK(got->request.settings == sent.request.settings);
+    CHECK_EQUAL(std::string("q"), got->request.prepared->shape);
+    CHECK(got->request.lastCommit == sent.request.lastCommit);
+    LONGS_EQUAL(700, got->request.timeLeft.count());
+}
+
+TEST(RelayFrame, AnAnswerKeepsRowsOfAnyBytes)
+{
+    relay::AnswerFrame sent { .stream = 3 };
+    sent.reply.reply = { .rows = { "a", std::string("\xff\x00z", 3) }, .digest = "7.1", .state = engine::TransactionState::Open };
+    std::string bytes;
+    relay::appendFrame(bytes, sent);
+    relay::appendFrame(bytes, relay::EndFrame { .stream = 3 });
+    this->reader.append(bytes);
+    const auto first = this->reader.next();
+    const auto* got = std::get_if<relay::AnswerFrame>(&*first);
+    CHECK(got != nullptr);
+    CHECK(got->reply.reply.rows == sent.reply.reply.rows);
+    CHECK(got->reply.reply.state == engine::TransactionState::Open);
+    CHECK_TRUE(std::holds_alternative<relay::EndFrame>(*this->reader.next()));
+}
+
+TEST(RelayFrame, AnyBytesBreakNothing)
+{
+    const bool holds = rc::check("any bytes are frames, wait for more, or break the reader", [](const std::string& bytes) {
+        relay::FrameReader reader;
+        reader.append(bytes);
+        while (reader.next()) { }
+    });
+    CHECK_TRUE(holds);
+    this->reader.append("\xff\xff\xff\xff");
+    CHECK_FALSE(this->reader.next().has_value());
+    CHECK_TRUE(this->reader.isBroken());
+}
