--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -37,8 +37,8 @@
     [[nodiscard]] PooledLink& state() const noexcept { return *this->link; }
     [[nodiscard]] const std::string& upstream() const noexcept { return this->pool->entry().id; }
 
-    /// @brief Gives how long the upstream has been silent although it owes answers.
-    [[nodiscard]] Duration silence(Time now) const noexcept { return this->pool->silence(now); }
+    /// @brief Tells whether a statement sent at a moment hangs: the upstream is silent, or answers others much sooner.
+    [[nodiscard]] bool isStalled(Time sentAt, Time now) const noexcept { return this->pool->isStalled(sentAt, now); }
 
     /// @brief Sends a command.
     void send(const Command& command, Link::Done done) { this->pool->send(this->link, command, std::move(done)); }
@@ -49,7 +49,7 @@
     /// @brief Closes the link in place of giving it back.
     void discard();
 
-    /// @brief Closes the link, as its upstream has fallen silent.
+    /// @brief Closes the link, as its upstream does not answer.
     void discardStalled();
 
 private:
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -12,7 +12,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration retryPause = 5ms; // about half a statement's time
-    constexpr Duration stallLimit = 150ms; // silence on all links to an upstream that owes answers
+    constexpr Duration stallLimit = 150ms; // silence of one that owes answers
     constexpr std::chrono::milliseconds relayMargin { 10 }; // so that the other daemon's refusal comes before the deadline
     constexpr unsigned mostLagRetries = 8;
     constexpr freshness::Micros clockMargin = 5'000; // µs that a read's bound is tightened by
@@ -589,8 +589,8 @@
         if (!this->work || this->transaction || !isWaiting || this->writes(this->work->request))
             return;
         const auto now = this->context.loop.now();
-        const auto silence = this->current ? this->current.silence(now) : this->currentStream->silence(now);
-        if (silence < stallLimit) {
+        const bool isStalled = this->current ? this->current.isStalled(this->work->sentAt, now) : this->currentStream->silence(now) >= stallLimit;
+        if (!isStalled) {
             this->watchStall();
             return;
         }
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -13,6 +13,7 @@
 
     constexpr Duration openTimeout = 1000ms; // a connection takes up to 27 ms of a slot, and may queue for one
 
+    constexpr Duration silenceLimit = 150ms; // on all links, while an answer is owed
     constexpr Duration longestReturn = 3s; // after which an upstream drops an unreachable connection, too
 
     /// Ranks an idle link for settings: the same settings need no command, a subset needs SETs, others a reset.
@@ -89,7 +90,10 @@
 
 void UpstreamPool::noteStall()
 {
-    placement::noteFailure(this->state, false, this->loop.now());
+    const auto now = this->loop.now();
+    placement::noteFault(this->state);
+    if (this->silence(now) >= silenceLimit)
+        placement::noteFailure(this->state, false, now);
 }
 
 void UpstreamPool::discard(const std::shared_ptr<PooledLink>& link)
@@ -144,6 +148,8 @@
         placement::noteBusy(this->state, now);
     else if (isWork) {
         placement::noteAnswer(this->state, now - sentAt, now);
+        if (reply.code == ReplyCode::Failed || reply.code == ReplyCode::TimedOut)
+            placement::noteFault(this->state);
         this->pace();
     }
 }
@@ -203,8 +209,10 @@
 {
     const bool hadWork = link->running > 0 || link->isLent;
     this->discard(link);
-    if (hadWork)
+    if (hadWork) {
+        placement::noteFault(this->state);
         placement::noteFailure(this->state, true, this->loop.now());
+    }
     this->callbacks.available();
 }
 
@@ -252,6 +260,14 @@
     return static_cast<std::uint32_t>(std::count_if(this->links.begin(), this->links.end(), [](const auto& link) { return link->running > 0; }));
 }
 
+bool UpstreamPool::isStalled(Time sentAt, Time now) const noexcept
+{
+    constexpr int usualTimes = 8; // work varies by a factor of five at most
+    constexpr Duration leastAge = 200ms;
+    const auto age = now - sentAt;
+    return this->silence(now) >= silenceLimit || age >= std::max(leastAge, this->state.latency * usualTimes);
+}
+
 Duration UpstreamPool::silence(Time now) const noexcept
 {
     Duration longest { 0 };
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -55,7 +55,7 @@
     /// @brief Takes a link back; one that is in a transaction is rolled back before it is lent again.
     void giveBack(const std::shared_ptr<PooledLink>& link);
 
-    /// @brief Takes in that the upstream has fallen silent.
+    /// @brief Takes in that the upstream has not answered a statement: it has fallen silent, or just this one hangs.
     void noteStall();
 
     /// @brief Closes a link.
@@ -85,6 +85,9 @@
     /// @brief Gives the position of its log in its last answer.
     [[nodiscard]] const std::optional<group::LogPoint>& logPoint() const noexcept { return this->lastPoint; }
 
+    /// @brief Tells whether a statement sent at a moment hangs.
+    [[nodiscard]] bool isStalled(Time sentAt, Time now) const noexcept;
+
     /// @brief Gives how long the upstream has been silent although it owes an answer.
     [[nodiscard]] Duration silence(Time now) const noexcept;
 
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 
     constexpr Duration tickInterval = 500ms;
     constexpr Duration fetchInterval = 250ms;
+    constexpr Duration fleetPatience = 2s; // after which a daemon that finds no others serves alone
     constexpr Duration drainStep = 100ms;
     constexpr Duration leaveRotation = 2200ms; // the platform stops sending callers after two missed checks, one a second
     constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
@@ -40,11 +41,11 @@
     : loop(usedLoop)
     , settings(usedSettings)
     , ports(usedPorts)
-    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone, .sharers = [this](auto service) { return this->homes.sharers(service); } })
+    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone, .sharers = [this](auto service) { return this->knowsFleet() ? this->homes.sharers(service) : 0; } })
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
     , upstreamWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.upstreamTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onUpstreamRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
     , configurationWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.configurationTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onConfigurationRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
-    , fleetWatch(usedLoop, usedPorts.store, { .table = std::string(fleetTable), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onFleetRow(row); }, .settled = [] {}, .reached = [](bool) {} })
+    , fleetWatch(usedLoop, usedPorts.store, { .table = std::string(fleetTable), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onFleetRow(row); }, .settled = [this] { this->onFleetSettled(); }, .reached = [](bool) {} })
     , gossip(usedLoop, { .vm = usedSettings.vm, .listen = usedSettings.peers, .seeds = usedSettings.seeds, .seed = drawNumber() }, { .fill = [this](auto& digest) { this->fillDigest(digest); }, .received = [this](const auto& digest) { this->takeDigest(digest); }, .partners = [this] { return this->partners(); } })
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .relayPort = usedSettings.relay.port })
     , relays(usedLoop, usedSettings.relay, this->context)
@@ -60,6 +61,7 @@
 void Gateway::start()
 {
     this->context.relays = &this->homes;
+    this->startedAt = this->loop.now();
     logEvent(LogLevel::Info, "daemon.started", { { "vm", this->settings.vm }, { "zone", this->settings.zone } });
     this->configurationWatch.start();
     this->upstreamWatch.start();
@@ -69,7 +71,14 @@
 
 bool Gateway::isReady() const noexcept
 {
-    return !this->isDraining && this->catalog.configuration() && !this->catalog.upstreams().empty();
+    return !this->isDraining && this->catalog.configuration() && !this->catalog.upstreams().empty() && this->knowsFleet();
+}
+
+/// Tells whether the other daemons are known, from the store or a peer; before, links would be opened beyond the share.
+bool Gateway::knowsFleet() const noexcept
+{
+    const bool isPatient = this->loop.now() - this->startedAt < fleetPatience;
+    return this->fleetWatch.isListed() || !this->fleetWatch.rows().empty() || !isPatient;
 }
 
 store::TableWatch* Gateway::watchOf(const std::string& table) noexcept
@@ -128,6 +137,12 @@
         logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", row.version } });
 }
 
+void Gateway::onFleetSettled()
+{
+    this->homes.refresh();
+    this->dispatcher.onCatalogChanged();
+}
+
 void Gateway::registerDaemon()
 {
     store::Row row { .key = { .table = std::string(fleetTable), .key = std::string(daemonPrefix) + this->settings.vm }, .value = kernel::formatAddress(this->settings.peers) };
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -46,6 +46,8 @@
     void onUpstreamRow(const store::Row& row);
     void onConfigurationRow(const store::Row& row);
     void onFleetRow(const store::Row& row);
+    void onFleetSettled();
+    [[nodiscard]] bool knowsFleet() const noexcept;
     void fillDigest(gossip::Digest& digest);
     void takeDigest(const gossip::Digest& digest);
     void catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
@@ -76,6 +78,7 @@
     kernel::Registration registration;
     kernel::Registration drainTimer;
     unsigned registrationFailures { 0 };
+    Time startedAt;
     Time drainingSince;
     bool isDraining { false };
     std::function<void()> drained;
--- a/src/amaranthhall/kernel/settings_reader.cpp
+++ b/src/amaranthhall/kernel/settings_reader.cpp
@@ -12,12 +12,24 @@
 {
     std::string text(file);
     if (error.line > 0)
-        text += ":" + std::to_string(error.line);
-    return text + ": " + error.key + ": " + error.problem;
+        text.append(":").append(std::to_string(error.line));
+    text.append(": ").append(error.key).append(": ").append(error.problem);
+    return text;
 }
 
 namespace settings_reader {
 
+    namespace {
+
+        std::string suggestion(std::string_view problem, std::string_view nearest)
+        {
+            std::string text(problem);
+            text.append("; did you mean '").append(nearest).append("'?");
+            return text;
+        }
+
+    }
+
     void fail(const YAML::Node& node, std::string_view key, std::string problem)
     {
         throw Failure { { node.Mark().line + 1, std::string(key), std::move(problem) } };
@@ -29,7 +41,10 @@
             fail(node, path, "a map is expected");
         for (const auto& entry : node) {
             const auto name = entry.first.as<std::string>();
-            const auto full = path.empty() ? name : path + "." + name;
+            auto full = path;
+            if (!full.empty())
+                full.append(".");
+            full.append(name);
             bool known = false;
             std::vector<std::string_view> names;
             for (const auto& key : keys) {
@@ -40,7 +55,7 @@
                 known = true;
             }
             if (!known)
-                fail(entry.first, full, "unknown key; did you mean '" + std::string(nearestName(name, names)) + "'?");
+                fail(entry.first, full, suggestion("unknown key", nearestName(name, names)));
         }
     }
 
@@ -82,7 +97,7 @@
             if (choice == text)
                 return text;
         }
-        fail(node, path, "unknown value; did you mean '" + std::string(nearestName(text, choices)) + "'?");
+        fail(node, path, suggestion("unknown value", nearestName(text, choices)));
     }
 
     Key textKey(std::string_view name, std::string& target)
--- a/src/amaranthhall/placement/placement.cpp
+++ b/src/amaranthhall/placement/placement.cpp
@@ -11,6 +11,7 @@
     constexpr Duration farPenalty = 1ms; // way between two zones, there and back
     constexpr Duration lagPenalty = 100ms; // a refusal for lag is certain enough to use a slower upstream first
     constexpr Duration busyPenalty = 30ms;
+    constexpr Duration faultPenalty = 40ms; // for each fault that is remembered: a second attempt, and what it waited
 
     bool isUsable(const Candidate& candidate, Time now)
     {
@@ -29,6 +30,7 @@
             expected += openingTime;
         if (candidate.isBehind)
             expected += lagPenalty;
+        expected += std::chrono::duration_cast<Duration>(faultPenalty * candidate.health->faults);
         if (candidate.health->busyUntil > now)
             expected += busyPenalty;
         return expected;
--- a/src/amaranthhall/placement/upstream_health.hpp
+++ b/src/amaranthhall/placement/upstream_health.hpp
@@ -19,6 +19,7 @@
     Time avoidUntil; ///< After a failure, until the next trial.
     Time busyUntil; ///< It refused for want of capacity.
     Time openAfter; ///< It refused a connection for want of room, until the next trial.
+    double faults { 0 }; ///< Statements that hung, failed or were lost lately; each counts less with every success after it.
     Time paceUntil; ///< No further statement is sent before, as all daemons together fill its queue.
     double window { fullWindow }; ///< Part of its slots that this daemon may fill, over 1 for a queue there.
 
@@ -38,12 +39,21 @@
 inline void noteAnswer(UpstreamHealth& health, Duration taken, Time now) noexcept
 {
     constexpr int weight = 8; // of the past against one sample
+    constexpr double faultDecay = 0.95;
     constexpr double windowStep = 0.02; // 25 answers open a halved window again
     health.latency = (health.latency * (weight - 1) + taken) / weight;
+    health.faults *= faultDecay;
     health.window = std::min(UpstreamHealth::fullWindow, health.window + windowStep);
     noteHeard(health, now);
 }
 
+/// @brief Takes in that a statement hung, failed or was lost, although the upstream answers others.
+inline void noteFault(UpstreamHealth& health) noexcept
+{
+    constexpr double most = 10; // forgotten after about 40 successes
+    health.faults = std::min(most, health.faults + 1);
+}
+
 /**
  * @brief Gives how long to wait after an answer before the next statement goes to an upstream.
  *
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -12,7 +12,7 @@
 /**
  * @brief Chooses the daemons that hold the connections to the upstreams of a service.
  *
- * Where an upstream allows one connection for each daemon, all hold some. Else a few do, drawn by rendezvous hashing so that
+ * In a small fleet all hold some, where an upstream allows one for each daemon. Else a few do, drawn by rendezvous hashing so that
  * all daemons choose alike, and the others relay to them.
  *
  * @param daemons All live daemons.
