--- a/src/amaranthhall/engine/request_log.cpp
+++ b/src/amaranthhall/engine/request_log.cpp
@@ -7,6 +7,16 @@
 
 namespace amaranthhall::engine {
 
+RequestLog::RequestLog(telemetry::Metrics& metrics)
+    : taken(metrics.seconds("amaranthhall_request_seconds", "From a request's arrival to its answer"))
+    , waited(metrics.seconds("amaranthhall_request_wait_seconds", "From a request's arrival to the sending of its last attempt"))
+    , retries(metrics.counter("amaranthhall_retries_total", "Further attempts of requests"))
+    , linesLeftOut(metrics.counter("amaranthhall_log_lines_left_out_total", "Lines of requests that were not written, as there were too many"))
+{
+    for (std::size_t i = 0; i < codes; ++i)
+        this->answered[i] = &metrics.counter("amaranthhall_requests_total", "Requests by the code of their answer", { { "code", nameOf(static_cast<ReplyCode>(i)) } });
+}
+
 bool RequestLog::admit(Time now)
 {
     const auto passed = std::chrono::duration<double>(now - this->refilledAt).count();
@@ -14,6 +24,7 @@
     this->refilledAt = now;
     if (this->tokens < 1) {
         ++this->leftOut;
+        this->linesLeftOut.Increment();
         return false;
     }
     this->tokens -= 1;
@@ -22,6 +33,10 @@
 
 void RequestLog::write(const RequestRecord& record, Time now)
 {
+    this->answered[static_cast<std::size_t>(record.code)]->Increment();
+    this->taken.Observe(std::chrono::duration<double>(record.taken).count());
+    this->waited.Observe(std::chrono::duration<double>(record.waited).count());
+    this->retries.Increment(record.retries);
     if (!this->admit(now))
         return;
     using telemetry::LogLevel;
--- a/src/amaranthhall/engine/request_log.hpp
+++ b/src/amaranthhall/engine/request_log.hpp
@@ -2,7 +2,9 @@
 
 #include "amaranthhall/engine/reply_code.hpp"
 #include "amaranthhall/kernel/time.hpp"
+#include "amaranthhall/telemetry/metrics.hpp"
 
+#include <array>
 #include <cstdint>
 #include <string_view>
 
@@ -22,18 +24,27 @@
     std::uint64_t configurationVersion { 0 };
 };
 
-/// @brief Writes a line for each request, up to a rate, and counts what it leaves out.
+/// @brief Counts each request, and writes a line for it, up to a rate; what it leaves out is counted.
 class RequestLog {
 public:
     static constexpr double linesPerSecond = 100; // keeps the log under about 30 kB/s
     static constexpr double burst = 300;
 
-    /// @brief Writes a line, unless too many were written lately.
+    explicit RequestLog(telemetry::Metrics& metrics);
+
+    /// @brief Counts a request and writes its line, unless too many were written lately.
     void write(const RequestRecord& record, Time now);
 
 private:
     [[nodiscard]] bool admit(Time now);
 
+    static constexpr std::size_t codes = 16; ///< Values of ReplyCode.
+
+    std::array<prometheus::Counter*, codes> answered;
+    prometheus::Histogram& taken;
+    prometheus::Histogram& waited;
+    prometheus::Counter& retries;
+    prometheus::Counter& linesLeftOut;
     double tokens { burst };
     Time refilledAt;
     std::uint64_t leftOut { 0 };
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -54,12 +54,21 @@
         return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
     })
     , succession({ .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .store = usedPorts.store, .fleet = this->fleetWatch, .peers = this->gossip.peers(), .promoter = usedPorts.promoter, .group = [this](const auto& service) { return this->homes.homes(service); } }, { .vm = usedSettings.vm, .zone = usedSettings.zone, .incarnation = drawNumber(), .table = std::string(fleetTable) }, [this] { this->gossip.tellUrgently(); })
+    , metricsServer(usedLoop, { .listen = usedSettings.metrics })
+    , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
+    , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
+    , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
+    , relayedStreams(this->metrics.gauge("amaranthhall_relayed_streams", "Statements and transactions that run here for other daemons"))
     , ticker(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
 }
 
 void Gateway::start()
 {
+    this->metricsServer.route("/metrics", [this](const http::Request&, const http::Reply& reply) {
+        this->updateGauges();
+        reply({ .headers = { { "Content-Type", "text/plain; version=0.0.4" } }, .body = this->metrics.text() });
+    });
     this->context.relays = &this->homes;
     this->startedAt = this->loop.now();
     logEvent(LogLevel::Info, "daemon.started", { { "vm", this->settings.vm }, { "zone", this->settings.zone } });
@@ -233,6 +242,15 @@
     });
 }
 
+void Gateway::updateGauges()
+{
+    const auto configuration = this->catalog.configuration();
+    this->livePeers.Set(static_cast<double>(this->gossip.peers().live(this->loop.now()).size()));
+    this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
+    this->configurationVersion.Set(configuration ? static_cast<double>(configuration->version) : 0);
+    this->relayedStreams.Set(static_cast<double>(this->relays.streams()));
+}
+
 void Gateway::tick()
 {
     const auto gone = this->catalog.expire(this->loop.now(), this->upstreamWatch.reachableSince());
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include "amaranthhall/relay/relay_server.hpp"
 #include "amaranthhall/store/table_watch.hpp"
 #include "amaranthhall/succession/succession_service.hpp"
+#include "amaranthhall/telemetry/metrics.hpp"
 
 #include <functional>
 
@@ -53,6 +54,7 @@
     void catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
     void registerDaemon();
     void unregisterDaemon();
+    void updateGauges();
     [[nodiscard]] std::vector<std::string> partners();
     void tick();
     void stepDrain(engine::CallerServer& callers);
@@ -63,7 +65,8 @@
     Ports ports;
     catalog::Catalog catalog;
     engine::Dispatcher dispatcher;
-    engine::RequestLog requestLog;
+    telemetry::Metrics metrics;
+    engine::RequestLog requestLog { this->metrics };
     engine::SessionContext context;
     store::TableWatch upstreamWatch;
     store::TableWatch configurationWatch;
@@ -74,6 +77,11 @@
     gossip::RowExchange exchange;
     succession::SuccessionService succession;
     std::map<std::string, Time> fetchedAt; ///< Last call to a peer, by table.
+    http::Server metricsServer;
+    prometheus::Gauge& livePeers;
+    prometheus::Gauge& knownUpstreams;
+    prometheus::Gauge& configurationVersion;
+    prometheus::Gauge& relayedStreams;
     kernel::Registration ticker;
     kernel::Registration registration;
     kernel::Registration drainTimer;
--- a/src/amaranthhall/relay/relay_client.cpp
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -171,9 +171,8 @@
 
     class ClientStream final : public engine::RelayStream {
     public:
-        ClientStream(kernel::Loop& usedLoop, std::shared_ptr<RelayConnection> usedConnection)
-            : loop(usedLoop)
-            , connection(std::move(usedConnection))
+        explicit ClientStream(std::shared_ptr<RelayConnection> usedConnection)
+            : connection(std::move(usedConnection))
             , number(this->connection->begin())
         {
         }
@@ -195,7 +194,6 @@
         void noteStall() override { this->connection->noteStall(); }
 
     private:
-        kernel::Loop& loop;
         std::shared_ptr<RelayConnection> connection;
         std::uint64_t number;
         bool isUsed { false };
@@ -215,7 +213,7 @@
     auto& connection = this->connections[vm];
     if (!connection || connection->address != address)
         connection = std::make_shared<RelayConnection>(this->loop, vm, address);
-    return std::make_unique<ClientStream>(this->loop, connection);
+    return std::make_unique<ClientStream>(connection);
 }
 
 std::size_t RelayClient::outstanding(const std::string& vm) const noexcept
--- a/src/amaranthhall/succession/judgement.cpp
+++ b/src/amaranthhall/succession/judgement.cpp
@@ -1,5 +1,7 @@
 #include "amaranthhall/succession/judgement.hpp"
 
+#include "amaranthhall/succession/promoter.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -23,6 +25,12 @@
     return names[static_cast<std::size_t>(cause)];
 }
 
+std::string_view nameOf(OrderOutcome outcome) noexcept
+{
+    constexpr std::array<std::string_view, 4> names { "accepted", "refused", "not_done", "unknown" };
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 std::optional<Suspicion> suspect(const Observation& observation, Time now) noexcept
 {
     if (observation.failingSince && observation.isRefusing)
--- a/src/amaranthhall/succession/promoter.hpp
+++ b/src/amaranthhall/succession/promoter.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace amaranthhall::succession {
 
@@ -24,6 +25,9 @@
     Unknown, ///< No answer; it may be carried out later.
 };
 
+/// @brief Gives the name of an outcome for logs.
+[[nodiscard]] std::string_view nameOf(OrderOutcome outcome) noexcept;
+
 /// @brief The platform's endpoint for promotions.
 class Promoter {
 public:
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -171,7 +171,7 @@
         taken.stage = Stage::Watching;
         if (!result) {
             logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", store::nameOf(result.error()) } });
-            this->pause(taken, retryPause);
+            taken.pauseUntil = this->parts.loop.now() + retryPause;
             return;
         }
         taken.needsFence = false;
@@ -190,14 +190,19 @@
     duty.stage = Stage::Asking;
     duty.heirs.clear();
     duty.questions.clear();
-    for (const auto& [id, known] : this->parts.catalog.upstreams()) {
+    for (const auto& [name, known] : this->parts.catalog.upstreams()) {
+        const auto& id = known.entry.id;
         const auto refused = duty.refusedHeirs.find(id);
         const bool wasRefused = refused != duty.refusedHeirs.end() && now - refused->second < refusalMemory;
         if (known.entry.service != service || id == duty.suspect || known.entry.draining || known.missingSince || wasRefused)
             continue;
-        duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, id, zone = known.entry.zone](std::optional<engine::UpstreamStatus> status) {
-            if (status)
-                this->duties[service].heirs.push_back({ .upstream = id, .point = status->received, .isNear = zone == this->options.zone });
+        const Heir heir { .upstream = id, .isNear = known.entry.zone == this->options.zone };
+        duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, heir](std::optional<engine::UpstreamStatus> status) {
+            if (!status)
+                return;
+            auto& heirs = this->duties[service].heirs;
+            heirs.push_back(heir);
+            heirs.back().point = status->received;
         }));
     }
     duty.timer = this->parts.loop.after(answerTime, [this, service, fence] {
@@ -206,22 +211,27 @@
     });
 }
 
+/// Takes replicas that did not answer in time by what they last told.
+void SuccessionService::addFallbackHeirs(const std::string& service, Duty& duty) const
+{
+    for (const auto& [name, known] : this->parts.catalog.upstreams()) {
+        const auto pool = this->parts.dispatcher.pool(name);
+        const bool mayLead = known.entry.service == service && name != duty.suspect && !known.entry.draining;
+        if (mayLead && pool && pool->logPoint() && !pool->health().failingSince)
+            duty.heirs.push_back({ .upstream = name, .point = *pool->logPoint() });
+    }
+}
+
 void SuccessionService::order(const std::string& service, store::Version fence)
 {
     auto& duty = this->duties[service];
-    // A replica that did not answer in time may still be the best one, by what it last told.
-    for (const auto& [id, known] : this->parts.catalog.upstreams()) {
-        const bool hasAnswered = std::any_of(duty.heirs.begin(), duty.heirs.end(), [&](const auto& heir) { return heir.upstream == id; });
-        const auto pool = this->parts.dispatcher.pool(id);
-        const bool isFallback = duty.heirs.empty() && known.entry.service == service && id != duty.suspect && !known.entry.draining && pool && pool->logPoint() && !pool->health().failingSince;
-        if (!hasAnswered && isFallback)
-            duty.heirs.push_back({ .upstream = id, .point = *pool->logPoint() });
-    }
+    if (duty.heirs.empty())
+        this->addFallbackHeirs(service, duty);
     const auto heir = chooseHeir(duty.heirs);
     if (!heir) {
         logEvent(LogLevel::Warning, "succession.no_heir", { { "service", service }, { "upstream", duty.suspect } });
         duty.stage = Stage::Watching;
-        this->pause(duty, retryPause);
+        duty.pauseUntil = this->parts.loop.now() + retryPause;
         return;
     }
     duty.stage = Stage::Ordering;
@@ -235,9 +245,7 @@
     auto& duty = this->duties[service];
     const auto now = this->parts.loop.now();
     duty.stage = Stage::Watching;
-    logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", sent.candidate }, { "fence", sent.fence }, { "outcome", outcome == OrderOutcome::Accepted ? "accepted" : outcome == OrderOutcome::Refused ? "refused"
-                                                                                                                                             : outcome == OrderOutcome::NotDone                                                     ? "not_done"
-                                                                                                                                                                                                                                    : "unknown" } });
+    logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", sent.candidate }, { "fence", sent.fence }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case OrderOutcome::Accepted:
         duty.order = KnownOrder { .candidate = sent.candidate, .fence = sent.fence, .at = now };
@@ -246,20 +254,15 @@
     case OrderOutcome::Refused:
         duty.refusedHeirs[sent.candidate] = now;
         duty.needsFence = true;
-        this->pause(duty, retryPause);
+        duty.pauseUntil = this->parts.loop.now() + retryPause;
         return;
     case OrderOutcome::NotDone:
     case OrderOutcome::Unknown:
-        this->pause(duty, retryPause);
+        duty.pauseUntil = this->parts.loop.now() + retryPause;
         return;
     }
 }
 
-void SuccessionService::pause(Duty& duty, Duration length)
-{
-    duty.pauseUntil = this->parts.loop.now() + length;
-}
-
 void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock) const
 {
     const auto now = this->parts.loop.now();
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -99,7 +99,7 @@
     void askHeirs(const std::string& service, store::Version fence);
     void order(const std::string& service, store::Version fence);
     void onOrdered(const std::string& service, const PromotionOrder& sent, OrderOutcome outcome);
-    void pause(Duty& duty, Duration length);
+    void addFallbackHeirs(const std::string& service, Duty& duty) const;
 
     Parts parts;
     Options options;
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -48,7 +48,8 @@
     catalog::Catalog known;
     engine::fakes::FakeLinkFactory links { this->loop };
     std::unique_ptr<engine::Dispatcher> dispatcher;
-    engine::RequestLog log;
+    telemetry::Metrics metrics;
+    engine::RequestLog log { this->metrics };
     std::unique_ptr<engine::SessionContext> context;
     RecordingChannel channel;
     std::unique_ptr<engine::Session> session;
--- a/test/leadership/test_leader_record.cpp
+++ b/test/leadership/test_leader_record.cpp
@@ -14,7 +14,7 @@
 
     void prove(const char* upstream, group::Term term, Duration after) { this->record.prove({ .upstream = upstream, .point = { .term = term, .position = 1 }, .at = this->start + after }); }
 
-    std::string leader(const std::vector<PrimaryClaim>& claims)
+    [[nodiscard]] std::string leader(const std::vector<PrimaryClaim>& claims) const
     {
         return std::string(this->record.leader(claims).value_or("none"));
     }
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -64,7 +64,7 @@
                                                                                .reached = [this](bool isReachable) { this->events.emplace_back(isReachable ? "reached" : "lost"); },
                                                                            } };
 
-    void run(Duration span)
+    void runFor(Duration span)
     {
         const auto timer = this->loop.after(span, [this] { this->loop.stop(); });
         this->loop.run();
@@ -101,7 +101,7 @@
 {
     this->list({ row("a", 1), row("b", 2) }, 5);
     this->storage.answer(tl::unexpected(StoreError::HistoryGone));
-    this->run(300ms);
+    this->runFor(300ms);
     LONGS_EQUAL(2, this->storage.reads);
     this->storage.answer(Rows { .rows = { row("b", 2) }, .version = 9 });
     CHECK(this->events == std::vector<std::string>({ "lost", "reached", "-a@9" }));
@@ -111,7 +111,7 @@
 {
     this->list({ row("a", 8) }, 9);
     this->storage.answer(tl::unexpected(StoreError::HistoryGone));
-    this->run(300ms);
+    this->runFor(300ms);
     this->storage.answer(Rows { .rows = { row("a", 2) }, .version = 3 });
     CHECK(this->events == std::vector<std::string>({ "lost", "reached" }));
 }
@@ -120,7 +120,7 @@
 {
     this->list({ row("a", 1) }, 5);
     this->storage.answer(tl::unexpected(StoreError::Unreachable));
-    this->run(300ms);
+    this->runFor(300ms);
     LONGS_EQUAL(1, this->storage.reads);
     LONGS_EQUAL(2, this->storage.follows);
     LONGS_EQUAL(5, this->storage.lastAfter);
@@ -141,7 +141,7 @@
     this->list({ row("a", 1) }, 5);
     this->watch.hint(6);
     LONGS_EQUAL(1, this->storage.follows);
-    this->run(350ms);
+    this->runFor(350ms);
     this->watch.hint(6);
     LONGS_EQUAL(2, this->storage.follows);
     this->watch.hint(5);
