--- /dev/null
+++ b/src/amaranthhall/soak/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::soak {
+
+class Oracle;
+class SoakCaller;
+class SoakRun;
+
+}
--- /dev/null
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -0,0 +1,357 @@
+#include "amaranthhall/soak/soak_run.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+#include <utility>
+
+namespace amaranthhall::soak {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using Json = nlohmann::json;
+    using fleet::standin::StoreFault;
+
+    constexpr std::size_t groupCount = 2;
+    constexpr Duration faultGap = 600ms;
+    constexpr Duration restartPause = 300ms;
+    constexpr Duration settleTime = 5s; // a change of primary, and a store's pauses
+    constexpr Duration calmTime = 2s;
+    constexpr Duration startTime = 2500ms;
+    constexpr Duration staleAllowance = 1500ms;
+    constexpr int portBase = 20'000;
+    constexpr int portSpan = 20'000;
+    constexpr int portsOfARun = 10;
+
+    /// Each daemon has an address of its own on the loopback network, so that all use the same ports.
+    std::string hostOf(std::size_t daemon)
+    {
+        return "127.0.1." + std::to_string(daemon + 1);
+    }
+
+    std::string endpoint(const std::string& host, int port)
+    {
+        return host + ":" + std::to_string(port);
+    }
+
+}
+
+SoakRun::SoakRun(SoakOptions usedOptions)
+    : options(std::move(usedOptions))
+    , random(this->options.seed)
+    , store(this->loop, [this](const auto& service, const auto& candidate) {
+        for (const auto& group : this->groups) {
+            if (group->idOf(0).starts_with(service + "-"))
+                return group->promote(candidate);
+        }
+        return false;
+    })
+    , proxy(this->loop, { .listen = { .host = "127.0.0.1" }, .seed = this->options.seed })
+    , links(this->loop)
+    , context { .loop = this->loop, .links = this->links, .databases = {}, .daemons = {}, .oracle = this->oracle, .commits = [this](const auto& service) { return this->commitsOf(service); } }
+{
+    std::filesystem::create_directories(this->options.folder);
+    this->makeGroups();
+    this->writeConfiguration();
+    this->makeDaemons();
+}
+
+SoakRun::~SoakRun() = default;
+
+void SoakRun::makeGroups()
+{
+    for (std::size_t g = 0; g < groupCount; ++g) {
+        const auto service = "svc" + std::to_string(g);
+        this->groups.push_back(std::make_unique<fleet::standin::LineGroup>(this->loop, fleet::standin::LineGroup::Options { .service = service }));
+        auto& group = *this->groups.back();
+        this->proxied.emplace_back();
+        for (std::size_t i = 0; i < group.size(); ++i) {
+            this->proxied[g].push_back(this->proxy.addRoute(group.idOf(i), { .host = "127.0.0.1", .port = group.portOf(i) }));
+            this->registerUpstream(g, i, false);
+        }
+        group.changed = [this, g](std::size_t index) { this->registerUpstream(g, index, false); };
+        this->context.databases.push_back({ .name = "strict" + std::to_string(g), .group = service });
+        this->context.databases.push_back({ .name = "stale" + std::to_string(g), .group = service, .allowance = staleAllowance });
+        this->context.databases.push_back({ .name = "own" + std::to_string(g), .group = service, .allowance = staleAllowance, .showsOwnWrites = true });
+    }
+}
+
+void SoakRun::registerUpstream(std::size_t g, std::size_t index, bool isDraining)
+{
+    const auto& group = *this->groups[g];
+    const auto id = group.idOf(index);
+    if (!group.isRunning(index)) {
+        this->store.remove("servers", id);
+        return;
+    }
+    const Json entry { { "service", "svc" + std::to_string(g) }, { "address", endpoint("127.0.0.1", this->proxied[g][index]) }, { "zone", "a" }, { "version", "v1" }, { "slots", 2 },
+        { "state", isDraining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "db_role", group.isPrimary(index) ? "primary" : "replica" }, { "seq", ++this->beats }, { "born", 1 } };
+    this->store.put("servers", id, entry.dump());
+}
+
+void SoakRun::writeConfiguration()
+{
+    auto routes = Json::array();
+    for (const auto& database : this->context.databases) {
+        const auto* kind = database.allowance == Duration::zero() ? "primary" : database.showsOwnWrites ? "read_your_writes"
+                                                                                                        : "bounded_staleness";
+        routes.push_back({ { "name", database.name }, { "host", database.name }, { "path_prefix", "/" }, { "route_type", kind }, { "timeout_ms", 800 }, { "target_latency_ms", 200 }, { "priority", 1 }, { "service", database.group }, { "max_attempts", 2 }, { "max_staleness_ms", 1500 } });
+    }
+    auto services = Json::array();
+    for (std::size_t g = 0; g < groupCount; ++g)
+        services.push_back({ { "name", "svc" + std::to_string(g) }, { "max_conns", 60 } });
+    const Json whole { { "version", ++this->configurationVersion }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 3000 } } } };
+    this->store.put("op", "config", whole.dump());
+}
+
+void SoakRun::makeDaemons()
+{
+    const auto base = portBase + (static_cast<int>(getpid()) * portsOfARun) % portSpan;
+    for (std::size_t i = 0; i < this->options.daemons; ++i) {
+        const auto host = hostOf(i);
+        const auto store = this->proxy.addRoute("store/" + std::to_string(i), { .host = "127.0.0.1", .port = this->store.port() });
+        Daemon daemon { .vm = "vm" + std::to_string(i), .settings = this->options.folder + "/vm" + std::to_string(i) + ".yaml", .log = this->options.folder + "/vm" + std::to_string(i), .callers = { .host = host, .port = static_cast<std::uint16_t>(base) } };
+        std::ofstream file(daemon.settings);
+        file << "vm:\n  id: \"" << daemon.vm << "\"\n  zone: \"a\"\nlisten:\n  callers: \"" << endpoint(host, base) << "\"\n  ready: \"" << endpoint(host, base + 1) << "\"\n  peers: \"" << endpoint(host, base + 2)
+             << "\"\n  relay: \"" << endpoint(host, base + 3) << "\"\n  metrics: \"" << endpoint(host, base + 4) << "\"\nseeds: [\"" << endpoint(hostOf(0), base + 2) << "\"]\nplatform:\n  store: \""
+             << endpoint("127.0.0.1", store) << "\"\n  orders: \"" << endpoint("127.0.0.1", this->store.port()) << "\"\ndrain:\n  daemon: \"6s\"\n  upstream: \"7s\"\n";
+        this->context.daemons.push_back(daemon.callers);
+        this->daemons.push_back(std::move(daemon));
+    }
+}
+
+void SoakRun::startDaemon(std::size_t index)
+{
+    auto& daemon = this->daemons[index];
+    daemon.isPaused = false;
+    daemon.process = std::make_unique<rig::Process>(this->options.program, std::vector<std::string> { "--settings", daemon.settings }, daemon.log + "." + std::to_string(++daemon.starts) + ".log");
+}
+
+/// Starts daemons again that have ended.
+void SoakRun::watchDaemons()
+{
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        auto& process = this->daemons[i].process;
+        if (!process || process->isRunning())
+            continue;
+        process.reset();
+        this->later(restartPause, [this, i] { this->startDaemon(i); });
+    }
+}
+
+void SoakRun::later(Duration delay, std::function<void()> action)
+{
+    this->timers.push_back(this->loop.after(delay, std::move(action)));
+}
+
+void SoakRun::record(const std::string& fault)
+{
+    this->faults.push_back(fault);
+}
+
+void SoakRun::injectFault()
+{
+    if (this->isHealing)
+        return;
+    switch (this->random() % 4) {
+    case 0:
+        this->injectDaemonFault();
+        break;
+    case 1:
+        this->injectStoreFault();
+        break;
+    case 2:
+        this->injectUpstreamFault();
+        break;
+    default:
+        this->injectNetworkFault();
+    }
+    this->later(faultGap, [this] { this->injectFault(); });
+}
+
+void SoakRun::injectDaemonFault()
+{
+    const auto index = this->random() % this->daemons.size();
+    auto& daemon = this->daemons[index];
+    if (!daemon.process)
+        return;
+    switch (this->random() % 3) {
+    case 0:
+        this->record("kill " + daemon.vm);
+        daemon.process->signal(SIGKILL);
+        return;
+    case 1:
+        this->record("stop " + daemon.vm);
+        daemon.process->signal(SIGTERM);
+        return;
+    default:
+        this->record("pause " + daemon.vm);
+        daemon.process->signal(SIGSTOP);
+        this->later(std::chrono::milliseconds(300 + this->random() % 1500), [this, index] {
+            if (this->daemons[index].process)
+                this->daemons[index].process->signal(SIGCONT);
+        });
+    }
+}
+
+void SoakRun::injectStoreFault()
+{
+    const auto kind = this->random() % 6;
+    if (kind == 4) {
+        this->record("store forgets its history");
+        this->store.forgetHistory();
+        return;
+    }
+    if (kind == 5) {
+        this->record("new configuration");
+        this->writeConfiguration();
+        return;
+    }
+    this->record("store fault " + std::to_string(kind + 1));
+    this->store.setFault(static_cast<StoreFault>(kind + 1));
+    this->later(std::chrono::milliseconds(500 + this->random() % 2000), [this] { this->store.setFault(StoreFault::None); });
+}
+
+void SoakRun::injectUpstreamFault()
+{
+    const auto g = this->random() % this->groups.size();
+    auto& group = *this->groups[g];
+    const auto index = this->random() % 3 == 0 ? this->random() % group.size() : group.primary();
+    const Duration span = std::chrono::milliseconds(500 + this->random() % 2500);
+    const auto name = group.idOf(index);
+    switch (this->random() % 5) {
+    case 0:
+        this->record("crash " + name);
+        group.setRunning(index, false);
+        this->later(span, [&group, index] { group.setRunning(index, true); });
+        return;
+    case 1:
+        this->record("dark " + name);
+        group.setDark(index, true);
+        this->later(span, [&group, index] { group.setDark(index, false); });
+        return;
+    case 2:
+        this->record("isolate " + name);
+        group.setIsolated(index, true);
+        this->later(span, [&group, index] { group.setIsolated(index, false); });
+        return;
+    case 3:
+        this->record("lag " + name);
+        group.setLag(800ms);
+        this->later(span, [&group] { group.setLag(8ms); });
+        return;
+    default:
+        this->record("drain " + name);
+        this->registerUpstream(g, index, true);
+        this->later(span, [this, g, index] { this->registerUpstream(g, index, false); });
+    }
+}
+
+void SoakRun::injectNetworkFault()
+{
+    auto& group = *this->groups[this->random() % this->groups.size()];
+    standin::FaultRule rule { .route = group.idOf(this->random() % group.size()) };
+    if (this->random() % 4 == 0)
+        rule.route = "store/" + std::to_string(this->random() % this->daemons.size());
+    switch (this->random() % 4) {
+    case 0:
+        rule.cut = true;
+        break;
+    case 1:
+        rule.toTarget.delay = rule.toSource.delay = 40ms;
+        rule.toSource.jitter = 30ms;
+        break;
+    case 2:
+        rule.toSource.drop = true;
+        break;
+    default:
+        rule.toTarget.drop = true;
+    }
+    this->record("network " + standin::encodeRule(rule));
+    this->proxy.addRule(rule);
+    // What a silenced connection has lost never comes, so its connections end with the fault.
+    this->later(std::chrono::milliseconds(300 + this->random() % 1200), [this, route = rule.route] {
+        this->proxy.addRule({ .route = route, .cut = true });
+        this->later(20ms, [this] { this->proxy.clearRules(); });
+    });
+}
+
+void SoakRun::healAll()
+{
+    this->isHealing = true;
+    this->timers.clear();
+    this->proxy.addRule({ .cut = true });
+    this->waitFor(20ms);
+    this->proxy.clearRules();
+    this->store.setFault(StoreFault::None);
+    for (std::size_t g = 0; g < this->groups.size(); ++g) {
+        auto& group = *this->groups[g];
+        group.setLag(8ms);
+        for (std::size_t i = 0; i < group.size(); ++i) {
+            group.setRunning(i, true);
+            group.setDark(i, false);
+            group.setIsolated(i, false);
+            this->registerUpstream(g, i, false);
+        }
+    }
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        if (this->daemons[i].process)
+            this->daemons[i].process->signal(SIGCONT);
+        else
+            this->startDaemon(i);
+    }
+}
+
+std::vector<CommittedWrite> SoakRun::commitsOf(const std::string& service) const
+{
+    std::vector<CommittedWrite> writes;
+    for (const auto& group : this->groups) {
+        if (!group->idOf(0).starts_with(service + "-"))
+            continue;
+        for (const auto& commit : group->commits()) {
+            for (const auto& write : commit->writes)
+                writes.push_back({ .item = write.item, .data = write.data, .isRolledBack = commit->isRolledBack });
+        }
+    }
+    return writes;
+}
+
+void SoakRun::waitFor(Duration span)
+{
+    const auto end = this->loop.after(span, [this] { this->loop.stop(); });
+    this->loop.run();
+}
+
+SoakResult SoakRun::run()
+{
+    for (std::size_t i = 0; i < this->daemons.size(); ++i)
+        this->startDaemon(i);
+    const auto watcher = this->loop.every(100ms, [this] { this->watchDaemons(); });
+    this->waitFor(startTime);
+    for (std::size_t i = 0; i < this->options.callers; ++i)
+        this->callers.push_back(std::make_unique<SoakCaller>(this->context, "c" + std::to_string(i), this->random()));
+    this->injectFault();
+    this->waitFor(this->options.length);
+    this->healAll();
+    this->waitFor(settleTime);
+    const auto answered = this->context.answered;
+    const auto failed = this->context.failed;
+    this->waitFor(calmTime);
+    const auto calmAnswered = static_cast<double>(this->context.answered - answered);
+    const auto calmFailed = static_cast<double>(this->context.failed - failed);
+    this->context.isStopping = true;
+    this->waitFor(1s);
+    SoakResult result { .violations = this->context.violations, .faults = this->faults, .answered = this->context.answered, .failed = this->context.failed };
+    result.calmShare = calmAnswered + calmFailed > 0 ? calmAnswered / (calmAnswered + calmFailed) : 0;
+    for (std::size_t g = 0; g < groupCount; ++g) {
+        const auto service = "svc" + std::to_string(g);
+        for (auto& wrong : this->oracle.checkWrites(service, this->commitsOf(service)))
+            result.violations.push_back(std::move(wrong));
+    }
+    return result;
+}
+
+}
