A promoted leader is used only once it has applied all that it had received

With replica_lag a promoted replica leads with what it has received, and applies it late; its plain BEGIN succeeds meanwhile. Now each daemon asks a leader of a new term for its status and waits until applied reaches received, or learns so from a peer; no sample is taken before.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -16,6 +16,8 @@
     constexpr Duration tickInterval = 250ms;
     constexpr Duration idleRest = 5s; // extra links are closed after this long without use
     constexpr std::uint32_t warmLinks = 2; // to each upstream, opened before they are needed
+    constexpr Duration leaderCheckLimit = 150ms;
+    constexpr Duration leaderCheckPause = 25ms;
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
     constexpr Duration usualWork = 30ms; // a statement's time on an upstream with a short queue
     constexpr std::string_view tooSlow = "the queue is too long to be served in time";
@@ -226,6 +228,13 @@
         return;
     }
     const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
+    const auto leader = waiter.want.needsLeader ? this->leader(waiter.want.service) : std::nullopt;
+    const auto leaderPool = leader ? this->pool(*leader) : nullptr;
+    const bool mustCheck = leaderPool && (!leaderPool->logPoint() || !service.leadership.isConfirmed(*leader, leaderPool->logPoint()->term));
+    if (mustCheck && leaderPool->health().avoidUntil <= now) {
+        this->checkLeader(waiter.want.service, *leader);
+        return;
+    }
     auto choice = waiter.want.needsLeader ? placement::chooseLeader(candidates, now) : placement::chooseAny(candidates, now);
     if (waiter.want.needsLeader && choice.step != Step::Refuse)
         service.leaderlessSince.reset();
@@ -318,9 +327,46 @@
     return candidates;
 }
 
+/// Asks a leader whether it has applied all that it has received, again until it has.
+void Dispatcher::checkLeader(const std::string& service, const std::string& upstream)
+{
+    auto& state = this->services[service];
+    if (std::exchange(state.isChecking, true))
+        return;
+    const auto deadline = this->loop.now() + leaderCheckLimit;
+    state.leaderCheck = this->askStatus(service, upstream, deadline, [this, service, upstream](std::optional<UpstreamStatus> status) { this->onLeaderStatus(service, upstream, status); });
+    state.leaderCheckTimer = this->loop.after(leaderCheckLimit, [this, service, upstream] { this->onLeaderStatus(service, upstream, std::nullopt); });
+}
+
+void Dispatcher::onLeaderStatus(const std::string& service, const std::string& upstream, const std::optional<UpstreamStatus>& status)
+{
+    auto& state = this->services[service];
+    state.leaderCheck = {};
+    const bool hasCaughtUp = status && status->isPrimary && status->applied.position >= status->received.position;
+    if (hasCaughtUp)
+        state.leadership.confirm(upstream, status->applied.term);
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 } });
+    state.leaderCheckTimer = this->loop.after(hasCaughtUp ? Duration::zero() : leaderCheckPause, [this, service] {
+        this->services[service].isChecking = false;
+        this->pump(service);
+    });
+}
+
+void Dispatcher::confirmLeader(std::string_view service, std::string_view upstream, group::Term term)
+{
+    this->services[std::string(service)].leadership.confirm(upstream, term);
+}
+
+bool Dispatcher::isConfirmed(std::string_view service, std::string_view upstream, group::Term term)
+{
+    return this->services[std::string(service)].leadership.isConfirmed(upstream, term);
+}
+
 void Dispatcher::noteProof(std::string_view service, leadership::LeaderProof proof, freshness::Micros at)
 {
     auto& state = this->services[std::string(service)];
+    if (!state.leadership.isConfirmed(proof.upstream, proof.point.term))
+        return;
     state.samples.add({ .point = proof.point, .at = at });
     state.leadership.prove(proof);
 }
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -127,6 +127,12 @@
     /// @brief Takes in that an upstream led when it was asked, and where its log stood.
     void noteProof(std::string_view service, leadership::LeaderProof proof, freshness::Micros at);
 
+    /// @brief Tells whether a leader is known to show all that was acknowledged before its term.
+    [[nodiscard]] bool isConfirmed(std::string_view service, std::string_view upstream, group::Term term);
+
+    /// @brief Takes in that another daemon knows a leader to have caught up in a term.
+    void confirmLeader(std::string_view service, std::string_view upstream, group::Term term);
+
     /// @brief Takes in that an upstream refused as one that does not lead.
     void noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt);
 
@@ -164,6 +170,9 @@
         std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< By upstream.
         std::array<admission::LaneState, 2> lanes; ///< Of statements for any upstream, and for the leader.
         std::optional<Time> leaderlessSince; ///< Set while no leader can be used.
+        Ticket leaderCheck; ///< Set while the leader is asked whether it has caught up.
+        kernel::Registration leaderCheckTimer;
+        bool isChecking { false };
         bool isPumping { false };
     };
 
@@ -177,6 +186,8 @@
     [[nodiscard]] std::uint32_t shareOf(const catalog::UpstreamEntry& entry) const;
     void keepWarm(UpstreamPool& pool);
     [[nodiscard]] bool mayWaitForLeader(std::string_view name, Service& service);
+    void checkLeader(const std::string& service, const std::string& upstream);
+    void onLeaderStatus(const std::string& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
     void noteHeldPoint(const std::string& service, const std::string& upstream, const group::LogPoint& point);
     [[nodiscard]] std::shared_ptr<UpstreamPool> makePool(const catalog::UpstreamEntry& entry);
     void tick();
--- a/src/amaranthhall/engine/link.hpp
+++ b/src/amaranthhall/engine/link.hpp
@@ -59,6 +59,7 @@
 struct UpstreamStatus {
     bool isPrimary { false };
     group::LogPoint received; ///< End of its log.
+    group::LogPoint applied; ///< What its reads show; a replica that was promoted may still lag behind what it has received.
 };
 
 /// @brief How an opening ended.
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -320,6 +320,10 @@
             this->onReply(std::move(reply));
             return;
         }
+        if (!this->isConfirmed(reply)) {
+            this->leaveUnconfirmed();
+            return;
+        }
         this->noteProof(reply);
         this->runOutside();
     }));
@@ -344,12 +348,30 @@
         this->onReply(std::move(reply));
         return;
     }
-    if (this->work->needsLeader)
+    if (this->work->needsLeader) {
+        if (!this->isConfirmed(reply)) {
+            this->leaveUnconfirmed();
+            return;
+        }
         this->noteProof(reply);
+    }
     this->transaction.emplace(Transaction { .loan = std::move(this->current), .service = this->work->route.service });
     this->answer({ .digest = std::move(reply.digest), .state = TransactionState::Open });
 }
 
+/// Tells whether the leader that answered is known to show all that was acknowledged before its term.
+bool Session::isConfirmed(const Reply& reply)
+{
+    return reply.point && this->context.dispatcher.isConfirmed(this->work->route.service, this->current.upstream(), reply.point->term);
+}
+
+/// Gives back a link whose upstream leads a term that it may not have caught up in.
+void Session::leaveUnconfirmed()
+{
+    this->current.reset();
+    this->pauseTimer = this->context.loop.after(retryPause, [this] { this->attempt(); });
+}
+
 void Session::noteProof(const Reply& reply)
 {
     if (!reply.point)
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -119,6 +119,8 @@
     void watchStall();
     void onDeadline();
     void failTransaction(Reply reply);
+    [[nodiscard]] bool isConfirmed(const Reply& reply);
+    void leaveUnconfirmed();
     void noteProof(const Reply& reply);
     void answer(Reply reply);
     void answerCode(ReplyCode code, std::string_view detail);
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -201,6 +201,8 @@
         if (!at || now - *at > newsSpan)
             continue;
         const auto age = std::chrono::microseconds(std::max<freshness::Micros>(0, now - *at));
+        // A daemon tells of leaders that it knows to have caught up only.
+        this->dispatcher.confirmLeader(news.service, news.upstream, news.point.term);
         this->dispatcher.noteProof(news.service, { .upstream = news.upstream, .point = news.point, .at = this->loop.now() - age }, *at);
     }
     this->succession.take(digest, clock);
--- a/src/amaranthhall/leadership/leader_record.cpp
+++ b/src/amaranthhall/leadership/leader_record.cpp
@@ -36,6 +36,19 @@
     return this->proof->upstream;
 }
 
+void LeaderRecord::confirm(std::string_view upstream, group::Term term)
+{
+    if (term < this->confirmedTerm)
+        return;
+    this->confirmedUpstream = upstream;
+    this->confirmedTerm = term;
+}
+
+bool LeaderRecord::isConfirmed(std::string_view upstream, group::Term term) const noexcept
+{
+    return this->confirmedTerm == term && this->confirmedUpstream == upstream;
+}
+
 bool LeaderRecord::isRefuted(std::string_view upstream, Time since) const noexcept
 {
     const auto found = this->refutedAt.find(upstream);
--- a/src/amaranthhall/leadership/leader_record.hpp
+++ b/src/amaranthhall/leadership/leader_record.hpp
@@ -43,6 +43,16 @@
      */
     [[nodiscard]] std::optional<std::string_view> leader(std::span<const PrimaryClaim> claims) const noexcept;
 
+    /**
+     * @brief Takes in that a primary has applied all that it had received when it was promoted.
+     *
+     * Before, its reads lack commits that the earlier primary acknowledged, and its positions are no samples.
+     */
+    void confirm(std::string_view upstream, group::Term term);
+
+    /// @brief Tells whether an upstream is known to have caught up in a term.
+    [[nodiscard]] bool isConfirmed(std::string_view upstream, group::Term term) const noexcept;
+
     /// @brief Gives the newest evidence.
     [[nodiscard]] const std::optional<LeaderProof>& newestProof() const noexcept { return this->proof; }
 
@@ -51,6 +61,8 @@
 
     std::optional<LeaderProof> proof;
     std::map<std::string, Time, std::less<>> refutedAt;
+    std::string confirmedUpstream;
+    group::Term confirmedTerm { 0 };
 };
 
 }
--- a/src/amaranthhall/succession/judgement.cpp
+++ b/src/amaranthhall/succession/judgement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace amaranthhall::succession {
 
@@ -70,9 +71,10 @@
 
 std::optional<std::string> chooseHeir(std::span<const Heir> heirs)
 {
+    const auto rank = [](const Heir& heir) { return std::tuple(heir.point, heir.applied, heir.isNear); };
     const Heir* best = nullptr;
     for (const auto& heir : heirs) {
-        if (!best || heir.point > best->point || (heir.point == best->point && heir.isNear && !best->isNear))
+        if (!best || rank(heir) > rank(*best))
             best = &heir;
     }
     return best ? std::optional(best->upstream) : std::nullopt;
--- a/src/amaranthhall/succession/judgement.hpp
+++ b/src/amaranthhall/succession/judgement.hpp
@@ -64,6 +64,7 @@
 struct Heir {
     std::string upstream;
     group::LogPoint point; ///< What it has received.
+    group::Position applied { 0 }; ///< What its reads show; the rest has to be applied before it serves.
     bool isNear { false }; ///< In the zone of the old primary.
 };
 
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -203,6 +203,7 @@
             auto& heirs = this->duties[service].heirs;
             heirs.push_back(heir);
             heirs.back().point = status->received;
+            heirs.back().applied = status->applied.position;
         }));
     }
     duty.timer = this->parts.loop.after(answerTime, [this, service, fence] {
