--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -345,6 +345,8 @@
     const bool hasCaughtUp = status && status->isPrimary && status->applied.position >= status->received.position;
     if (hasCaughtUp)
         state.leadership.confirm(upstream, status->applied.term);
+    if (status && !status->isPrimary)
+        state.leadership.refute(upstream, this->loop.now());
     telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 } });
     state.leaderCheckTimer = this->loop.after(hasCaughtUp ? Duration::zero() : leaderCheckPause, [this, service] {
         this->services[service].isChecking = false;
