--- a/test/engine/fake_links.cpp
+++ b/test/engine/fake_links.cpp
@@ -18,6 +18,8 @@
                 reply.point = upstream.point;
             return reply;
         }
+        if (text == "STATUS")
+            return { .rows = { upstream.isReplica ? "replica" : "primary", std::to_string(upstream.notApplied) }, .digest = "-", .state = state, .point = upstream.point };
         return { .digest = "digest", .state = state, .point = upstream.point };
     }
 
@@ -120,9 +122,11 @@
 
 std::optional<UpstreamStatus> FakeLinkFactory::readStatus(const Reply& reply) const
 {
-    if (!reply.succeeded() || !reply.point)
+    if (!reply.succeeded() || !reply.point || reply.rows.empty())
         return std::nullopt;
-    return UpstreamStatus { .received = *reply.point };
+    UpstreamStatus status { .isPrimary = reply.rows.front() == "primary", .received = *reply.point, .applied = *reply.point };
+    status.received.position += std::stoull(reply.rows.at(1));
+    return status;
 }
 
 }
--- a/test/engine/fake_links.hpp
+++ b/test/engine/fake_links.hpp
@@ -18,6 +18,8 @@
     std::map<std::string, std::deque<Reply>, std::less<>> replies;
     std::vector<std::string> sent; ///< Texts in order, each with the caller's id and wanted position before it.
     group::LogPoint point { .term = 1, .position = 10 };
+    bool isReplica { false }; ///< As it tells of itself when asked for its status.
+    group::Position notApplied { 0 }; ///< Positions that it has received and does not show yet.
     bool refusesConnections { false };
     bool isSilent { false }; ///< Takes commands and answers nothing.
     int opened { 0 };
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -129,6 +129,7 @@
 TEST(EngineSession, AStaleReadGoesToAReplicaThatHoldsTheSample)
 {
     this->open("stale");
+    this->dispatcher->confirmLeader("s", "p", 1);
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     // A replica is not expected to hold what the leader wrote a moment ago.
     this->runFor(10ms);
@@ -156,6 +157,7 @@
 TEST(EngineSession, AReplicaThatLagsIsLeftForTheLeader)
 {
     this->open("stale");
+    this->dispatcher->confirmLeader("s", "p", 1);
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["r"].replies["READ"] = { Reply { .code = ReplyCode::Lagging } };
     this->links.upstreams["r"].point = { .term = 1, .position = 1 };
@@ -277,9 +279,39 @@
     CHECK(this->ask(RequestKind::Execute, "EXECUTE nothing k", "nothing", "k").code == ReplyCode::UnknownStatement);
 }
 
+TEST(EngineSession, APromotedLeaderIsReadOnlyOnceItHasAppliedWhatItHadReceived)
+{
+    this->open("strict");
+    this->links.upstreams["p"].notApplied = 6;
+    const auto healing = this->loop.after(60ms, [this] { this->links.upstreams["p"].notApplied = 0; });
+    const auto startedAt = this->loop.now();
+    CHECK(this->read().succeeded());
+    CHECK(this->loop.now() - startedAt >= 60ms);
+    CHECK(this->countSent("p", "STATUS") >= 2);
+}
+
+TEST(EngineSession, ALeaderOfANewTermIsCheckedAnew)
+{
+    this->open("strict");
+    CHECK(this->read().succeeded());
+    LONGS_EQUAL(1, this->countSent("p", "STATUS"));
+    this->links.upstreams["p"].point = { .term = 3, .position = 20 };
+    CHECK(this->read().succeeded());
+    LONGS_EQUAL(2, this->countSent("p", "STATUS"));
+}
+
+TEST(EngineSession, AnUpstreamThatSaysItIsAReplicaGetsNoWrites)
+{
+    this->open("strict");
+    this->links.upstreams["p"].isReplica = true;
+    CHECK_FALSE(this->write().succeeded());
+    LONGS_EQUAL(0, this->countSent("p", "WRITE"));
+}
+
 TEST(EngineSession, ASilentReplicaIsLeftForAnother)
 {
     this->open("stale");
+    this->dispatcher->confirmLeader("s", "p", 1);
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["r"].isSilent = true;
     CHECK(this->read().succeeded());
@@ -289,8 +321,11 @@
 TEST(EngineSession, ASilentLeadersWriteIsInDoubtAtItsDeadline)
 {
     this->open("strict");
+    // The first write finds the leader and checks it.
+    CHECK(this->write().succeeded());
     this->links.upstreams["p"].isSilent = true;
     CHECK(this->write().code == ReplyCode::InDoubt);
+    LONGS_EQUAL(2, this->countSent("p", "WRITE"));
 }
 
 TEST(EngineSession, WithoutALeaderAStatementIsNotRunAndToldSo)
