--- a/src/amaranthhall/kernel/socket.cpp
+++ b/src/amaranthhall/kernel/socket.cpp
@@ -125,6 +125,15 @@
     return socket;
 }
 
+int connectError(const Socket& socket) noexcept
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+    if (getsockopt(socket.descriptor(), SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+        return errno;
+    return error;
+}
+
 Socket bindDatagrams(const Address& address)
 {
     auto target = toSocketAddress(address);
--- a/src/amaranthhall/kernel/socket.hpp
+++ b/src/amaranthhall/kernel/socket.hpp
@@ -44,6 +44,9 @@
 /// @brief Begins to connect without blocking; gives an empty socket if that fails at once.
 [[nodiscard]] Socket connectTo(const Address& address);
 
+/// @brief Gives how a connect that was begun has ended: 0, or the number of its error.
+[[nodiscard]] int connectError(const Socket& socket) noexcept;
+
 /// @brief Opens a non-blocking UDP socket; throws std::system_error if the address cannot be had.
 [[nodiscard]] Socket bindDatagrams(const Address& address);
 
--- a/src/amaranthhall/program/daemon.cpp
+++ b/src/amaranthhall/program/daemon.cpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/membership/io/member_service.hpp"
 #include "amaranthhall/peer/http_peer_network.hpp"
 #include "amaranthhall/platform/http_platform.hpp"
+#include "amaranthhall/program/settings_program.hpp"
 #include "amaranthhall/session/caller_listener.hpp"
 #include "amaranthhall/share/io/share_service.hpp"
 #include "amaranthhall/table/io/table_service.hpp"
@@ -15,14 +16,11 @@
 #include "amaranthhall/upstream/group_monitor.hpp"
 #include "amaranthhall/upstream/pooled_dispatcher.hpp"
 
-#include <boost/program_options.hpp>
 #include <csignal>
-#include <iostream>
 #include <utility>
 
 namespace {
 
-namespace options = boost::program_options;
 using namespace amaranthhall;
 
 /// Reads the settings again and puts in force what can be without a restart.
@@ -40,7 +38,7 @@
     telemetry::logEvent(telemetry::LogLevel::Info, "settings.reloaded", { { "log_level", loaded->logLevel }, { "needs_restart", needsRestart } });
 }
 
-int runDaemon(const std::string& file, const kernel::Settings& settings)
+int runLoaded(const std::string& file, const kernel::Settings& settings)
 {
     kernel::Loop loop;
     kernel::Registry registry;
@@ -72,40 +70,9 @@
     return 0;
 }
 
-int runProgram(int count, char** arguments)
-{
-    options::options_description description("amaranthhalld: database proxy with session consistency");
-    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>(), "settings file (YAML)")("check-config", "checks the settings and ends");
-    options::variables_map values;
-    options::store(options::parse_command_line(count, arguments, description), values);
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
-    if (values.count("settings") == 0)
-        throw options::error("--settings is required");
-    const auto file = values["settings"].as<std::string>();
-    const auto settings = kernel::loadSettings(file);
-    if (!settings) {
-        std::cerr << kernel::formatError(file, settings.error()) << '\n';
-        return 2;
-    }
-    if (values.count("check-config") != 0) {
-        std::cout << file << ": correct\n";
-        return 0;
-    }
-    telemetry::openLog(telemetry::parseLogLevel(settings->logLevel));
-    return runDaemon(file, *settings);
-}
-
 }
 
 int main(int count, char** arguments)
 {
-    try {
-        return runProgram(count, arguments);
-    } catch (const std::exception& exception) {
-        std::cerr << "amaranthhalld: " << exception.what() << '\n';
-    }
-    return 2;
+    return program::runSettingsProgram({ .name = "amaranthhalld", .purpose = "database proxy with session consistency" }, count, arguments, kernel::loadSettings, runLoaded);
 }
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -1,4 +1,5 @@
 #include "amaranthhall/gateway/gateway.hpp"
+#include "amaranthhall/program/settings_program.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "platform/line_link.hpp"
 #include "platform/line_server.hpp"
@@ -7,16 +8,13 @@
 #include "platform/ready_probe.hpp"
 #include "platform/store_client.hpp"
 
-#include <boost/program_options.hpp>
 #include <csignal>
-#include <iostream>
 
 namespace {
 
-namespace options = boost::program_options;
 using namespace amaranthhall;
 
-int runGateway(const std::string& file, const gateway::GatewaySettings& settings)
+int runLoaded(const std::string& file, const gateway::GatewaySettings& settings)
 {
     kernel::Loop loop;
     fleet::StoreClient store(loop, settings.store);
@@ -42,40 +40,9 @@
     return 0;
 }
 
-int runProgram(int count, char** arguments)
-{
-    options::options_description description("amaranthhall-gateway: the proxy for callers and upstreams of the platform");
-    description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>(), "settings file (YAML)")("check-config", "checks the settings and ends");
-    options::variables_map values;
-    options::store(options::parse_command_line(count, arguments, description), values);
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
-    if (values.count("settings") == 0)
-        throw options::error("--settings is required");
-    const auto file = values["settings"].as<std::string>();
-    const auto settings = gateway::loadGatewaySettings(file);
-    if (!settings) {
-        std::cerr << kernel::formatError(file, settings.error()) << '\n';
-        return 2;
-    }
-    if (values.count("check-config") != 0) {
-        std::cout << file << ": correct\n";
-        return 0;
-    }
-    telemetry::openLog(telemetry::parseLogLevel(settings->logLevel));
-    return runGateway(file, *settings);
-}
-
 }
 
 int main(int count, char** arguments)
 {
-    try {
-        return runProgram(count, arguments);
-    } catch (const std::exception& exception) {
-        std::cerr << "amaranthhall-gateway: " << exception.what() << '\n';
-    }
-    return 2;
+    return program::runSettingsProgram({ .name = "amaranthhall-gateway", .purpose = "the proxy for callers and upstreams of the platform" }, count, arguments, gateway::loadGatewaySettings, runLoaded);
 }
--- a/src/amaranthhall/relay/relay_client.cpp
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -5,8 +5,6 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
-#include <cerrno>
-#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -87,9 +85,7 @@
     void onConnected()
     {
         this->watch.reset();
-        int error = 0;
-        socklen_t length = sizeof(error);
-        getsockopt(this->socket.descriptor(), SOL_SOCKET, SO_ERROR, &error, &length);
+        const auto error = kernel::connectError(this->socket);
         if (error != 0) {
             this->fail();
             return;
--- a/src/amaranthhall/telemetry/log.cpp
+++ b/src/amaranthhall/telemetry/log.cpp
@@ -1,14 +1,58 @@
 #include "amaranthhall/telemetry/log.hpp"
 
+#include <algorithm>
 #include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <poll.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+#include <utility>
 
 namespace amaranthhall::telemetry {
 
 namespace {
 
+    /// Writes lines to standard output as long as its reader keeps up; drops and counts them else, and never waits.
+    class PromptSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+    protected:
+        void sink_it_(const spdlog::details::log_msg& message) override
+        {
+            if (!this->isWritable()) {
+                ++this->dropped;
+                return;
+            }
+            if (const auto count = std::exchange(this->dropped, 0))
+                this->write(fmt::format("{{\"level\":\"warning\",\"event\":\"log.lines_dropped\",\"count\":{}}}\n", count));
+            spdlog::memory_buf_t line;
+            this->formatter_->format(message, line);
+            this->write({ line.data(), line.size() });
+        }
+
+        void flush_() override { }
+
+    private:
+        [[nodiscard]] static bool isWritable() noexcept
+        {
+            pollfd output { .fd = STDOUT_FILENO, .events = POLLOUT };
+            return poll(&output, 1, 0) > 0 && (output.revents & POLLOUT) != 0;
+        }
+
+        /// A pipe that polls as writable takes this many bytes at once; a longer line is cut.
+        static void write(std::string_view line) noexcept
+        {
+            constexpr std::size_t mostAtOnce = 4096;
+            const auto size = std::min(line.size(), mostAtOnce);
+            // A reader that has gone is no reason to stop the daemon.
+            static_cast<void>(!::write(STDOUT_FILENO, line.data(), size));
+            if (size < line.size())
+                static_cast<void>(!::write(STDOUT_FILENO, "\n", 1));
+        }
+
+        std::uint64_t dropped { 0 };
+    };
+
     spdlog::level::level_enum toLibraryLevel(LogLevel level)
     {
         switch (level) {
@@ -44,9 +88,8 @@
 
 void openLog(LogLevel least)
 {
-    auto logger = spdlog::stdout_logger_st("amaranthhall");
+    auto logger = std::make_shared<spdlog::logger>("amaranthhall", std::make_shared<PromptSink>());
     logger->set_pattern("%v");
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(std::move(logger));
     setLogLevel(least);
 }
