--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -18,6 +18,7 @@
     constexpr std::size_t groupCount = 2;
     constexpr Duration faultGap = 600ms;
     constexpr Duration restartPause = 300ms;
+    constexpr Duration supersededPause = 700ms; // longer than a promotion takes
     constexpr Duration settleTime = 5s; // a change of primary, and a store's pauses
     constexpr Duration calmTime = 2s;
     constexpr Duration startTime = 2500ms;
@@ -222,7 +223,7 @@
     const auto index = this->random() % 3 == 0 ? this->random() % group.size() : group.primary();
     const Duration span = std::chrono::milliseconds(500 + this->random() % 2500);
     const auto name = group.idOf(index);
-    switch (this->random() % 5) {
+    switch (this->random() % 6) {
     case 0:
         this->record("crash " + name);
         group.setRunning(index, false);
@@ -243,6 +244,9 @@
         group.setLag(800ms);
         this->later(span, [&group] { group.setLag(8ms); });
         return;
+    case 4:
+        this->supersede(g, span);
+        return;
     default:
         this->record("drain " + name);
         this->registerUpstream(g, index, true);
@@ -250,6 +254,31 @@
     }
 }
 
+/// Has a primary replaced that is cut from its group and goes on serving, while a daemon that believes in it is cut from the store and paused.
+void SoakRun::supersede(std::size_t g, Duration span)
+{
+    auto& group = *this->groups[g];
+    const auto index = group.primary();
+    const auto daemon = this->random() % this->daemons.size();
+    const auto route = "store/" + std::to_string(daemon);
+    this->record("supersede " + group.idOf(index) + " unseen by " + this->daemons[daemon].vm);
+    group.setIsolated(index, true);
+    this->proxy.addRule({ .route = route, .toSource = { .drop = true } });
+    if (this->daemons[daemon].process)
+        this->daemons[daemon].process->signal(SIGSTOP);
+    this->registerUpstream(g, index, true);
+    this->later(supersededPause, [this, daemon] {
+        if (this->daemons[daemon].process)
+            this->daemons[daemon].process->signal(SIGCONT);
+    });
+    this->later(supersededPause + span, [this, g, index, route] {
+        this->groups[g]->setIsolated(index, false);
+        this->registerUpstream(g, index, false);
+        this->proxy.addRule({ .route = route, .cut = true });
+        this->later(20ms, [this] { this->proxy.clearRules(); });
+    });
+}
+
 void SoakRun::injectNetworkFault()
 {
     auto& group = *this->groups[this->random() % this->groups.size()];
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -65,6 +65,7 @@
     void injectDaemonFault();
     void injectStoreFault();
     void injectUpstreamFault();
+    void supersede(std::size_t g, Duration span);
     void injectNetworkFault();
     void later(Duration delay, std::function<void()> action);
     void healAll();
