--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -17,7 +17,6 @@
     using telemetry::LogLevel;
 
     constexpr Duration tickInterval = 500ms;
-    constexpr Duration fetchInterval = 250ms;
     constexpr Duration fleetPatience = 2s; // after which a daemon that finds no others serves alone
     constexpr Duration drainStep = 100ms;
     constexpr Duration leaveRotation = 2200ms; // the platform stops sending callers after two missed checks, one a second
@@ -233,14 +232,16 @@
         watch.hint(newest);
         return;
     }
-    const auto now = this->loop.now();
-    auto& last = this->fetchedAt[table];
-    if (now - last < fetchInterval)
+    if (!this->fetching.insert(table).second)
         return;
-    last = now;
-    this->exchange.fetch(peer, table, watch.newestRow(), [&watch, table](const auto& rows) {
-        logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows.size() } });
-        watch.merge(rows);
+    this->exchange.fetch(peer, table, watch.newestRow(), [this, &watch, table](const auto& rows) {
+        this->fetching.erase(table);
+        if (!rows) {
+            watch.refresh();
+            return;
+        }
+        logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows->size() } });
+        watch.merge(*rows);
     });
 }
 
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -15,6 +15,10 @@
 #include "amaranthhall/telemetry/metrics.hpp"
 
 #include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace amaranthhall::gateway {
 
@@ -76,7 +80,7 @@
     relay::RelayServer relays;
     gossip::RowExchange exchange;
     succession::SuccessionService succession;
-    std::map<std::string, Time> fetchedAt; ///< Last call to a peer, by table.
+    std::set<std::string> fetching; ///< Tables whose rows a peer was asked for.
     http::Server metricsServer;
     prometheus::Gauge& livePeers;
     prometheus::Gauge& knownUpstreams;
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -12,7 +12,7 @@
     using namespace std::chrono_literals;
     using Json = nlohmann::json;
 
-    constexpr auto fetchTimeout = 500ms;
+    constexpr auto fetchTimeout = 2500ms; // half a megabyte of configuration over a link of 10 Mbit/s that others use, too
 
 }
 
@@ -59,10 +59,12 @@
 {
     const http::Request request { .path = "/rows", .query = "table=" + http::encodeQuery(table) + "&after=" + std::to_string(after) };
     this->client.send(peer, request, fetchTimeout, [fetched = std::move(fetched), peer](const http::HttpResult& result) {
-        if (result && result->status == 200)
+        if (result && result->status == 200) {
             fetched(decodeRows(result->body));
-        else
-            telemetry::logEvent(telemetry::LogLevel::Info, "peer.rows_not_fetched", { { "peer", kernel::formatAddress(peer) } });
+            return;
+        }
+        telemetry::logEvent(telemetry::LogLevel::Info, "peer.rows_not_fetched", { { "peer", kernel::formatAddress(peer) } });
+        fetched(std::nullopt);
     });
 }
 
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/store/store.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,11 +15,11 @@
 class RowExchange {
 public:
     using Source = std::function<std::vector<store::Row>(const std::string& table, store::Version after)>;
-    using Fetched = std::function<void(const std::vector<store::Row>&)>;
+    using Fetched = std::function<void(const std::optional<std::vector<store::Row>>&)>;
 
     RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source source);
 
-    /// @brief Asks a peer for the rows of a table that are newer than a version; `fetched` is not called if it fails.
+    /// @brief Asks a peer for the rows of a table that are newer than a version; `fetched` is called once, with nothing if it failed.
     void fetch(const kernel::Address& peer, const std::string& table, store::Version after, Fetched fetched);
 
 private:
--- a/src/amaranthhall/program/settings_program.hpp
+++ b/src/amaranthhall/program/settings_program.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -26,6 +27,8 @@
 [[nodiscard]] int runSettingsProgram(const SettingsProgram& program, int count, char** arguments, Load load, Run run)
 {
     namespace options = boost::program_options;
+    // The HTTP libraries write without MSG_NOSIGNAL; a connection that its other end has closed is an error, not an end.
+    std::signal(SIGPIPE, SIG_IGN);
     try {
         options::options_description description(program.name + ": " + program.purpose);
         description.add_options()("help,h", "shows this text")("settings,s", options::value<std::string>(), "settings file (YAML)")("check-config", "checks the settings and ends");
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -147,6 +147,12 @@
     this->follow();
 }
 
+void TableWatch::refresh()
+{
+    if (this->failures == 0)
+        this->list({});
+}
+
 void TableWatch::setFollowing(bool follows)
 {
     if (std::exchange(this->isFollowing, follows) || !follows)
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -37,6 +37,9 @@
 
     void start();
 
+    /// @brief Lists the table anew at once, unless calls fail already and are made again by themselves.
+    void refresh();
+
     /// @brief Sets whether it keeps asking the store; if not, rows come by merge() alone.
     void setFollowing(bool follows);
     [[nodiscard]] bool follows() const noexcept { return this->isFollowing; }
--- a/test/integration/test_gateway.cpp
+++ b/test/integration/test_gateway.cpp
@@ -1,7 +1,10 @@
 #include "amaranthhall/soak/soak_run.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <csignal>
 #include <filesystem>
+#include <fstream>
+#include <string>
 
 using namespace amaranthhall;
 using namespace std::chrono_literals;
@@ -43,3 +46,19 @@
 {
     check(play(2, 6s));
 }
+
+TEST(GatewaySoak, AConnectionThatItsOtherEndHasClosedEndsNoProgram)
+{
+    const auto folder = std::filesystem::temp_directory_path() / "amaranthhall-gateway-signals";
+    std::filesystem::create_directories(folder);
+    const auto settings = (folder / "settings.yaml").string();
+    std::ofstream(settings) << "vm: { id: a, zone: z }\nlisten: { callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\", peers: \"127.0.0.1:0\", relay: \"127.0.0.1:0\", metrics: \"127.0.0.1:0\" }\n"
+                               "platform: { store: \"127.0.0.1:1\", orders: \"127.0.0.1:1\" }\n";
+    rig::Process process(programBeside(), { "--settings", settings }, (folder / "log").string());
+    static_cast<void>(process.awaitEvent("daemon.started", 5s));
+    std::ifstream status("/proc/" + std::to_string(process.id()) + "/status");
+    std::string line;
+    while (std::getline(status, line) && !line.starts_with("SigIgn:")) { }
+    const auto ignored = std::stoull(line.substr(line.find('\t') + 1), nullptr, 16);
+    CHECK((ignored >> (SIGPIPE - 1) & 1U) != 0);
+}
