One duty holder at a time: a second order under the same fence is news, a takeover keeps a lease

Now news of an order are told apart by their moment, and nobody takes a duty within 3.2 s of another's taking or ordering. Tests of the service over fakes; sessions and gateway split into smaller files; the soak writes rows through platform/standin.

--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace amaranthhall::engine {
@@ -60,6 +61,8 @@
     void abortTransaction(std::string_view reason);
 
 private:
+    static constexpr Duration retryPause = std::chrono::milliseconds(5); ///< About half a statement's time.
+
     struct Transaction {
         Loan loan; ///< Empty once it has failed, or if another daemon runs it.
         std::unique_ptr<RelayStream> stream; ///< To the daemon that runs it, if this one does not.
@@ -128,8 +131,16 @@
     [[nodiscard]] TransactionState state() const noexcept;
     [[nodiscard]] bool writes(const Request& request) const;
     void watchIdleTransaction();
+
+    /// Wraps a callback so that it does nothing once the session has gone or its request has been answered.
     template <typename Function>
-    [[nodiscard]] auto guarded(Function function);
+    [[nodiscard]] auto guarded(Function function)
+    {
+        return [this, function = std::move(function), living = std::weak_ptr(this->alive), expected = this->generation](auto&&... arguments) mutable {
+            if (!living.expired() && this->generation == expected)
+                function(std::forward<decltype(arguments)>(arguments)...);
+        };
+    }
 
     SessionContext& context;
     CallerChannel& channel;
--- /dev/null
+++ b/src/amaranthhall/engine/session_relay.cpp
@@ -0,0 +1,85 @@
+#include "amaranthhall/engine/session.hpp"
+
+#include <utility>
+
+namespace amaranthhall::engine {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::chrono::milliseconds relayMargin { 10 }; // so that the other daemon's refusal comes before the deadline
+
+}
+
+/// Hands the statement to another daemon, if that one and not this one holds connections for its service.
+bool Session::startRelay()
+{
+    const bool mayRelay = this->context.relays && !this->relayedRoute && !this->context.relays->isHome(this->work->route.service);
+    if (!mayRelay)
+        return false;
+    this->currentStream = this->context.relays->open(this->work->route.service, this->work->triedHomes);
+    if (!this->currentStream)
+        return false;
+    this->watchStall();
+    this->runRelayed();
+    return true;
+}
+
+void Session::runRelayed()
+{
+    auto& plan = *this->work;
+    auto& stream = this->transaction ? *this->transaction->stream : *this->currentStream;
+    plan.isSent = true;
+    plan.sentAt = this->context.loop.now();
+    plan.upstream = stream.vm();
+    if (this->transaction)
+        this->transaction->wrote = this->transaction->wrote || this->writes(plan.request);
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(plan.deadline - plan.sentAt) - relayMargin;
+    RelayedRequest relayed { .request = plan.request, .route = plan.route, .settings = this->settings, .lastCommit = this->lastCommit, .timeLeft = left };
+    if (plan.request.kind == RequestKind::Execute)
+        relayed.prepared = this->statements.find(plan.request.name)->second;
+    stream.send(relayed, this->guarded([this](RelayedReply reply) { this->onRelayed(std::move(reply)); }));
+}
+
+void Session::onRelayed(RelayedReply relayed)
+{
+    if (relayed.reply.lost) {
+        this->onRelayLost();
+        return;
+    }
+    this->lastCommit = relayed.lastCommit ? relayed.lastCommit : this->lastCommit;
+    switch (relayed.reply.state) {
+    case TransactionState::Open:
+        if (!this->transaction)
+            this->transaction.emplace(Transaction { .stream = std::move(this->currentStream), .service = this->work->route.service });
+        break;
+    case TransactionState::Failed:
+        if (this->transaction)
+            this->transaction->stream.reset();
+        break;
+    case TransactionState::Idle:
+        this->transaction.reset();
+        this->currentStream.reset();
+        break;
+    }
+    this->answer(std::move(relayed.reply));
+}
+
+void Session::onRelayLost()
+{
+    if (!this->transaction) {
+        this->work->triedHomes.push_back(this->work->upstream);
+        this->currentStream.reset();
+        this->retryOrAnswer(Reply { .lost = true }, true);
+        return;
+    }
+    const bool isCommit = this->work->request.kind == RequestKind::Commit;
+    const bool isUnknown = isCommit && this->transaction->wrote;
+    this->transaction->stream.reset();
+    if (isCommit)
+        this->transaction.reset();
+    this->answerCode(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, "the connection to the daemon that ran the transaction was lost");
+}
+
+}
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -34,25 +34,27 @@
         return (static_cast<std::uint64_t>(device()) << 32U) | device();
     }
 
+    store::TableWatch::Options watchOptions(std::string table)
+    {
+        return { .table = std::move(table), .part = {}, .seed = drawNumber() };
+    }
+
 }
 
 Gateway::Gateway(kernel::Loop& usedLoop, const GatewaySettings& usedSettings, Ports usedPorts)
     : loop(usedLoop)
     , settings(usedSettings)
     , ports(usedPorts)
-    , dispatcher(usedLoop, usedPorts.links, this->catalog, { .zone = usedSettings.zone, .sharers = [this](auto service) { return this->knowsFleet() ? this->homes.sharers(service) : 0; } })
+    , dispatcher(usedLoop, usedPorts.links, this->catalog, this->dispatcherOptions())
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
-    , upstreamWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.upstreamTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onUpstreamRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
-    , configurationWatch(usedLoop, usedPorts.store, { .table = usedPorts.rows.configurationTable(), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onConfigurationRow(row); }, .settled = [this] { this->dispatcher.onCatalogChanged(); }, .reached = [](bool) {} })
-    , fleetWatch(usedLoop, usedPorts.store, { .table = std::string(fleetTable), .part = {}, .seed = drawNumber() }, { .changed = [this](const auto& row) { this->onFleetRow(row); }, .settled = [this] { this->onFleetSettled(); }, .reached = [](bool) {} })
-    , gossip(usedLoop, { .vm = usedSettings.vm, .listen = usedSettings.peers, .seeds = usedSettings.seeds, .seed = drawNumber() }, { .fill = [this](auto& digest) { this->fillDigest(digest); }, .received = [this](const auto& digest) { this->takeDigest(digest); }, .partners = [this] { return this->partners(); } })
+    , upstreamWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.upstreamTable()), this->upstreamCallbacks())
+    , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable()), this->configurationCallbacks())
+    , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable)), this->fleetCallbacks())
+    , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .relayPort = usedSettings.relay.port })
     , relays(usedLoop, usedSettings.relay, this->context)
-    , exchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) {
-        auto* watch = this->watchOf(table);
-        return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
-    })
-    , succession({ .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .store = usedPorts.store, .fleet = this->fleetWatch, .peers = this->gossip.peers(), .promoter = usedPorts.promoter, .group = [this](const auto& service) { return this->homes.homes(service); } }, { .vm = usedSettings.vm, .zone = usedSettings.zone, .incarnation = drawNumber(), .table = std::string(fleetTable) }, [this] { this->gossip.tellUrgently(); })
+    , exchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); })
+    , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.tellUrgently(); })
     , metricsServer(usedLoop, { .listen = usedSettings.metrics })
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
@@ -62,6 +64,90 @@
 {
 }
 
+engine::Dispatcher::Options Gateway::dispatcherOptions()
+{
+    return {
+        .zone = this->settings.zone,
+        .sharers = [this](auto service) { return this->knowsFleet() ? this->homes.sharers(service) : 0; },
+    };
+}
+
+store::TableWatch::Callbacks Gateway::upstreamCallbacks()
+{
+    return {
+        .changed = [this](const auto& row) { this->onUpstreamRow(row); },
+        .settled = [this] { this->dispatcher.onCatalogChanged(); },
+        .reached = [](bool) {},
+    };
+}
+
+store::TableWatch::Callbacks Gateway::configurationCallbacks()
+{
+    return {
+        .changed = [this](const auto& row) { this->onConfigurationRow(row); },
+        .settled = [this] { this->dispatcher.onCatalogChanged(); },
+        .reached = [](bool) {},
+    };
+}
+
+store::TableWatch::Callbacks Gateway::fleetCallbacks()
+{
+    return {
+        .changed = [this](const auto& row) { this->onFleetRow(row); },
+        .settled = [this] { this->onFleetSettled(); },
+        .reached = [](bool) {},
+    };
+}
+
+gossip::GossipNode::Options Gateway::gossipOptions() const
+{
+    return {
+        .vm = this->settings.vm,
+        .listen = this->settings.peers,
+        .seeds = this->settings.seeds,
+        .seed = drawNumber(),
+    };
+}
+
+gossip::GossipNode::Callbacks Gateway::gossipCallbacks()
+{
+    return {
+        .fill = [this](auto& digest) { this->fillDigest(digest); },
+        .received = [this](const auto& digest) { this->takeDigest(digest); },
+        .partners = [this] { return this->partners(); },
+    };
+}
+
+succession::SuccessionService::Parts Gateway::successionParts()
+{
+    return {
+        .loop = this->loop,
+        .catalog = this->catalog,
+        .dispatcher = this->dispatcher,
+        .store = this->ports.store,
+        .fleet = this->fleetWatch,
+        .peers = this->gossip.peers(),
+        .promoter = this->ports.promoter,
+        .group = [this](const auto& service) { return this->homes.homes(service); },
+    };
+}
+
+succession::SuccessionService::Options Gateway::successionOptions() const
+{
+    return {
+        .vm = this->settings.vm,
+        .zone = this->settings.zone,
+        .incarnation = drawNumber(),
+        .table = std::string(fleetTable),
+    };
+}
+
+std::vector<store::Row> Gateway::rowsAfter(const std::string& table, store::Version after)
+{
+    auto* watch = this->watchOf(table);
+    return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
+}
+
 void Gateway::start()
 {
     this->metricsServer.route("/metrics", [this](const http::Request&, const http::Reply& reply) {
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -48,6 +48,15 @@
     void drain(engine::CallerServer& callers, std::function<void()> done);
 
 private:
+    [[nodiscard]] engine::Dispatcher::Options dispatcherOptions();
+    [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
+    [[nodiscard]] store::TableWatch::Callbacks configurationCallbacks();
+    [[nodiscard]] store::TableWatch::Callbacks fleetCallbacks();
+    [[nodiscard]] gossip::GossipNode::Options gossipOptions() const;
+    [[nodiscard]] gossip::GossipNode::Callbacks gossipCallbacks();
+    [[nodiscard]] succession::SuccessionService::Parts successionParts();
+    [[nodiscard]] succession::SuccessionService::Options successionOptions() const;
+    [[nodiscard]] std::vector<store::Row> rowsAfter(const std::string& table, store::Version after);
     void onUpstreamRow(const store::Row& row);
     void onConfigurationRow(const store::Row& row);
     void onFleetRow(const store::Row& row);
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -1,9 +1,11 @@
 #include "amaranthhall/soak/soak_run.hpp"
 
+#include "platform/readers.hpp"
+#include "platform/standin/fleet_rows.hpp"
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 #include <unistd.h>
 #include <utility>
 
@@ -12,7 +14,6 @@
 namespace {
 
     using namespace std::chrono_literals;
-    using Json = nlohmann::json;
     using fleet::standin::StoreFault;
 
     constexpr std::size_t groupCount = 2;
@@ -33,6 +34,11 @@
         return "127.0.1." + std::to_string(daemon + 1);
     }
 
+    std::string serviceName(std::size_t group)
+    {
+        return "svc" + std::to_string(group);
+    }
+
     std::string endpoint(const std::string& host, int port)
     {
         return host + ":" + std::to_string(port);
@@ -65,7 +71,7 @@
 void SoakRun::makeGroups()
 {
     for (std::size_t g = 0; g < groupCount; ++g) {
-        const auto service = "svc" + std::to_string(g);
+        const auto service = serviceName(g);
         this->groups.push_back(std::make_unique<fleet::standin::LineGroup>(this->loop, fleet::standin::LineGroup::Options { .service = service }));
         auto& group = *this->groups.back();
         this->proxied.emplace_back();
@@ -84,28 +90,39 @@
 {
     const auto& group = *this->groups[g];
     const auto id = group.idOf(index);
+    const auto table = fleet::PlatformRows().upstreamTable();
     if (!group.isRunning(index)) {
-        this->store.remove("servers", id);
+        this->store.remove(table, id);
         return;
     }
-    const Json entry { { "service", "svc" + std::to_string(g) }, { "address", endpoint("127.0.0.1", this->proxied[g][index]) }, { "zone", "a" }, { "version", "v1" }, { "slots", 2 },
-        { "state", isDraining ? "draining" : "ready" }, { "cold_remaining_ms", 0 }, { "db_role", group.isPrimary(index) ? "primary" : "replica" }, { "seq", ++this->beats }, { "born", 1 } };
-    this->store.put("servers", id, entry.dump());
+    const catalog::UpstreamEntry entry {
+        .id = id,
+        .service = serviceName(g),
+        .address = { .host = "127.0.0.1", .port = this->proxied[g][index] },
+        .zone = "a",
+        .role = group.isPrimary(index) ? catalog::Role::Primary : catalog::Role::Replica,
+        .draining = isDraining,
+        .slots = 2,
+        .startedAt = 1,
+    };
+    this->store.put(table, id, fleet::standin::encodeUpstream(entry, ++this->beats));
 }
 
 void SoakRun::writeConfiguration()
 {
-    auto routes = Json::array();
+    constexpr std::uint32_t connections = 60;
+    catalog::Configuration configuration { .version = ++this->configurationVersion };
     for (const auto& database : this->context.databases) {
-        const auto* kind = database.allowance == Duration::zero() ? "primary" : database.showsOwnWrites ? "read_your_writes"
-                                                                                                        : "bounded_staleness";
-        routes.push_back({ { "name", database.name }, { "host", database.name }, { "path_prefix", "/" }, { "route_type", kind }, { "timeout_ms", 800 }, { "target_latency_ms", 200 }, { "priority", 1 }, { "service", database.group }, { "max_attempts", 2 }, { "max_staleness_ms", 1500 } });
+        catalog::Route route { .database = database.name, .service = database.group, .statementTimeout = 800ms, .targetLatency = 200ms, .priority = 1 };
+        route.maximumStaleness = std::chrono::duration_cast<std::chrono::milliseconds>(database.allowance);
+        if (database.allowance > Duration::zero())
+            route.consistency = database.showsOwnWrites ? catalog::Consistency::ReadYourWrites : catalog::Consistency::BoundedStaleness;
+        configuration.routes[database.name] = route;
     }
-    auto services = Json::array();
     for (std::size_t g = 0; g < groupCount; ++g)
-        services.push_back({ { "name", "svc" + std::to_string(g) }, { "max_conns", 60 } });
-    const Json whole { { "version", ++this->configurationVersion }, { "routes", routes }, { "services", services }, { "limits", { { "tx_idle_ms", 3000 } } } };
-    this->store.put("op", "config", whole.dump());
+        configuration.services[serviceName(g)] = { .name = serviceName(g), .maximumConnections = connections };
+    const fleet::PlatformRows rows;
+    this->store.put(rows.configurationTable(), rows.configurationKey(), fleet::standin::encodeConfiguration(configuration));
 }
 
 void SoakRun::makeDaemons()
@@ -376,7 +393,7 @@
     SoakResult result { .violations = this->context.violations, .faults = this->faults, .answered = this->context.answered, .failed = this->context.failed };
     result.calmShare = calmAnswered + calmFailed > 0 ? calmAnswered / (calmAnswered + calmFailed) : 0;
     for (std::size_t g = 0; g < groupCount; ++g) {
-        const auto service = "svc" + std::to_string(g);
+        const auto service = serviceName(g);
         for (auto& wrong : this->oracle.checkWrites(service, this->commitsOf(service)))
             result.violations.push_back(std::move(wrong));
     }
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -21,6 +21,8 @@
     constexpr Duration answerTime = 80ms; // for replicas to tell their positions
     constexpr Duration retryPause = 100ms;
     constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
+    constexpr Duration dutyLease = 3200ms; // no other daemon takes the duty within it; over what an order needs to take effect
+    constexpr Duration sameOrderSpan = 500ms; // news of one order differ by the bounds of the store's clock
     constexpr Duration orderLife = 5s; // news of older orders are not told
     constexpr Duration refusalMemory = 3s;
     constexpr Duration suspicionLife = 1s; // of what a peer told
@@ -30,9 +32,29 @@
         return "duty/" + std::string(service);
     }
 
-    std::string encodeHolder(const std::string& vm, std::uint64_t incarnation)
+    /// Who holds a duty, as its row tells.
+    struct HolderRow {
+        std::string vm;
+        std::uint64_t incarnation { 0 };
+        freshness::Micros takenAt { 0 }; ///< Store time.
+    };
+
+    std::string encodeHolder(const HolderRow& holder)
+    {
+        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt } }.dump();
+    }
+
+    std::optional<HolderRow> decodeHolder(const store::Row* row)
     {
-        return nlohmann::json { { "holder", vm }, { "incarnation", incarnation } }.dump();
+        if (!row)
+            return std::nullopt;
+        try {
+            const auto json = nlohmann::json::parse(row->value);
+            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>() };
+        } catch (const nlohmann::json::exception& exception) {
+            logEvent(LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
+            return std::nullopt;
+        }
     }
 
 }
@@ -133,6 +155,8 @@
         return false;
     if (duty.order && now - duty.order->at < orderPatience)
         return false;
+    if (this->isHeldByAnother(service, duty))
+        return false;
     const auto holder = this->holderOf(service);
     if (holder == this->options.vm)
         return true;
@@ -142,19 +166,30 @@
 
 std::string SuccessionService::holderOf(const std::string& service) const
 {
-    const auto* row = this->parts.fleet.find(dutyKey(service));
-    if (!row)
-        return {};
-    const auto json = nlohmann::json::parse(row->value, nullptr, false);
-    return json.is_object() && json.contains("holder") && json["holder"].is_string() ? json["holder"].get<std::string>() : std::string();
+    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    return holder ? holder->vm : std::string();
 }
 
 std::optional<store::Version> SuccessionService::heldFence(const std::string& service) const
 {
     const auto* row = this->parts.fleet.find(dutyKey(service));
-    if (!row || row->value != encodeHolder(this->options.vm, this->options.incarnation))
-        return std::nullopt;
-    return row->version;
+    const auto holder = decodeHolder(row);
+    const bool isOwn = holder && holder->vm == this->options.vm && holder->incarnation == this->options.incarnation;
+    return isOwn ? std::optional(row->version) : std::nullopt;
+}
+
+/// Tells whether another daemon took the duty or ordered so lately that it may still be at it.
+bool SuccessionService::isHeldByAnother(const std::string& service, const Duty& duty) const
+{
+    if (this->heldFence(service))
+        return false;
+    if (duty.order && this->parts.loop.now() - duty.order->at < dutyLease)
+        return true;
+    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const auto latest = this->parts.store.clock().latest(engine::bootNow());
+    if (!holder || !latest)
+        return false;
+    return *latest - holder->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(dutyLease).count();
 }
 
 void SuccessionService::takeOver(const std::string& service)
@@ -164,7 +199,8 @@
     const store::RowKey key { .table = this->options.table, .key = dutyKey(service) };
     const auto* row = this->parts.fleet.find(key.key);
     const auto expected = row ? row->version : 0;
-    store::Row put { .key = key, .value = encodeHolder(this->options.vm, this->options.incarnation) };
+    const auto takenAt = this->parts.store.clock().earliest(engine::bootNow()).value_or(0);
+    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt }) };
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", expected } });
     this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
         auto& taken = this->duties[service];
@@ -286,11 +322,13 @@
         this->peerSuspicions[{ suspicion.service, digest.vm }] = { .upstream = suspicion.upstream, .heardAt = now };
     for (const auto& told : digest.orders) {
         auto& duty = this->duties[told.service];
-        if (duty.order && duty.order->fence >= told.fence)
-            continue;
         const auto boot = engine::bootNow();
         const auto local = clock.localBefore(told.at, boot);
         const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
+        // A holder may order again under the fence that it has.
+        const bool isKnown = duty.order && (duty.order->fence > told.fence || (duty.order->fence == told.fence && now - age <= duty.order->at + sameOrderSpan));
+        if (isKnown)
+            continue;
         duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age };
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", told.fence }, { "from", digest.vm } });
     }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -94,6 +94,7 @@
     [[nodiscard]] Situation situationOf(const std::string& service, const std::string& leader, Duty& duty) const;
     [[nodiscard]] bool isTimeToAct(const std::string& service, const Duty& duty) const;
     [[nodiscard]] std::optional<store::Version> heldFence(const std::string& service) const;
+    [[nodiscard]] bool isHeldByAnother(const std::string& service, const Duty& duty) const;
     [[nodiscard]] std::string holderOf(const std::string& service) const;
     void takeOver(const std::string& service);
     void askHeirs(const std::string& service, store::Version fence);
--- /dev/null
+++ b/test/succession/test_succession_service.cpp
@@ -0,0 +1,168 @@
+#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/succession/succession_service.hpp"
+#include "engine/fake_links.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store that makes each transaction at once; its clock is the boot clock.
+class PromptStore final : public store::Store {
+public:
+    explicit PromptStore(kernel::Loop& loop)
+        : loop(loop)
+    {
+        const auto now = engine::bootNow();
+        this->storeClock.observe(now, now, now);
+    }
+
+    void read(const std::string&, const std::string&, const std::string&, RowsDone) override { }
+    void follow(const std::string&, store::Version, std::chrono::milliseconds, RowsDone) override { }
+    void commit(const store::Transaction&, CommitDone done) override
+    {
+        ++this->commits;
+        this->loop.post([this, done = std::move(done)] { done(++this->version); });
+    }
+    [[nodiscard]] const freshness::StoreClock& clock() const noexcept override { return this->storeClock; }
+
+    int commits { 0 };
+    store::Version version { 100 };
+
+private:
+    kernel::Loop& loop;
+    freshness::StoreClock storeClock;
+};
+
+class RecordingPromoter final : public succession::Promoter {
+public:
+    void promote(const succession::PromotionOrder& order, Done done) override
+    {
+        this->orders.push_back(order);
+        done(this->outcome);
+    }
+
+    std::vector<succession::PromotionOrder> orders;
+    succession::OrderOutcome outcome { succession::OrderOutcome::Accepted };
+};
+
+constexpr freshness::Micros longAgo = 60'000'000; // µs
+
+}
+
+TEST_GROUP(SuccessionService)
+{
+    kernel::Loop loop;
+    catalog::Catalog known;
+    engine::fakes::FakeLinkFactory links { this->loop };
+    engine::Dispatcher dispatcher { this->loop, this->links, this->known, { .zone = "z", .sharers = [](auto) { return std::size_t { 2 }; } } };
+    PromptStore storage { this->loop };
+    store::TableWatch fleet { this->loop, this->storage, { .table = "t" }, { .changed = [](const auto&) {}, .settled = [] {}, .reached = [](bool) {} } };
+    gossip::PeerBook peers;
+    RecordingPromoter promoter;
+    std::unique_ptr<succession::SuccessionService> service;
+
+    void setup() override
+    {
+        this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
+        this->put("p", catalog::Role::Primary, true, 1);
+        this->put("a", catalog::Role::Replica, false, 2);
+        this->put("b", catalog::Role::Replica, false, 3);
+        this->links.upstreams["a"].point = { .term = 1, .position = 90 };
+        this->links.upstreams["b"].point = { .term = 1, .position = 95 };
+        this->dispatcher.onCatalogChanged();
+        this->peers.noteHeard("other", { .host = "127.0.0.1", .port = 1 }, this->loop.now());
+        succession::SuccessionService::Parts parts {
+            .loop = this->loop,
+            .catalog = this->known,
+            .dispatcher = this->dispatcher,
+            .store = this->storage,
+            .fleet = this->fleet,
+            .peers = this->peers,
+            .promoter = this->promoter,
+            .group = [](const auto&) { return std::vector<std::string> { "me", "other" }; },
+        };
+        this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .vm = "me", .zone = "z", .incarnation = 1, .table = "t" }, [] {});
+    }
+
+    void put(const char* id, catalog::Role role, bool draining, std::uint64_t version)
+    {
+        this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, version, this->loop.now());
+    }
+
+    void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age)
+    {
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age } };
+        this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = 50 } });
+    }
+
+    void hearOrder(freshness::Micros age)
+    {
+        gossip::Digest digest { .vm = "other" };
+        digest.orders.push_back({ .service = "s", .candidate = "b", .fence = 50, .at = engine::bootNow() - age });
+        this->service->take(digest, this->storage.clock());
+    }
+
+    void runFor(Duration span)
+    {
+        const auto end = this->loop.after(span, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+};
+
+TEST(SuccessionService, TheHolderOrdersTheReplicaThatReceivedMostUnderItsFence)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->runFor(1200ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    CHECK_EQUAL(std::string("b"), this->promoter.orders[0].candidate);
+    LONGS_EQUAL(50, this->promoter.orders[0].fence);
+    LONGS_EQUAL(0, this->storage.commits);
+}
+
+TEST(SuccessionService, AnotherDaemonActsWhenTheHolderDoesNot)
+{
+    this->holdDuty("other", 7, longAgo);
+    this->runFor(2000ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    LONGS_EQUAL(101, this->promoter.orders[0].fence);
+}
+
+TEST(SuccessionService, ADaemonThatStartedAnewTakesAFenceOfItsOwn)
+{
+    this->holdDuty("me", 99, longAgo);
+    this->runFor(2000ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    LONGS_EQUAL(101, this->promoter.orders[0].fence);
+}
+
+TEST(SuccessionService, ADutyThatWasTakenLatelyIsLeftToItsHolder)
+{
+    this->holdDuty("other", 7, 0);
+    this->runFor(2000ms);
+    CHECK(this->promoter.orders.empty());
+}
+
+TEST(SuccessionService, ASecondOrderUnderTheSameFenceIsNewsToo)
+{
+    this->holdDuty("other", 7, longAgo);
+    this->hearOrder(longAgo);
+    this->hearOrder(0);
+    this->runFor(2000ms);
+    CHECK(this->promoter.orders.empty());
+    LONGS_EQUAL(0, this->storage.commits);
+}
+
+TEST(SuccessionService, ARefusedOrderIsFollowedByAnotherReplicaUnderANewFence)
+{
+    this->promoter.outcome = succession::OrderOutcome::Refused;
+    this->holdDuty("me", 1, longAgo);
+    this->runFor(1300ms);
+    CHECK(this->promoter.orders.size() >= 2);
+    CHECK_EQUAL(std::string("b"), this->promoter.orders[0].candidate);
+    CHECK_EQUAL(std::string("a"), this->promoter.orders[1].candidate);
+    CHECK(this->promoter.orders[1].fence > this->promoter.orders[0].fence);
+}
