Dispatcher in smaller steps; a leaving leader gets no statement after the limit

Cause, found by reading: the setting for the drain of upstreams was not used, so a draining primary that nobody could replace would have got statements past the bound.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -221,51 +221,71 @@
 
 void Dispatcher::serve(Service& service, Waiter& waiter)
 {
-    const auto now = this->loop.now();
-    using Step = placement::Choice::Step;
     if (!waiter.refusal.empty()) {
         this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = waiter.refusal }));
         return;
     }
-    const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
-    const auto leader = waiter.want.needsLeader ? this->leader(waiter.want.service) : std::nullopt;
-    const auto leaderPool = leader ? this->pool(*leader) : nullptr;
-    const bool mustCheck = leaderPool && (!leaderPool->logPoint() || !service.leadership.isConfirmed(*leader, leaderPool->logPoint()->term));
-    if (mustCheck && leaderPool->health().avoidUntil <= now) {
-        this->checkLeader(waiter.want.service, *leader);
+    if (waiter.want.needsLeader && this->mustCheckLeader(waiter.want.service, service))
         return;
-    }
-    auto choice = waiter.want.needsLeader ? placement::chooseLeader(candidates, now) : placement::chooseAny(candidates, now);
-    if (waiter.want.needsLeader && choice.step != Step::Refuse)
+    const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
+    const auto choice = this->chooseFor(service, waiter.want, candidates);
+    using Step = placement::Choice::Step;
+    if (choice.step == Step::Wait)
+        this->count(service, waiter);
+    else if (choice.step == Step::Refuse)
+        this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = noUpstream }));
+    else
+        this->use(service, waiter, *this->pool(candidates[choice.candidate].id), choice.step);
+}
+
+/// Begins to ask a leader whether it has caught up in its term, unless that is known; tells whether statements must wait for it.
+bool Dispatcher::mustCheckLeader(const std::string& name, Service& service)
+{
+    const auto leader = this->leader(name);
+    const auto pool = leader ? this->pool(*leader) : nullptr;
+    const bool isReachable = pool && pool->health().avoidUntil <= this->loop.now();
+    const bool isConfirmed = pool && pool->logPoint() && service.leadership.isConfirmed(*leader, pool->logPoint()->term);
+    if (!isReachable || isConfirmed)
+        return false;
+    this->checkLeader(name, *leader);
+    return true;
+}
+
+placement::Choice Dispatcher::chooseFor(Service& service, const Want& want, std::span<const placement::Candidate> candidates)
+{
+    using Step = placement::Choice::Step;
+    const auto now = this->loop.now();
+    if (!want.needsLeader)
+        return placement::chooseAny(candidates, now);
+    auto choice = placement::chooseLeader(candidates, now);
+    if (choice.step != Step::Refuse)
         service.leaderlessSince.reset();
-    if (waiter.want.needsLeader && choice.step == Step::Refuse && this->mayWaitForLeader(waiter.want.service, service))
+    else if (this->mayWaitForLeader(want.service, service))
         choice.step = Step::Wait;
-    auto& lane = service.lanes[waiter.want.needsLeader ? 1 : 0];
-    switch (choice.step) {
-    case Step::Wait:
-        if (!std::exchange(waiter.isCounted, true))
-            ++lane.waiting;
-        return;
-    case Step::Open: {
-        auto& pool = this->pools.find(candidates[choice.candidate].id)->second;
-        if (pool->opening() < service.waiters.size())
-            pool->open();
-        return;
-    }
-    case Step::Serve: {
-        auto& pool = this->pools.find(candidates[choice.candidate].id)->second;
-        if (waiter.isCounted) {
-            --lane.waiting;
-            waiter.isCounted = false;
-            admission::noteGrant(lane, now);
-        }
-        this->finish(service, waiter.number, Loan(pool, pool->take(*waiter.want.settings)));
+    return choice;
+}
+
+/// Counts a statement that has to wait, once.
+void Dispatcher::count(Service& service, Waiter& waiter)
+{
+    if (!std::exchange(waiter.isCounted, true))
+        ++service.lanes[waiter.want.needsLeader ? 1 : 0].waiting;
+}
+
+/// Lends an idle link of the chosen upstream, or opens one for the statement to wait for.
+void Dispatcher::use(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step)
+{
+    if (step == placement::Choice::Step::Open) {
+        if (pool.opening() < service.waiters.size())
+            pool.open();
         return;
     }
-    case Step::Refuse:
-        this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = noUpstream }));
-        return;
+    if (std::exchange(waiter.isCounted, false)) {
+        auto& lane = service.lanes[waiter.want.needsLeader ? 1 : 0];
+        --lane.waiting;
+        admission::noteGrant(lane, this->loop.now());
     }
+    this->finish(service, waiter.number, Loan(pool.shared_from_this(), pool.take(*waiter.want.settings)));
 }
 
 /// Takes a statement out of the queue and tells its outcome.
@@ -307,7 +327,8 @@
     std::vector<placement::Candidate> candidates;
     for (const auto& [id, pool] : this->pools) {
         const auto& entry = pool->entry();
-        if (entry.service != name || (!want.only.empty() && want.only != id))
+        const bool isWanted = entry.service == name && (want.only.empty() || want.only == id);
+        if (!isWanted || this->isDrained(id))
             continue;
         candidates.push_back({
             .id = id,
@@ -327,6 +348,13 @@
     return candidates;
 }
 
+/// Tells whether an upstream has been leaving for so long that it gets no statement any more.
+bool Dispatcher::isDrained(std::string_view upstream) const
+{
+    const auto* known = this->catalog.find(upstream);
+    return known && known->drainingSince && this->loop.now() - *known->drainingSince >= this->options.upstreamDrainLimit;
+}
+
 /// Asks a leader whether it has applied all that it has received, again until it has.
 void Dispatcher::checkLeader(const std::string& service, const std::string& upstream)
 {
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -110,6 +111,7 @@
     /// @brief How a dispatcher is built.
     struct Options {
         std::string zone; ///< Of this daemon.
+        Duration upstreamDrainLimit { std::chrono::seconds(6) }; ///< A draining upstream gets statements for so long.
         std::function<std::size_t(std::string_view service)> sharers; ///< Daemons that share the connections of a service; 0 if this one keeps none.
     };
 
@@ -180,6 +182,11 @@
     void schedulePump(const std::string& service);
     void pump(const std::string& service);
     void serve(Service& service, Waiter& waiter);
+    [[nodiscard]] bool mustCheckLeader(const std::string& name, Service& service);
+    [[nodiscard]] placement::Choice chooseFor(Service& service, const Want& want, std::span<const placement::Candidate> candidates);
+    static void count(Service& service, Waiter& waiter);
+    void use(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
+    [[nodiscard]] bool isDrained(std::string_view upstream) const;
     void finish(Service& service, std::uint64_t number, tl::expected<Loan, Refusal> result);
     void leave(Service& service, std::list<Waiter>::iterator waiter) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 
     constexpr Duration tickInterval = 500ms;
     constexpr Duration fleetPatience = 2s; // after which a daemon that finds no others serves alone
+    constexpr auto drainMargin = 1s; // a statement waits and travels before it reaches the upstream
     constexpr Duration drainStep = 100ms;
     constexpr Duration leaveRotation = 2200ms; // the platform stops sending callers after two missed checks, one a second
     constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
@@ -68,6 +69,7 @@
 {
     return {
         .zone = this->settings.zone,
+        .upstreamDrainLimit = this->settings.upstreamDrainLimit - drainMargin,
         .sharers = [this](auto service) { return this->knowsFleet() ? this->homes.sharers(service) : 0; },
     };
 }
