--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -99,7 +99,7 @@
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = 50 } });
     }
 
-    void hearOrder(freshness::Micros age)
+    void hearOrder(freshness::Micros age) const
     {
         gossip::Digest digest { .vm = "other" };
         digest.orders.push_back({ .service = "s", .candidate = "b", .fence = 50, .at = engine::bootNow() - age });
