A hint of a newer version does not restart an answer that is on its way

With 1,900 routes an answer has 750 kB and takes 0.6 s and more over a link of 10 Mbit/s, so each question replaced the one before, all of them still loading the same link: 14 of 16 followers never got the version. Ruled out: the exchange between peers (all 97 others had it 1.3 s after the first).

Now one question at a time, which answers at once (wait 0); a listing under way is not begun anew. The tests ALargeAnswerOnItsWayIsNotAskedForAgain and AListingUnderWayIsNotBegunAnew failed before.

--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -43,6 +43,7 @@
         this->listingVersion.reset();
     }
     this->askedAt = this->loop.now();
+    this->isCatchingUp = true;
     this->store.read(this->options.table, this->options.part, from, [this, expected = this->round](const StoreResult<Rows>& result) {
         if (this->round == expected)
             this->onListed(result);
@@ -81,6 +82,7 @@
     for (const auto& row : gone)
         this->take(row);
     this->listed = true;
+    this->isCatchingUp = false;
     this->followed = *this->listingVersion;
     this->callbacks.settled();
 }
@@ -124,8 +126,13 @@
 {
     if (!this->isFollowing)
         return;
+    this->askForChanges(std::chrono::milliseconds(std::uniform_int_distribution<int>(leastFeedWait, mostFeedWait)(this->random)));
+}
+
+void TableWatch::askForChanges(std::chrono::milliseconds wait)
+{
     this->askedAt = this->loop.now();
-    const std::chrono::milliseconds wait(std::uniform_int_distribution<int>(leastFeedWait, mostFeedWait)(this->random));
+    this->isCatchingUp = wait == std::chrono::milliseconds::zero();
     this->store.follow(this->options.table, this->followed, wait, [this, expected = ++this->round](const StoreResult<Rows>& result) {
         if (this->round == expected)
             this->onChanges(result);
@@ -149,7 +156,7 @@
 
 void TableWatch::refresh()
 {
-    if (this->failures == 0)
+    if (this->failures == 0 && !this->isCatchingUp)
         this->list({});
 }
 
@@ -157,17 +164,18 @@
 {
     if (std::exchange(this->isFollowing, follows) || !follows)
         return;
-    if (this->listed && this->reachedAt)
+    if (this->listed && this->reachedAt && !this->isCatchingUp)
         this->list({});
 }
 
 void TableWatch::hint(Version newestElsewhere)
 {
     const bool isBehind = this->listed && this->isFollowing && newestElsewhere > this->newest && newestElsewhere > this->followed;
-    if (!isBehind || this->failures > 0 || this->loop.now() - this->askedAt < hintPatience)
+    // A large answer takes longer than the pause between two hints; asked for anew each time, it would never arrive.
+    if (!isBehind || this->failures > 0 || this->isCatchingUp || this->loop.now() - this->askedAt < hintPatience)
         return;
     telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", this->followed }, { "newest", newestElsewhere } });
-    this->follow();
+    this->askForChanges(std::chrono::milliseconds::zero());
 }
 
 void TableWatch::fail(StoreError error)
@@ -177,6 +185,7 @@
         this->reachedAt.reset();
         this->callbacks.reached(false);
     }
+    this->isCatchingUp = false;
     const auto pause = pauses.first / 2 + retry::drawPause(pauses, this->failures++, this->random);
     const bool mustList = !this->listed || error == StoreError::HistoryGone || error == StoreError::Malformed;
     ++this->round;
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -37,7 +37,7 @@
 
     void start();
 
-    /// @brief Lists the table anew at once, unless calls fail already and are made again by themselves.
+    /// @brief Lists the table anew at once, unless a listing is under way or failed calls are made again by themselves.
     void refresh();
 
     /// @brief Sets whether it keeps asking the store; if not, rows come by merge() alone.
@@ -72,6 +72,7 @@
     void list(const std::string& from);
     void onListed(const StoreResult<Rows>& result);
     void follow();
+    void askForChanges(std::chrono::milliseconds wait);
     void onChanges(const StoreResult<Rows>& result);
     void take(const Row& row);
     void finishListing();
@@ -94,6 +95,7 @@
     std::optional<Time> reachedAt;
     std::uint64_t round { 0 }; ///< Answers of an earlier round are dropped.
     Time askedAt;
+    bool isCatchingUp { false }; ///< A listing, or a call for changes that exist already, is under way.
     kernel::Registration timer;
 };
 
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -20,9 +20,10 @@
         ++this->reads;
         this->pending.push_back(std::move(done));
     }
-    void follow(const std::string&, store::Version after, std::chrono::milliseconds, RowsDone done) override
+    void follow(const std::string&, store::Version after, std::chrono::milliseconds wait, RowsDone done) override
     {
         this->lastAfter = after;
+        this->lastWait = wait;
         ++this->follows;
         this->pending.push_back(std::move(done));
     }
@@ -39,6 +40,7 @@
     std::deque<RowsDone> pending;
     std::string lastFrom;
     store::Version lastAfter { 0 };
+    std::chrono::milliseconds lastWait { 0 };
     int reads { 0 };
     int follows { 0 };
 
@@ -147,3 +149,34 @@
     this->watch.hint(5);
     LONGS_EQUAL(2, this->storage.follows);
 }
+
+TEST(TableWatch, ALargeAnswerOnItsWayIsNotAskedForAgain)
+{
+    this->list({ row("a", 1) }, 5);
+    this->runFor(350ms);
+    this->watch.hint(6);
+    LONGS_EQUAL(2, this->storage.follows);
+    LONGS_EQUAL(0, this->storage.lastWait.count());
+    this->runFor(700ms);
+    this->watch.hint(6);
+    LONGS_EQUAL(2, this->storage.follows);
+    this->storage.pending.pop_front();
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    CHECK(this->events == std::vector<std::string>({ "+a@6" }));
+    this->runFor(350ms);
+    this->watch.hint(7);
+    LONGS_EQUAL(4, this->storage.follows);
+}
+
+TEST(TableWatch, AListingUnderWayIsNotBegunAnew)
+{
+    this->list({ row("a", 1) }, 5);
+    this->watch.setFollowing(false);
+    this->watch.refresh();
+    this->watch.refresh();
+    LONGS_EQUAL(2, this->storage.reads);
+    this->storage.pending.pop_front();
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    this->watch.refresh();
+    LONGS_EQUAL(3, this->storage.reads);
+}
