--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -24,7 +24,9 @@
     constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
     constexpr Duration endMargin = 500ms; // before the platform kills the process
     constexpr freshness::Micros newsSpan = 4'000'000; // µs; older evidence of a leader is not told
-    constexpr std::size_t mostFollowers = 16; // daemons that follow the store; the others learn its rows from them
+    constexpr std::size_t mostFollowers = 8; // daemons that follow the store; the others learn its rows from them
+    constexpr Duration pauseAfterChange = 100ms; // upstreams change in groups, as on a failover
+    constexpr Duration pauseAfterFleetChange = 1s; // daemons that start learn of each other by datagrams
     constexpr std::string_view followTask = "follow";
     constexpr std::string_view fleetTable = "amaranthhall";
     constexpr std::string_view daemonPrefix = "daemon/";
@@ -35,9 +37,9 @@
         return (static_cast<std::uint64_t>(device()) << 32U) | device();
     }
 
-    store::TableWatch::Options watchOptions(std::string table)
+    store::TableWatch::Options watchOptions(std::string table, Duration pause)
     {
-        return { .table = std::move(table), .part = {}, .seed = drawNumber() };
+        return { .table = std::move(table), .part = {}, .seed = drawNumber(), .pauseAfterChange = pause };
     }
 
 }
@@ -48,9 +50,9 @@
     , ports(usedPorts)
     , dispatcher(usedLoop, usedPorts.links, this->catalog, this->dispatcherOptions())
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
-    , upstreamWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.upstreamTable()), this->upstreamCallbacks())
-    , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable()), this->configurationCallbacks())
-    , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable)), this->fleetCallbacks())
+    , upstreamWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.upstreamTable(), pauseAfterChange), this->upstreamCallbacks())
+    , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable(), pauseAfterChange), this->configurationCallbacks())
+    , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange), this->fleetCallbacks())
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .relayPort = usedSettings.relay.port })
     , relays(usedLoop, usedSettings.relay, this->context)
@@ -162,7 +164,6 @@
     this->configurationWatch.start();
     this->upstreamWatch.start();
     this->fleetWatch.start();
-    this->registerDaemon();
 }
 
 bool Gateway::isReady() const noexcept
@@ -235,16 +236,39 @@
 
 void Gateway::onFleetSettled()
 {
+    this->ensureRegistered();
     this->homes.refresh();
     this->dispatcher.onCatalogChanged();
 }
 
+/// Registers this daemon unless the store holds its row already, as after a restart.
+void Gateway::ensureRegistered()
+{
+    if (this->isDraining || this->isRegistering)
+        return;
+    const auto& rows = this->fleetWatch.rows();
+    const auto found = rows.find(this->registrationKey().key);
+    const bool isMissing = found == rows.end() && this->registeredVersion == 0;
+    const bool isOther = found != rows.end() && (found->second.isRemoved || found->second.value != kernel::formatAddress(this->settings.peers));
+    if (isMissing || (isOther && found->second.version > this->registeredVersion))
+        this->registerDaemon();
+}
+
+store::RowKey Gateway::registrationKey() const
+{
+    return { .table = std::string(fleetTable), .part = {}, .key = std::string(daemonPrefix) + this->settings.vm };
+}
+
 void Gateway::registerDaemon()
 {
-    store::Row row { .key = { .table = std::string(fleetTable), .key = std::string(daemonPrefix) + this->settings.vm }, .value = kernel::formatAddress(this->settings.peers) };
+    this->isRegistering = true;
+    store::Row row { .key = this->registrationKey(), .value = kernel::formatAddress(this->settings.peers) };
     this->ports.store.commit({ .puts = { std::move(row) } }, [this](store::StoreResult<store::Version> result) {
-        if (result)
+        if (result) {
+            this->isRegistering = false;
+            this->registeredVersion = *result;
             return;
+        }
         constexpr retry::BackoffOptions pauses { .first = 200ms, .limit = 2000ms };
         Random random(drawNumber());
         logEvent(LogLevel::Warning, "daemon.not_registered", { { "error", store::nameOf(result.error()) } });
@@ -255,7 +279,7 @@
 void Gateway::unregisterDaemon()
 {
     this->registration.reset();
-    this->ports.store.commit({ .removals = { { .table = std::string(fleetTable), .key = std::string(daemonPrefix) + this->settings.vm } } }, [](store::StoreResult<store::Version> result) {
+    this->ports.store.commit({ .removals = { this->registrationKey() } }, [](store::StoreResult<store::Version> result) {
         if (!result)
             logEvent(LogLevel::Warning, "daemon.not_unregistered", { { "error", store::nameOf(result.error()) } });
     });
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -65,7 +65,9 @@
     void fillDigest(gossip::Digest& digest);
     void takeDigest(const gossip::Digest& digest);
     void catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
+    void ensureRegistered();
     void registerDaemon();
+    [[nodiscard]] store::RowKey registrationKey() const;
     void unregisterDaemon();
     void updateGauges();
     [[nodiscard]] std::vector<std::string> partners();
@@ -99,6 +101,8 @@
     kernel::Registration registration;
     kernel::Registration drainTimer;
     unsigned registrationFailures { 0 };
+    bool isRegistering { false }; ///< A registration is under way or waits for its next try.
+    store::Version registeredVersion { 0 }; ///< Of this process's registration.
     Time startedAt;
     Time drainingSince;
     bool isDraining { false };
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -131,6 +131,7 @@
 
 void TableWatch::askForChanges(std::chrono::milliseconds wait)
 {
+    this->timer.reset();
     this->askedAt = this->loop.now();
     this->isCatchingUp = wait == std::chrono::milliseconds::zero();
     this->store.follow(this->options.table, this->followed, wait, [this, expected = ++this->round](const StoreResult<Rows>& result) {
@@ -149,9 +150,13 @@
     for (const auto& row : result->rows)
         this->take(row);
     this->followed = std::max(this->followed, result->version);
+    this->isCatchingUp = false;
     if (!result->rows.empty())
         this->callbacks.settled();
-    this->follow();
+    if (result->rows.empty() || this->options.pauseAfterChange == Duration::zero())
+        this->follow();
+    else
+        this->timer = this->loop.after(this->options.pauseAfterChange, [this] { this->follow(); });
 }
 
 void TableWatch::refresh()
@@ -171,8 +176,9 @@
 void TableWatch::hint(Version newestElsewhere)
 {
     const bool isBehind = this->listed && this->isFollowing && newestElsewhere > this->newest && newestElsewhere > this->followed;
+    const auto patience = hintPatience + this->options.pauseAfterChange;
     // A large answer takes longer than the pause between two hints; asked for anew each time, it would never arrive.
-    if (!isBehind || this->failures > 0 || this->isCatchingUp || this->loop.now() - this->askedAt < hintPatience)
+    if (!isBehind || this->failures > 0 || this->isCatchingUp || this->loop.now() - this->askedAt < patience)
         return;
     telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", this->followed }, { "newest", newestElsewhere } });
     this->askForChanges(std::chrono::milliseconds::zero());
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -31,6 +31,7 @@
         std::string table;
         std::string part;
         std::uint64_t seed { 0 }; ///< Of the pauses between failed calls.
+        Duration pauseAfterChange { 0 }; ///< Before the feed is asked again, so that changes in quick succession cost one call.
     };
 
     TableWatch(kernel::Loop& loop, Store& store, Options options, Callbacks callbacks);
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -180,3 +180,17 @@
     this->watch.refresh();
     LONGS_EQUAL(3, this->storage.reads);
 }
+
+TEST(TableWatch, ChangesInQuickSuccessionCostOneCall)
+{
+    store::TableWatch slow(this->loop, this->storage, { .table = "t", .pauseAfterChange = 50ms }, { .changed = [](const Row&) {}, .settled = [] {}, .reached = [](bool) {} });
+    slow.start();
+    this->storage.answer(Rows { .rows = {}, .version = 5 });
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    LONGS_EQUAL(1, this->storage.follows);
+    slow.hint(7);
+    LONGS_EQUAL(1, this->storage.follows);
+    this->runFor(100ms);
+    LONGS_EQUAL(2, this->storage.follows);
+    LONGS_EQUAL(6, this->storage.lastAfter);
+}
