Homes by zone and size of VM; statements go to a home in the own zone; datagrams stay mostly in the zone

And a daemon took the first of the homes whenever none of them owed it an answer, so that one home of a service served nearly all, whatever its zone or size.

Daemons tell zone and cores of their VM in their row and datagrams (gossip/vm_profile). Homes are drawn by weighted rendezvous hashing, with an even share for each zone; relay/homes chooseHome takes a home of the own zone unless all owe four answers, then the least busy, and daemons differ in which idle one they take. In a fleet of more than 30 four of five drawn peers are in the own zone; partners are not told the ages. Tests: ZonesHaveAnEvenShare, LargeVmsAreDrawnMoreOften, AStatementStaysInItsZoneUnlessAllThereAreBusy, IdleHomesShareTheLoad (plays 38 idle daemons; before, one home took all), InALargeFleetMostDrawnPeersAreInTheOwnZone.

--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -54,7 +54,7 @@
     , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable(), pauseAfterChange), this->configurationCallbacks())
     , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange), this->fleetCallbacks())
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
-    , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .relayPort = usedSettings.relay.port })
+    , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
     , relays(usedLoop, usedSettings.relay, this->context)
     , exchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); })
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.tellUrgently(); })
@@ -103,11 +103,16 @@
     };
 }
 
+gossip::VmProfile Gateway::profile() const
+{
+    return { .address = this->settings.peers, .zone = this->settings.zone, .cores = this->settings.cores };
+}
+
 gossip::GossipNode::Options Gateway::gossipOptions() const
 {
     return {
         .vm = this->settings.vm,
-        .listen = this->settings.peers,
+        .profile = this->profile(),
         .seeds = this->settings.seeds,
         .seed = drawNumber(),
     };
@@ -225,11 +230,11 @@
     const auto vm = std::string_view(row.key.key).substr(daemonPrefix.size());
     if (vm == this->settings.vm)
         return;
-    const auto address = kernel::parseAddress(row.value);
+    const auto profile = gossip::decodeProfile(row.value);
     if (row.isRemoved)
         this->gossip.peers().remove(vm);
-    else if (address)
-        this->gossip.peers().add(vm, *address, this->loop.now());
+    else if (profile)
+        this->gossip.peers().add(vm, *profile, this->loop.now());
     else
         logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", row.version } });
 }
@@ -249,7 +254,7 @@
     const auto& rows = this->fleetWatch.rows();
     const auto found = rows.find(this->registrationKey().key);
     const bool isMissing = found == rows.end() && this->registeredVersion == 0;
-    const bool isOther = found != rows.end() && (found->second.isRemoved || found->second.value != kernel::formatAddress(this->settings.peers));
+    const bool isOther = found != rows.end() && (found->second.isRemoved || found->second.value != gossip::encodeProfile(this->profile()));
     if (isMissing || (isOther && found->second.version > this->registeredVersion))
         this->registerDaemon();
 }
@@ -262,7 +267,7 @@
 void Gateway::registerDaemon()
 {
     this->isRegistering = true;
-    store::Row row { .key = this->registrationKey(), .value = kernel::formatAddress(this->settings.peers) };
+    store::Row row { .key = this->registrationKey(), .value = gossip::encodeProfile(this->profile()) };
     this->ports.store.commit({ .puts = { std::move(row) } }, [this](store::StoreResult<store::Version> result) {
         if (result) {
             this->isRegistering = false;
@@ -317,9 +322,9 @@
         this->dispatcher.noteProof(news.service, { .upstream = news.upstream, .point = news.point, .at = this->loop.now() - age }, *at);
     }
     this->succession.take(digest, clock);
-    this->catchUp(this->configurationWatch, this->ports.rows.configurationTable(), digest.versions.configuration, digest.address);
-    this->catchUp(this->upstreamWatch, this->ports.rows.upstreamTable(), digest.versions.upstreams, digest.address);
-    this->catchUp(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.address);
+    this->catchUp(this->configurationWatch, this->ports.rows.configurationTable(), digest.versions.configuration, digest.profile.address);
+    this->catchUp(this->upstreamWatch, this->ports.rows.upstreamTable(), digest.versions.upstreams, digest.profile.address);
+    this->catchUp(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.profile.address);
 }
 
 /// Gives the other daemons that have links to the same services, where not all have.
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -52,6 +52,7 @@
     [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
     [[nodiscard]] store::TableWatch::Callbacks configurationCallbacks();
     [[nodiscard]] store::TableWatch::Callbacks fleetCallbacks();
+    [[nodiscard]] gossip::VmProfile profile() const;
     [[nodiscard]] gossip::GossipNode::Options gossipOptions() const;
     [[nodiscard]] gossip::GossipNode::Callbacks gossipCallbacks();
     [[nodiscard]] succession::SuccessionService::Parts successionParts();
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -15,6 +15,7 @@
 struct GatewaySettings {
     std::string vm;
     std::string zone;
+    double cores { 1 }; ///< Share of a processor that the VM has; may be less than 1.
     kernel::Address callers; ///< Listens for callers.
     kernel::Address ready; ///< Listens for the platform's readiness checks.
     kernel::Address peers; ///< Listens for other daemons, by TCP and UDP.
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/gossip/digest.hpp"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace amaranthhall::gossip {
@@ -8,6 +9,8 @@
 
     using Json = nlohmann::json;
 
+    constexpr double milli = 1000; // cores travel as thousandths
+
     Json encode(const LeaderNews& news)
     {
         return Json::array({ news.service, news.upstream, news.point.term, news.point.position, news.at });
@@ -58,7 +61,7 @@
 
 std::string encodeDigest(const Digest& digest)
 {
-    Json json { { "vm", digest.vm }, { "address", kernel::formatAddress(digest.address) }, { "versions", { digest.versions.configuration, digest.versions.upstreams, digest.versions.fleet } } };
+    Json json { { "vm", digest.vm }, { "profile", { kernel::formatAddress(digest.profile.address), digest.profile.zone, std::lround(digest.profile.cores * milli) } }, { "versions", { digest.versions.configuration, digest.versions.upstreams, digest.versions.fleet } } };
     if (digest.wantsPeers)
         json["wants_peers"] = true;
     put(json, "leaders", digest.leaders);
@@ -76,7 +79,13 @@
 {
     try {
         const auto json = Json::from_cbor(bytes);
-        Digest digest { .vm = json.at("vm").get<std::string>(), .address = decodeAddress(json.at("address")), .wantsPeers = json.value("wants_peers", false) };
+        Digest digest;
+        digest.vm = json.at("vm").get<std::string>();
+        digest.wantsPeers = json.value("wants_peers", false);
+        const auto& profile = json.at("profile");
+        digest.profile.address = decodeAddress(profile.at(0));
+        digest.profile.zone = profile.at(1).get<std::string>();
+        digest.profile.cores = profile.at(2).get<double>() / milli;
         const auto& versions = json.at("versions");
         digest.versions = { .configuration = versions.at(0).get<store::Version>(), .upstreams = versions.at(1).get<store::Version>(), .fleet = versions.at(2).get<store::Version>() };
         take(json, "leaders", [&](const Json& item) {
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/freshness/store_clock.hpp"
+#include "amaranthhall/gossip/vm_profile.hpp"
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/address.hpp"
 #include "amaranthhall/store/store.hpp"
@@ -52,7 +53,7 @@
 /// @brief What one daemon tells another in a datagram.
 struct Digest {
     std::string vm;
-    kernel::Address address; ///< Where the sender takes datagrams and calls.
+    VmProfile profile; ///< Of the sender's VM.
     bool wantsPeers { false }; ///< The sender asks for the addresses of other daemons.
     TableVersions versions;
     std::vector<LeaderNews> leaders;
--- a/src/amaranthhall/gossip/fwd.hpp
+++ b/src/amaranthhall/gossip/fwd.hpp
@@ -5,5 +5,6 @@
 class GossipNode;
 class PeerBook;
 struct Digest;
+struct VmProfile;
 
 }
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -24,43 +24,56 @@
     , options(std::move(usedOptions))
     , callbacks(std::move(usedCallbacks))
     , random(this->options.seed)
-    , socket(usedLoop, this->options.listen, [this](auto bytes) { this->receive(bytes); })
+    , socket(usedLoop, this->options.profile.address, [this](auto bytes) { this->receive(bytes); })
     , timer(usedLoop.every(interval, [this] { this->tell(fanOut); }))
 {
 }
 
 Digest GossipNode::makeDigest()
 {
-    Digest digest { .vm = this->options.vm, .address = this->options.listen };
+    Digest digest { .vm = this->options.vm, .profile = this->options.profile };
     this->callbacks.fill(digest);
-    if (this->book.size() > PeerBook::largeSize) {
-        for (const auto& [vm, age] : this->book.drawAges(agesTold, this->loop.now(), this->random))
-            digest.ages.push_back({ .vm = vm, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
-    }
     return digest;
 }
 
+/// Adds how long ago other daemons were heard of, where too few datagrams come from each of them.
+void GossipNode::addAges(Digest& digest)
+{
+    if (this->book.size() <= PeerBook::largeSize)
+        return;
+    for (const auto& [vm, age] : this->book.drawAges(agesTold, this->loop.now(), this->random))
+        digest.ages.push_back({ .vm = vm, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
+}
+
+void GossipNode::send(std::span<const kernel::Address> targets, const Digest& digest)
+{
+    if (targets.empty())
+        return;
+    const auto bytes = encodeDigest(digest);
+    for (const auto& target : targets) {
+        if (target != this->options.profile.address)
+            this->socket.send(target, bytes);
+    }
+}
+
 void GossipNode::tell(std::size_t count)
 {
     this->book.forgetSilent(this->loop.now());
-    auto targets = this->book.draw(count, this->random);
+    auto targets = this->book.draw(count, this->options.profile.zone, this->random);
+    std::vector<kernel::Address> partners;
     for (const auto& partner : this->callbacks.partners()) {
         const auto address = this->book.addressOf(partner);
         if (address && std::find(targets.begin(), targets.end(), *address) == targets.end())
-            targets.push_back(*address);
+            partners.push_back(*address);
     }
     auto digest = this->makeDigest();
+    this->send(partners, digest);
     if (targets.empty()) {
         targets = this->options.seeds;
         digest.wantsPeers = true;
     }
-    if (targets.empty())
-        return;
-    const auto bytes = encodeDigest(digest);
-    for (const auto& target : targets) {
-        if (target != this->options.listen)
-            this->socket.send(target, bytes);
-    }
+    this->addAges(digest);
+    this->send(targets, digest);
 }
 
 void GossipNode::tellUrgently()
@@ -82,18 +95,19 @@
     if (digest->vm == this->options.vm)
         return;
     const auto now = this->loop.now();
-    this->book.noteHeard(digest->vm, digest->address, now);
+    this->book.noteHeard(digest->vm, digest->profile, now);
     for (const auto& news : digest->ages)
         this->book.noteHeardOf(news.vm, now - news.age);
     if (digest->wantsPeers) {
         auto answer = this->makeDigest();
-        answer.peers = this->book.draw(mostPeersTold, this->random);
-        this->socket.send(digest->address, encodeDigest(answer));
+        this->addAges(answer);
+        answer.peers = this->book.draw(mostPeersTold, digest->profile.zone, this->random);
+        this->socket.send(digest->profile.address, encodeDigest(answer));
     }
     for (const auto& address : digest->peers) {
-        if (address == this->options.listen)
+        if (address == this->options.profile.address)
             continue;
-        auto hello = this->makeDigest();
+        const auto hello = this->makeDigest();
         this->socket.send(address, encodeDigest(hello));
     }
     this->callbacks.received(*digest);
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -7,6 +7,7 @@
 #include "amaranthhall/kernel/random.hpp"
 
 #include <functional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,7 @@
     /// @brief How a node is built.
     struct Options {
         std::string vm;
-        kernel::Address listen;
+        VmProfile profile; ///< Of this daemon's VM.
         std::vector<kernel::Address> seeds; ///< Daemons to ask for others.
         std::uint64_t seed { 0 }; ///< Of the draws of peers.
     };
@@ -41,6 +42,8 @@
     void tell(std::size_t fanOut);
     void receive(std::string_view bytes);
     [[nodiscard]] Digest makeDigest();
+    void addAges(Digest& digest);
+    void send(std::span<const kernel::Address> targets, const Digest& digest);
 
     kernel::Loop& loop;
     Options options;
--- a/src/amaranthhall/gossip/peer_book.cpp
+++ b/src/amaranthhall/gossip/peer_book.cpp
@@ -7,15 +7,15 @@
 
 namespace amaranthhall::gossip {
 
-void PeerBook::add(std::string_view vm, const kernel::Address& address, Time now)
+void PeerBook::add(std::string_view vm, const VmProfile& profile, Time now)
 {
     const auto [place, isNew] = this->peers.try_emplace(std::string(vm), Peer { .addedAt = now });
-    place->second.address = address;
+    place->second.profile = profile;
 }
 
-void PeerBook::noteHeard(std::string_view vm, const kernel::Address& address, Time now)
+void PeerBook::noteHeard(std::string_view vm, const VmProfile& profile, Time now)
 {
-    this->add(vm, address, now);
+    this->add(vm, profile, now);
     this->peers.find(vm)->second.heardAt = now;
 }
 
@@ -31,15 +31,20 @@
     std::erase_if(this->peers, [now](const auto& item) { return now - std::max(item.second.heardAt, item.second.addedAt) > forgetSpan; });
 }
 
-std::vector<kernel::Address> PeerBook::draw(std::size_t count, Random& random) const
+std::vector<kernel::Address> PeerBook::draw(std::size_t count, std::string_view zone, Random& random) const
 {
-    std::vector<kernel::Address> all;
-    for (const auto& [vm, peer] : this->peers)
-        all.push_back(peer.address);
-    if (all.size() <= count)
-        return all;
+    const bool isLarge = this->peers.size() > largeSize;
+    std::vector<kernel::Address> near;
+    std::vector<kernel::Address> far;
+    for (const auto& [vm, peer] : this->peers) {
+        const bool isNear = !isLarge || peer.profile.zone == zone;
+        (isNear ? near : far).push_back(peer.profile.address);
+    }
+    const auto wantedFar = near.size() < count ? count - near.size() : count / farEvery;
+    const auto farCount = std::min(far.size(), std::max(isLarge ? std::size_t { 1 } : 0, wantedFar));
     std::vector<kernel::Address> drawn;
-    std::sample(all.begin(), all.end(), std::back_inserter(drawn), count, random);
+    std::sample(far.begin(), far.end(), std::back_inserter(drawn), farCount, random);
+    std::sample(near.begin(), near.end(), std::back_inserter(drawn), count - farCount, random);
     return drawn;
 }
 
@@ -53,14 +58,6 @@
     return names;
 }
 
-std::vector<std::string> PeerBook::names() const
-{
-    std::vector<std::string> all;
-    for (const auto& [vm, peer] : this->peers)
-        all.push_back(vm);
-    return all;
-}
-
 void PeerBook::noteHeardOf(std::string_view vm, Time heardAt) noexcept
 {
     const auto found = this->peers.find(vm);
@@ -89,7 +86,7 @@
 std::optional<kernel::Address> PeerBook::addressOf(std::string_view vm) const noexcept
 {
     const auto found = this->peers.find(vm);
-    return found == this->peers.end() ? std::nullopt : std::optional(found->second.address);
+    return found == this->peers.end() ? std::nullopt : std::optional(found->second.profile.address);
 }
 
 std::size_t rankFor(std::string_view task, std::string_view self, const std::vector<std::string>& others)
--- a/src/amaranthhall/gossip/peer_book.hpp
+++ b/src/amaranthhall/gossip/peer_book.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "amaranthhall/kernel/address.hpp"
+#include "amaranthhall/gossip/vm_profile.hpp"
 #include "amaranthhall/kernel/random.hpp"
 #include "amaranthhall/kernel/time.hpp"
 
@@ -16,7 +16,7 @@
 
 /// @brief Another daemon.
 struct Peer {
-    kernel::Address address;
+    VmProfile profile;
     Time heardAt; ///< Of its last datagram.
     Time addedAt; ///< When this daemon learned of it.
 };
@@ -27,13 +27,14 @@
     static constexpr Duration liveSpan = std::chrono::milliseconds(1500); ///< A peer that was heard within this is alive.
     static constexpr Duration largeLiveSpan = std::chrono::milliseconds(4000); ///< The same where news of most peers come by others.
     static constexpr std::size_t largeSize = 30; ///< Peers from which on few datagrams come from each of them.
+    static constexpr std::size_t farEvery = 5; ///< In a large fleet one of so many drawn peers is in another zone.
     static constexpr Duration forgetSpan = std::chrono::seconds(10); ///< A peer that was not heard for this is dropped.
 
     /// @brief Takes in that a peer exists.
-    void add(std::string_view vm, const kernel::Address& address, Time now);
+    void add(std::string_view vm, const VmProfile& profile, Time now);
 
     /// @brief Takes in a datagram of a peer.
-    void noteHeard(std::string_view vm, const kernel::Address& address, Time now);
+    void noteHeard(std::string_view vm, const VmProfile& profile, Time now);
 
     /// @brief Takes in that another daemon has heard of a peer.
     void noteHeardOf(std::string_view vm, Time heardAt) noexcept;
@@ -47,14 +48,14 @@
     /// @brief Drops peers that were silent for long.
     void forgetSilent(Time now);
 
-    /// @brief Draws peers to send to, live and silent ones alike.
-    [[nodiscard]] std::vector<kernel::Address> draw(std::size_t count, Random& random) const;
+    /// @brief Draws peers to send to, live and silent ones alike; in a large fleet most of them in the given zone.
+    [[nodiscard]] std::vector<kernel::Address> draw(std::size_t count, std::string_view zone, Random& random) const;
 
     /// @brief Gives the names of the peers that are alive.
     [[nodiscard]] std::vector<std::string> live(Time now) const;
 
-    /// @brief Gives the names of all peers.
-    [[nodiscard]] std::vector<std::string> names() const;
+    /// @brief Gives all peers by name.
+    [[nodiscard]] const std::map<std::string, Peer, std::less<>>& all() const noexcept { return this->peers; }
 
     [[nodiscard]] bool isLive(std::string_view vm, Time now) const noexcept;
     [[nodiscard]] std::size_t size() const noexcept { return this->peers.size(); }
--- a/src/amaranthhall/kernel/settings_reader.cpp
+++ b/src/amaranthhall/kernel/settings_reader.cpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/kernel/duration_text.hpp"
 #include "amaranthhall/kernel/nearest_name.hpp"
 
+#include <charconv>
 #include <fstream>
 #include <sstream>
 
@@ -82,6 +83,17 @@
         return *duration;
     }
 
+    double readPositive(const YAML::Node& node, const std::string& path)
+    {
+        const auto text = readText(node, path);
+        double number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        const bool isWhole = error == std::errc() && end == text.data() + text.size();
+        if (!isWhole || !(number > 0))
+            fail(node, path, "a number above 0 is expected");
+        return number;
+    }
+
     bool readBool(const YAML::Node& node, const std::string& path)
     {
         const auto text = readText(node, path);
@@ -115,6 +127,11 @@
         return { name, [keys = std::move(keys)](const auto& node, const auto& path) { readMap(node, path, keys); } };
     }
 
+    Key positiveKey(std::string_view name, double& target)
+    {
+        return { name, [&target](const auto& node, const auto& path) { target = readPositive(node, path); } };
+    }
+
     Key boolKey(std::string_view name, bool& target)
     {
         return { name, [&target](const auto& node, const auto& path) { target = readBool(node, path); } };
--- a/src/amaranthhall/kernel/settings_reader.hpp
+++ b/src/amaranthhall/kernel/settings_reader.hpp
@@ -36,11 +36,13 @@
 [[nodiscard]] std::string readText(const YAML::Node& node, const std::string& path);
 [[nodiscard]] Address readAddress(const YAML::Node& node, const std::string& path);
 [[nodiscard]] std::chrono::milliseconds readDuration(const YAML::Node& node, const std::string& path);
+[[nodiscard]] double readPositive(const YAML::Node& node, const std::string& path);
 [[nodiscard]] bool readBool(const YAML::Node& node, const std::string& path);
 [[nodiscard]] std::string readChoice(const YAML::Node& node, const std::string& path, std::span<const std::string_view> choices);
 
 [[nodiscard]] Key textKey(std::string_view name, std::string& target);
 [[nodiscard]] Key addressKey(std::string_view name, Address& target);
+[[nodiscard]] Key positiveKey(std::string_view name, double& target);
 [[nodiscard]] Key boolKey(std::string_view name, bool& target);
 [[nodiscard]] Key mapKey(std::string_view name, std::vector<Key> keys);
 
--- a/src/amaranthhall/membership/rendezvous.cpp
+++ b/src/amaranthhall/membership/rendezvous.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/membership/rendezvous.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace amaranthhall::membership {
@@ -53,6 +54,14 @@
     return mix(addText(hash, key));
 }
 
+double weightedScore(std::string_view memberId, std::string_view key, double weight) noexcept
+{
+    // -weight / ln(u) of a uniform u is the weighted form of rendezvous hashing (Schindelhauer and Schomaker, 2005).
+    constexpr double range = 0x1p64;
+    const double uniform = (static_cast<double>(rendezvousScore(memberId, key)) + 0.5) / range;
+    return -weight / std::log(std::min(uniform, 1 - 0x1p-53));
+}
+
 std::vector<const Member*> chooseHolders(std::span<const Member> members, std::string_view key, std::size_t count)
 {
     const auto ranked = rankLive(members, key);
--- a/src/amaranthhall/membership/rendezvous.hpp
+++ b/src/amaranthhall/membership/rendezvous.hpp
@@ -18,6 +18,9 @@
  */
 [[nodiscard]] std::uint64_t rendezvousScore(std::string_view memberId, std::string_view key) noexcept;
 
+/// @brief Scores a member like rendezvousScore(), so that it has the highest score in proportion to its weight, which is above 0.
+[[nodiscard]] double weightedScore(std::string_view memberId, std::string_view key, double weight) noexcept;
+
 /**
  * @brief Chooses the holders of a role by rendezvous hashing, spread over zones.
  *
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -24,8 +24,9 @@
 
 std::vector<std::string> HomeRouter::compute(std::string_view service) const
 {
-    auto daemons = this->peers.names();
-    daemons.push_back(this->options.vm);
+    std::vector<Daemon> daemons { { .vm = this->options.vm, .zone = this->options.zone, .cores = this->options.cores } };
+    for (const auto& [vm, peer] : this->peers.all())
+        daemons.push_back({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
     const auto configuration = this->catalog.configuration();
     const auto spec = configuration ? configuration->services.find(service) : std::map<std::string, catalog::ServiceSpec, std::less<>>::const_iterator();
     const bool isKnown = configuration && spec != configuration->services.end();
@@ -54,23 +55,21 @@
 
 std::unique_ptr<engine::RelayStream> HomeRouter::open(std::string_view service, const std::vector<std::string>& tried)
 {
-    const auto now = this->loop.now();
-    const std::string* best = nullptr;
-    std::pair<bool, std::size_t> bestRank;
+    std::vector<HomeState> states;
     for (const auto& home : this->homes(service)) {
+        const auto peer = this->peers.all().find(home);
         const bool isTried = std::find(tried.begin(), tried.end(), home) != tried.end();
-        if (isTried || home == this->options.vm)
-            continue;
-        const std::pair rank { this->client.isAvoided(home, now), this->client.outstanding(home) };
-        if (!best || rank < bestRank) {
-            best = &home;
-            bestRank = rank;
-        }
+        if (!isTried && peer != this->peers.all().end())
+            states.push_back({ .vm = peer->first, .zone = peer->second.profile.zone, .isAvoided = this->client.isAvoided(home, this->loop.now()), .outstanding = this->client.outstanding(home) });
     }
-    const auto address = best ? this->peers.addressOf(*best) : std::nullopt;
+    const auto chosenHome = chooseHome(states, this->options.vm, this->options.zone);
+    if (!chosenHome)
+        return nullptr;
+    const std::string home(states[*chosenHome].vm);
+    const auto address = this->peers.addressOf(home);
     if (!address)
         return nullptr;
-    return this->client.open(*best, { .host = address->host, .port = this->options.relayPort });
+    return this->client.open(home, { .host = address->host, .port = this->options.relayPort });
 }
 
 }
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -18,6 +18,8 @@
     /// @brief How a router is built.
     struct Options {
         std::string vm;
+        std::string zone;
+        double cores { 1 }; ///< Of this VM.
         std::uint16_t relayPort { 0 }; ///< The same on all daemons.
     };
 
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -3,6 +3,8 @@
 #include "amaranthhall/membership/rendezvous.hpp"
 
 #include <algorithm>
+#include <map>
+#include <tuple>
 
 namespace amaranthhall::relay {
 
@@ -12,20 +14,72 @@
     constexpr std::size_t fewestHomes = 2; // one may be lost
     constexpr std::size_t mostHomes = 12; // all that start at once open their links in a fraction of a second
     constexpr std::size_t smallFleet = 24; // daemons that all hold links, if there are enough
+    constexpr std::size_t busyFrom = 4; // outstanding statements of one daemon; a way to another zone is then the shorter wait
+
+    struct Candidate {
+        const Daemon* daemon;
+        double score;
+    };
+
+    std::vector<Candidate> rank(std::string_view service, std::span<const Daemon> daemons)
+    {
+        const auto key = "home/" + std::string(service);
+        std::vector<Candidate> candidates;
+        for (const auto& daemon : daemons)
+            candidates.push_back({ .daemon = &daemon, .score = membership::weightedScore(daemon.vm, key, daemon.cores) });
+        std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
+            return std::tie(left.score, left.daemon->vm) > std::tie(right.score, right.daemon->vm);
+        });
+        return candidates;
+    }
+
+    std::size_t countZones(std::span<const Daemon> daemons)
+    {
+        std::map<std::string_view, int> zones;
+        for (const auto& daemon : daemons)
+            ++zones[daemon.zone];
+        return zones.size();
+    }
+
+    std::vector<std::string> names(std::span<const Daemon> daemons)
+    {
+        std::vector<std::string> all;
+        for (const auto& daemon : daemons)
+            all.push_back(daemon.vm);
+        return all;
+    }
 
 }
 
-std::vector<std::string> chooseHomes(std::string_view service, std::span<const std::string> daemons, std::uint32_t connections)
+std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, std::uint32_t connections)
 {
-    std::vector<std::string> homes(daemons.begin(), daemons.end());
-    if (homes.size() <= smallFleet && connections >= homes.size())
-        return homes;
-    const auto key = "home/" + std::string(service);
-    std::sort(homes.begin(), homes.end(), [&key](const auto& left, const auto& right) {
-        return membership::rendezvousScore(left, key) > membership::rendezvousScore(right, key);
-    });
-    homes.resize(std::min(homes.size(), std::clamp<std::size_t>(connections / linksOfAHome, fewestHomes, mostHomes)));
+    if (daemons.empty() || (daemons.size() <= smallFleet && connections >= daemons.size()))
+        return names(daemons);
+    const auto count = std::min(daemons.size(), std::clamp<std::size_t>(connections / linksOfAHome, fewestHomes, mostHomes));
+    const auto zones = countZones(daemons);
+    const auto mostInZone = (count + zones - 1) / zones;
+    std::vector<std::string> homes;
+    std::vector<std::string> spare;
+    std::map<std::string_view, std::size_t> inZone;
+    for (const auto& candidate : rank(service, daemons)) {
+        const bool isFull = inZone[candidate.daemon->zone] >= mostInZone;
+        if (!isFull)
+            ++inZone[candidate.daemon->zone];
+        (isFull ? spare : homes).push_back(candidate.daemon->vm);
+    }
+    homes.insert(homes.end(), spare.begin(), spare.end());
+    homes.resize(count);
     return homes;
 }
 
+std::optional<std::size_t> chooseHome(std::span<const HomeState> homes, std::string_view vm, std::string_view zone)
+{
+    const auto rankOf = [&](const HomeState& home) {
+        const auto affinity = membership::rendezvousScore(home.vm, vm);
+        return std::tuple(home.isAvoided, home.outstanding >= busyFrom, home.zone != zone, home.outstanding, affinity);
+    };
+    const auto best = std::min_element(homes.begin(), homes.end(), [&](const auto& left, const auto& right) { return rankOf(left) < rankOf(right); });
+    return best == homes.end() ? std::nullopt : std::optional(static_cast<std::size_t>(best - homes.begin()));
+}
+
 }
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -9,15 +10,39 @@
 
 namespace amaranthhall::relay {
 
+/// @brief A live daemon that may hold connections to upstreams.
+struct Daemon {
+    std::string vm;
+    std::string zone;
+    double cores { 1 }; ///< Of its VM.
+};
+
 /**
  * @brief Chooses the daemons that hold the connections to the upstreams of a service.
  *
  * In a small fleet all hold some, where an upstream allows one for each daemon. Else a few do, drawn by rendezvous hashing so that
- * all daemons choose alike, and the others relay to them.
+ * all daemons choose alike, and the others relay to them. Larger VMs are drawn more often, and each zone gets an even share of the homes.
  *
  * @param daemons All live daemons.
  * @param connections Connections that each upstream of the service allows.
  */
-[[nodiscard]] std::vector<std::string> chooseHomes(std::string_view service, std::span<const std::string> daemons, std::uint32_t connections);
+[[nodiscard]] std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, std::uint32_t connections);
+
+/// @brief A home as seen from a daemon that has a statement for it.
+struct HomeState {
+    std::string_view vm;
+    std::string_view zone;
+    bool isAvoided { false }; ///< It has failed or fallen silent lately.
+    std::size_t outstanding { 0 }; ///< Statements that it has not answered yet.
+};
+
+/**
+ * @brief Chooses the home for a statement: one in the daemon's own zone, unless all those are busy, and among them the least busy.
+ *
+ * Daemons differ in the home that they take first, so that idle homes share the load.
+ *
+ * @return Index of the home; nothing if there is none.
+ */
+[[nodiscard]] std::optional<std::size_t> chooseHome(std::span<const HomeState> homes, std::string_view vm, std::string_view zone);
 
 }
--- a/test/gateway/test_gateway_settings.cpp
+++ b/test/gateway/test_gateway_settings.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view whole = R"(vm:
   id: "front-1"
   zone: "a"
+  cores: 0.17
 listen:
   callers: "10.1.0.8:1"
   ready: "10.1.0.8:2"
@@ -42,6 +43,7 @@
     const auto read = gateway::parseGatewaySettings(whole);
     CHECK_TRUE(read.has_value());
     CHECK_EQUAL(std::string("front-1"), read->vm);
+    DOUBLES_EQUAL(0.17, read->cores, 1e-9);
     LONGS_EQUAL(2, read->seeds.size());
     LONGS_EQUAL(6000, read->drainLimit.count());
     LONGS_EQUAL(7000, read->upstreamDrainLimit.count());
@@ -50,7 +52,9 @@
 TEST(GatewaySettings, AProblemNamesFileLineAndKey)
 {
     STRCMP_EQUAL("f:2: vm.idd: unknown key; did you mean 'id'?", problemOf("id:", "idd:").c_str());
-    STRCMP_CONTAINS("f:5: listen.callers: an address", problemOf("10.1.0.8:1\"", "nowhere\"").c_str());
+    STRCMP_CONTAINS("f:6: listen.callers: an address", problemOf("10.1.0.8:1\"", "nowhere\"").c_str());
     STRCMP_CONTAINS("drain.daemon: a duration with its unit", problemOf("6s", "6").c_str());
+    STRCMP_CONTAINS("f:4: vm.cores: a number above 0", problemOf("0.17", "0").c_str());
+    STRCMP_CONTAINS("f:4: vm.cores: a number above 0", problemOf("0.17", "many").c_str());
     STRCMP_CONTAINS("vm.zone: is required", problemOf("\"a\"", "\"\"").c_str());
 }
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -9,7 +9,7 @@
 
 TEST(Digest, WhatIsToldArrives)
 {
-    gossip::Digest sent { .vm = "front-1", .address = { .host = "10.0.0.1", .port = 8782 }, .wantsPeers = true, .versions = { .configuration = 3, .upstreams = 40, .fleet = 41 } };
+    gossip::Digest sent { .vm = "front-1", .profile = { .address = { .host = "10.0.0.1", .port = 8782 }, .zone = "ba", .cores = 0.084 }, .wantsPeers = true, .versions = { .configuration = 3, .upstreams = 40, .fleet = 41 } };
     sent.leaders.push_back({ .service = "s", .upstream = "i-1", .point = { .term = 2, .position = 99 }, .at = 123'456 });
     sent.suspicions.push_back({ .service = "s", .upstream = "i-2", .isRefusing = true });
     sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = 77, .at = 5 });
@@ -18,7 +18,7 @@
     const auto got = gossip::decodeDigest(gossip::encodeDigest(sent));
     CHECK_TRUE(got.has_value());
     CHECK_EQUAL(sent.vm, got->vm);
-    CHECK(got->address == sent.address);
+    CHECK(got->profile == sent.profile);
     CHECK_TRUE(got->wantsPeers);
     LONGS_EQUAL(40, got->versions.upstreams);
     CHECK(got->leaders.at(0).point == sent.leaders[0].point);
@@ -35,7 +35,7 @@
         static_cast<void>(gossip::decodeDigest(bytes));
     });
     CHECK_TRUE(holds);
-    const auto whole = gossip::encodeDigest({ .vm = "a", .address = { .host = "10.0.0.1", .port = 1 } });
+    const auto whole = gossip::encodeDigest({ .vm = "a", .profile = { .address = { .host = "10.0.0.1", .port = 1 } } });
     for (std::size_t length = 0; length < whole.size(); ++length)
         CHECK_FALSE(gossip::decodeDigest(std::string_view(whole).substr(0, length)).has_value());
 }
--- a/test/gossip/test_peer_book.cpp
+++ b/test/gossip/test_peer_book.cpp
@@ -10,14 +10,14 @@
 {
     gossip::PeerBook book;
     Time now { 100s };
-    kernel::Address address { .host = "10.0.0.1", .port = 1 };
+    gossip::VmProfile profile { .address = { .host = "10.0.0.1", .port = 1 }, .zone = "a" };
 };
 
 TEST(PeerBook, APeerIsAliveWhileItIsHeard)
 {
-    this->book.add("a", this->address, this->now);
+    this->book.add("a", this->profile, this->now);
     CHECK_FALSE(this->book.isLive("a", this->now));
-    this->book.noteHeard("a", this->address, this->now);
+    this->book.noteHeard("a", this->profile, this->now);
     CHECK_TRUE(this->book.isLive("a", this->now + 1s));
     CHECK_FALSE(this->book.isLive("a", this->now + 2s));
     this->book.noteHeardOf("a", this->now + 1900ms);
@@ -26,7 +26,7 @@
 
 TEST(PeerBook, ASilentPeerIsForgotten)
 {
-    this->book.add("a", this->address, this->now);
+    this->book.add("a", this->profile, this->now);
     this->book.forgetSilent(this->now + 9s);
     LONGS_EQUAL(1, this->book.size());
     this->book.forgetSilent(this->now + 11s);
@@ -45,3 +45,35 @@
     LONGS_EQUAL(all.size(), ranks.size());
     LONGS_EQUAL(0, *ranks.begin());
 }
+
+TEST(PeerBook, InALargeFleetMostDrawnPeersAreInTheOwnZone)
+{
+    constexpr std::uint16_t count = 60;
+    for (std::uint16_t number = 0; number < count; ++number)
+        this->book.add(std::to_string(number), { .address = { .host = "10.0.0.1", .port = number }, .zone = number % 3 == 0 ? "a" : "b" }, this->now);
+    Random random(1);
+    std::set<std::uint16_t> far;
+    for (int round = 0; round < 200; ++round) {
+        const auto drawn = this->book.draw(5, "a", random);
+        LONGS_EQUAL(5, drawn.size());
+        std::size_t near = 0;
+        for (const auto& address : drawn) {
+            near += address.port % 3 == 0 ? 1 : 0;
+            if (address.port % 3 != 0)
+                far.insert(address.port);
+        }
+        LONGS_EQUAL(4, near);
+    }
+    // All daemons of other zones are reached in time.
+    LONGS_EQUAL(40, far.size());
+    LONGS_EQUAL(60, this->book.draw(60, "a", random).size());
+}
+
+TEST(PeerBook, InASmallFleetZonesDoNotMatter)
+{
+    for (std::uint16_t number = 0; number < 6; ++number)
+        this->book.add(std::to_string(number), { .address = { .host = "10.0.0.1", .port = number }, .zone = number == 0 ? "a" : "b" }, this->now);
+    Random random(1);
+    LONGS_EQUAL(5, this->book.draw(5, "a", random).size());
+    LONGS_EQUAL(6, this->book.draw(40, "a", random).size());
+}
--- a/test/relay/test_homes.cpp
+++ b/test/relay/test_homes.cpp
@@ -10,14 +10,20 @@
 
 namespace {
 
-std::vector<std::string> daemons(int count)
+std::vector<relay::Daemon> daemons(int count)
 {
-    std::vector<std::string> all;
+    std::vector<relay::Daemon> all;
     for (int i = 0; i < count; ++i)
-        all.push_back("front-" + std::to_string(i));
+        all.push_back({ .vm = "front-" + std::to_string(i), .zone = "zone-" + std::to_string(i % 3) });
     return all;
 }
 
+/// The zone or another number of a daemon from daemons().
+int numberOf(std::string_view vm)
+{
+    return std::stoi(std::string(vm.substr(6)));
+}
+
 }
 
 TEST_GROUP(Homes) {};
@@ -44,7 +50,7 @@
 {
     const auto before = relay::chooseHomes("s", daemons(113), 46);
     auto left = daemons(113);
-    std::erase(left, before.front());
+    std::erase_if(left, [&](const auto& daemon) { return daemon.vm == before.front(); });
     const auto after = relay::chooseHomes("s", left, 46);
     LONGS_EQUAL(before.size() - 1, std::count_if(after.begin(), after.end(), [&](const auto& home) { return std::find(before.begin(), before.end(), home) != before.end(); }));
 }
@@ -60,3 +66,54 @@
     const auto busiest = std::max_element(roles.begin(), roles.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
     CHECK(busiest->second <= 15);
 }
+
+TEST(Homes, ZonesHaveAnEvenShare)
+{
+    for (int service = 0; service < 20; ++service) {
+        std::map<int, int> inZone;
+        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), daemons(113), 72))
+            ++inZone[numberOf(home) % 3];
+        LONGS_EQUAL(4, inZone[0]);
+        LONGS_EQUAL(4, inZone[1]);
+        LONGS_EQUAL(4, inZone[2]);
+    }
+}
+
+TEST(Homes, LargeVmsAreDrawnMoreOften)
+{
+    auto all = daemons(100);
+    for (auto& daemon : all)
+        daemon.cores = numberOf(daemon.vm) < 50 ? 0.5 : 0.1;
+    int large = 0;
+    int drawn = 0;
+    for (int service = 0; service < 50; ++service) {
+        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), all, 72)) {
+            ++drawn;
+            large += numberOf(home) < 50 ? 1 : 0;
+        }
+    }
+    // By weight five in six are large.
+    CHECK(large > drawn * 3 / 4);
+}
+
+TEST(Homes, AStatementStaysInItsZoneUnlessAllThereAreBusy)
+{
+    std::vector<relay::HomeState> homes { { .vm = "far", .zone = "b" }, { .vm = "near", .zone = "a", .outstanding = 3 } };
+    LONGS_EQUAL(1, *relay::chooseHome(homes, "me", "a"));
+    homes[1].outstanding = 4;
+    LONGS_EQUAL(0, *relay::chooseHome(homes, "me", "a"));
+    homes[0].isAvoided = true;
+    LONGS_EQUAL(1, *relay::chooseHome(homes, "me", "a"));
+    CHECK_FALSE(relay::chooseHome({}, "me", "a").has_value());
+}
+
+// Load: 38 daemons of a zone, each with a statement now and then, so that all homes look idle to all of them.
+TEST(Homes, IdleHomesShareTheLoad)
+{
+    const std::vector<relay::HomeState> homes { { .vm = "h0", .zone = "a" }, { .vm = "h1", .zone = "a" }, { .vm = "h2", .zone = "a" }, { .vm = "h3", .zone = "a" } };
+    std::map<std::size_t, int> taken;
+    for (const auto& daemon : daemons(38))
+        ++taken[*relay::chooseHome(homes, daemon.vm, "a")];
+    for (std::size_t home = 0; home < homes.size(); ++home)
+        CHECK(taken[home] >= 4);
+}
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -74,7 +74,7 @@
         this->links.upstreams["a"].point = { .term = 1, .position = 90 };
         this->links.upstreams["b"].point = { .term = 1, .position = 95 };
         this->dispatcher.onCatalogChanged();
-        this->peers.noteHeard("other", { .host = "127.0.0.1", .port = 1 }, this->loop.now());
+        this->peers.noteHeard("other", { .address = { .host = "127.0.0.1", .port = 1 }, .zone = "z" }, this->loop.now());
         succession::SuccessionService::Parts parts {
             .loop = this->loop,
             .catalog = this->known,
