--- a/src/amaranthhall/bench/experiment.cpp
+++ b/src/amaranthhall/bench/experiment.cpp
@@ -88,7 +88,7 @@
             this->load.start();
             this->loop.run();
             if (!this->load.isIdle())
-                throw std::runtime_error("operations were still without an answer when the settling time ended");
+                throw std::runtime_error("operations were still without an answer when the settling time ended:" + this->load.describeWaits());
             result.seconds = std::chrono::duration<double>(this->loop.now() - begin).count();
             addHistory(result, this->load.history(), begin);
             this->measureGaps(result);
--- a/src/amaranthhall/bench/load_caller.cpp
+++ b/src/amaranthhall/bench/load_caller.cpp
@@ -50,6 +50,18 @@
     this->proceed();
 }
 
+std::string LoadCaller::describeWait() const
+{
+    if (this->isIdle())
+        return {};
+    const auto waited = std::chrono::duration<double>(this->loop.now() - this->begunAt).count();
+    const char* state = this->isRunning ? "running" : "between operations";
+    if (!this->isOpen)
+        state = this->link ? "connecting" : "not connected";
+    return "caller " + std::to_string(this->options.number) + " of instance " + std::to_string(this->options.instance) + ": " + std::to_string(this->queue.size()) + " operations, " + state + " at "
+        + kernel::formatAddress(this->daemon) + " for " + std::to_string(waited) + " s";
+}
+
 void LoadCaller::proceed()
 {
     if (this->queue.empty() || this->isRunning || this->retryTimer)
@@ -63,8 +75,10 @@
 void LoadCaller::connect()
 {
     this->isOpen = false;
+    this->begunAt = this->loop.now();
+    this->daemon = this->options.chooseDaemon();
     this->link = std::make_unique<upstream::PqLink>(this->loop,
-        upstream::LinkOptions { .address = this->options.chooseDaemon(), .database = this->options.database, .user = "bench", .tlsMode = "disable", .connectTimeout = connectTimeout, .applicationName = "caller-" + std::to_string(this->options.number) });
+        upstream::LinkOptions { .address = this->daemon, .database = this->options.database, .user = "bench", .tlsMode = "disable", .connectTimeout = connectTimeout, .applicationName = "caller-" + std::to_string(this->options.number) });
     this->link->open([this](const auto& error) { this->onOpened(error); }, [this] { this->disconnect(); });
 }
 
@@ -95,6 +109,7 @@
 void LoadCaller::runFront()
 {
     this->isRunning = true;
+    this->begunAt = this->loop.now();
     this->sqlstate.clear();
     const auto& operation = this->queue.front();
     if (isWrite(operation.kind))
--- a/src/amaranthhall/bench/load_caller.hpp
+++ b/src/amaranthhall/bench/load_caller.hpp
@@ -55,6 +55,9 @@
     /// @brief Tells whether nothing is left to do.
     [[nodiscard]] bool isIdle() const noexcept { return this->queue.empty(); }
 
+    /// @brief Tells what the caller waits for, for a report; empty if it is idle.
+    [[nodiscard]] std::string describeWait() const;
+
 private:
     void proceed();
     void connect();
@@ -81,6 +84,8 @@
     kernel::Loop& loop;
     CallerOptions options;
     std::unique_ptr<upstream::PqLink> link;
+    kernel::Address daemon; ///< Of the link.
+    Time begunAt; ///< When the running operation's last attempt, or the opening of the link, began.
     bool isOpen { false };
     bool isRunning { false };
     kernel::Registration retryTimer;
--- a/src/amaranthhall/bench/load_generator.cpp
+++ b/src/amaranthhall/bench/load_generator.cpp
@@ -35,6 +35,16 @@
     this->timer.reset();
 }
 
+std::string LoadGenerator::describeWaits() const
+{
+    std::string lines;
+    for (const auto& caller : this->callers) {
+        if (!caller->isIdle())
+            lines.append("\n  ").append(caller->describeWait());
+    }
+    return lines;
+}
+
 bool LoadGenerator::isIdle() const
 {
     return std::all_of(this->callers.begin(), this->callers.end(), [](const auto& caller) { return caller->isIdle(); });
--- a/src/amaranthhall/bench/load_generator.hpp
+++ b/src/amaranthhall/bench/load_generator.hpp
@@ -30,6 +30,9 @@
     /// @brief Tells whether everything that arrived has ended.
     [[nodiscard]] bool isIdle() const;
 
+    /// @brief Gives a line for each caller that still waits, for a report.
+    [[nodiscard]] std::string describeWaits() const;
+
     [[nodiscard]] const History& history() const noexcept { return this->record; }
 
 private:
