Rendezvous hashing is a module of its own

gossip and relay, which the gateway is made of, reached into membership, the members' list of the PostgreSQL side, for a hash, and the build made an exception for that one file. The hash is hashing/rendezvous now; the choice of holders stays with the members as membership/holders.

--- a/src/amaranthhall/gossip/peer_book.cpp
+++ b/src/amaranthhall/gossip/peer_book.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/gossip/peer_book.hpp"
 
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -91,8 +91,8 @@
 
 std::size_t rankFor(std::string_view task, std::string_view self, const std::vector<std::string>& others)
 {
-    const auto own = membership::rendezvousScore(self, task);
-    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const auto& other) { return membership::rendezvousScore(other, task) > own; }));
+    const auto own = hashing::rendezvousScore(self, task);
+    return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [&](const auto& other) { return hashing::rendezvousScore(other, task) > own; }));
 }
 
 }
--- a/src/amaranthhall/membership/rendezvous.cpp
+++ b/src/amaranthhall/hashing/rendezvous.cpp
@@ -1,10 +1,9 @@
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
-namespace amaranthhall::membership {
+namespace amaranthhall::hashing {
 
 namespace {
 
@@ -27,24 +26,6 @@
         return hash;
     }
 
-    struct Candidate {
-        const Member* member;
-        std::uint64_t score;
-    };
-
-    std::vector<Candidate> rankLive(std::span<const Member> members, std::string_view key)
-    {
-        std::vector<Candidate> ranked;
-        for (const auto& member : members) {
-            if (member.state == MemberState::Live)
-                ranked.push_back({ &member, rendezvousScore(member.id, key) });
-        }
-        std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
-            return left.score != right.score ? left.score > right.score : left.member->id < right.member->id;
-        });
-        return ranked;
-    }
-
 }
 
 std::uint64_t rendezvousScore(std::string_view memberId, std::string_view key) noexcept
@@ -62,19 +43,4 @@
     return -weight / std::log(std::min(uniform, 1 - 0x1p-53));
 }
 
-std::vector<const Member*> chooseHolders(std::span<const Member> members, std::string_view key, std::size_t count)
-{
-    const auto ranked = rankLive(members, key);
-    std::vector<const Member*> chosen;
-    std::vector<const Member*> others;
-    std::set<std::string_view> zones;
-    for (const auto& candidate : ranked) {
-        auto& list = zones.insert(candidate.member->zone).second ? chosen : others;
-        list.push_back(candidate.member);
-    }
-    chosen.insert(chosen.end(), others.begin(), others.end());
-    chosen.resize(std::min(count, chosen.size()));
-    return chosen;
-}
-
 }
--- a/src/amaranthhall/membership/failure_detector.cpp
+++ b/src/amaranthhall/membership/failure_detector.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/membership/failure_detector.hpp"
 
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <algorithm>
 #include <bit>
@@ -256,10 +256,10 @@
 std::uint64_t computeDigest(const Detector& detector)
 {
     // A sum does not depend on the order, so a daemon's own entry needs no place among the others.
-    auto digest = rendezvousScore(detector.self.id, std::to_string(detector.self.incarnation) + "/" + std::to_string(rankState(detector.self.state)));
+    auto digest = hashing::rendezvousScore(detector.self.id, std::to_string(detector.self.incarnation) + "/" + std::to_string(rankState(detector.self.state)));
     for (const auto& [id, entry] : detector.entries) {
         if (entry.member.state != MemberState::Dead)
-            digest += rendezvousScore(id, std::to_string(entry.member.incarnation) + "/" + std::to_string(rankState(entry.member.state)));
+            digest += hashing::rendezvousScore(id, std::to_string(entry.member.incarnation) + "/" + std::to_string(rankState(entry.member.state)));
     }
     return digest;
 }
--- a/src/amaranthhall/membership/rendezvous.hpp
+++ b/src/amaranthhall/membership/holders.hpp
@@ -3,24 +3,12 @@
 #include "amaranthhall/membership/member.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <span>
 #include <string_view>
 #include <vector>
 
 namespace amaranthhall::membership {
 
-/**
- * @brief Scores a member for a key; the same on every daemon and in every build.
- * @param memberId Id of the member.
- * @param key Name of the role, such as `watch/coach-ledger/1`.
- * @return The score; the highest scores take the role.
- */
-[[nodiscard]] std::uint64_t rendezvousScore(std::string_view memberId, std::string_view key) noexcept;
-
-/// @brief Scores a member like rendezvousScore(), so that it has the highest score in proportion to its weight, which is above 0.
-[[nodiscard]] double weightedScore(std::string_view memberId, std::string_view key, double weight) noexcept;
-
 /**
  * @brief Chooses the holders of a role by rendezvous hashing, spread over zones.
  *
--- a/src/amaranthhall/membership/io/member_service.cpp
+++ b/src/amaranthhall/membership/io/member_service.cpp
@@ -1,7 +1,7 @@
 #include "amaranthhall/membership/io/member_service.hpp"
 
+#include "amaranthhall/membership/holders.hpp"
 #include "amaranthhall/membership/member_json.hpp"
-#include "amaranthhall/membership/rendezvous.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/relay/homes.hpp"
 
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <algorithm>
 #include <map>
@@ -26,7 +26,7 @@
         const auto key = "home/" + std::string(service);
         std::vector<Candidate> candidates;
         for (const auto& daemon : daemons)
-            candidates.push_back({ .daemon = &daemon, .score = membership::weightedScore(daemon.vm, key, daemon.cores) });
+            candidates.push_back({ .daemon = &daemon, .score = hashing::weightedScore(daemon.vm, key, daemon.cores) });
         std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
             return std::tie(left.score, left.daemon->vm) > std::tie(right.score, right.daemon->vm);
         });
@@ -75,7 +75,7 @@
 std::optional<std::size_t> chooseHome(std::span<const HomeState> homes, std::string_view vm, std::string_view zone)
 {
     const auto rankOf = [&](const HomeState& home) {
-        const auto affinity = membership::rendezvousScore(home.vm, vm);
+        const auto affinity = hashing::rendezvousScore(home.vm, vm);
         return std::tuple(home.isAvoided, home.outstanding >= busyFrom, home.zone != zone, home.outstanding, affinity);
     };
     const auto best = std::min_element(homes.begin(), homes.end(), [&](const auto& left, const auto& right) { return rankOf(left) < rankOf(right); });
--- a/src/amaranthhall/share/dealer.cpp
+++ b/src/amaranthhall/share/dealer.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/share/dealer.hpp"
 
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/membership/holders.hpp"
 
 #include <algorithm>
 
--- a/src/amaranthhall/table/io/refresher.cpp
+++ b/src/amaranthhall/table/io/refresher.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/table/io/refresher.hpp"
 
-#include "amaranthhall/membership/rendezvous.hpp"
+#include "amaranthhall/membership/holders.hpp"
 #include "amaranthhall/table/table_json.hpp"
 #include "amaranthhall/table/table_messages.hpp"
 #include "amaranthhall/telemetry/log.hpp"
--- a/src/amaranthhall/upstream/group_monitor.cpp
+++ b/src/amaranthhall/upstream/group_monitor.cpp
@@ -1,7 +1,7 @@
 #include "amaranthhall/upstream/group_monitor.hpp"
 
+#include "amaranthhall/membership/holders.hpp"
 #include "amaranthhall/membership/member_source.hpp"
-#include "amaranthhall/membership/rendezvous.hpp"
 #include "amaranthhall/table/table_source.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 #include "amaranthhall/upstream/group_exchange.hpp"
