A daemon that does not reach the primary hands statements to one that does

Cause: while a primary is cut off from half of the daemons, or has no room for their connections after a power loss, those daemons refused all that needs it, though the daemons beside them served; callers spent their two retries on finding one. Now such statements take the way of the large fleets: Session::mustRelay, up to three daemons one after the other while they say that nothing ran; an unknown outcome is told as such and not tried again. News of the primary's leading by others, later than the own failure or younger than 500 ms, are the condition. Tests (EngineDetour, five) play the cut way, the full primary, daemons that refuse, and the unknown outcome; without the change they fail.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -18,6 +18,7 @@
     constexpr std::uint32_t warmLinks = 2; // to each upstream, opened before they are needed
     constexpr Duration leaderCheckLimit = 150ms;
     constexpr Duration leaderCheckPause = 25ms;
+    constexpr Duration recentProof = 500ms; // news of a leader that serves others come several times in this
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
     constexpr Duration usualWork = 30ms; // a statement's time on an upstream with a short queue
     constexpr std::string_view tooSlow = "the queue is too long to be served in time";
@@ -312,12 +313,29 @@
         service.leaderlessSince = now;
     if (now - *service.leaderlessSince > longestChange)
         return false;
-    const auto leader = this->leader(name);
+    return !this->isLeaderCutOff(name);
+}
+
+/// Tells whether a service's leader does not answer here, while other daemons have heard of it since.
+bool Dispatcher::isLeaderCutOff(std::string_view service)
+{
+    const auto leader = this->leader(service);
+    const auto found = leader ? this->pool(*leader) : nullptr;
+    const auto& proof = this->proof(service);
+    if (!found || !found->health().failingSince || !proof || proof->upstream != *leader)
+        return false;
+    return proof->at > *found->health().failingSince;
+}
+
+bool Dispatcher::isLeaderOutOfReach(std::string_view service)
+{
+    const auto leader = this->leader(service);
     const auto found = leader ? this->pool(*leader) : nullptr;
-    const auto failingSince = found ? found->health().failingSince : std::nullopt;
-    const auto& proof = service.leadership.newestProof();
-    const bool isReachedByOthers = failingSince && proof && proof->upstream == *leader && proof->at > *failingSince;
-    return !isReachedByOthers;
+    const auto& proof = this->proof(service);
+    const auto now = this->loop.now();
+    const bool hasNoRoom = found && found->size() == 0 && found->health().openAfter > now;
+    const bool servesOthers = proof && leader && proof->upstream == *leader && now - proof->at < recentProof;
+    return this->isLeaderCutOff(service) || (hasNoRoom && servesOthers);
 }
 
 std::vector<placement::Candidate> Dispatcher::candidatesFor(std::string_view name, Service& service, const Want& want)
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -141,6 +141,9 @@
     /// @brief Gives the samples of a service.
     [[nodiscard]] const freshness::SampleWindow& samples(std::string_view service);
 
+    /// @brief Tells whether a service's leader does not answer here, or has no room for a connection, while other daemons reach it.
+    [[nodiscard]] bool isLeaderOutOfReach(std::string_view service);
+
     /// @brief Gives the upstream that most probably leads a service; nothing if none is known.
     [[nodiscard]] std::optional<std::string> leader(std::string_view service);
 
@@ -192,6 +195,7 @@
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
     [[nodiscard]] std::uint32_t shareOf(const catalog::UpstreamEntry& entry) const;
     void keepWarm(UpstreamPool& pool);
+    [[nodiscard]] bool isLeaderCutOff(std::string_view service);
     [[nodiscard]] bool mayWaitForLeader(std::string_view name, Service& service);
     void checkLeader(const std::string& service, const std::string& upstream);
     void onLeaderStatus(const std::string& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -91,7 +91,7 @@
         bool isSent { false }; ///< The statement itself may have reached an upstream.
         unsigned retries { 0 };
         std::vector<std::string> tried;
-        std::vector<std::string> triedHomes; ///< Daemons to which the way broke.
+        std::vector<std::string> triedHomes; ///< Daemons to which the way broke, or that refused.
         std::string upstream; ///< Of the last attempt.
     };
 
@@ -106,6 +106,7 @@
     void runWrapped();
     void runBegin();
     void runInside();
+    [[nodiscard]] bool mustRelay();
     [[nodiscard]] bool startRelay();
     void runRelayed();
     void onRelayed(RelayedReply relayed);
--- a/src/amaranthhall/engine/session_relay.cpp
+++ b/src/amaranthhall/engine/session_relay.cpp
@@ -8,15 +8,26 @@
 
     using namespace std::chrono_literals;
 
+    constexpr std::size_t mostDetours = 3; // where half of the daemons reach the leader, one of three does seven times of eight
     constexpr std::chrono::milliseconds relayMargin { 10 }; // so that the other daemon's refusal comes before the deadline
 
 }
 
-/// Hands the statement to another daemon, if that one and not this one holds connections for its service.
+/// Tells whether another daemon has to run the statement: this one keeps no connections for its service, or does not reach the leader.
+bool Session::mustRelay()
+{
+    if (!this->context.relays || this->relayedRoute)
+        return false;
+    const auto& plan = *this->work;
+    if (!this->context.relays->isHome(plan.route.service))
+        return true;
+    return plan.needsLeader && plan.triedHomes.size() < mostDetours && this->context.dispatcher.isLeaderOutOfReach(plan.route.service);
+}
+
+/// Hands the statement to another daemon, if it must be.
 bool Session::startRelay()
 {
-    const bool mayRelay = this->context.relays && !this->relayedRoute && !this->context.relays->isHome(this->work->route.service);
-    if (!mayRelay)
+    if (!this->mustRelay())
         return false;
     this->currentStream = this->context.relays->open(this->work->route.service, this->work->triedHomes);
     if (!this->currentStream)
@@ -48,6 +59,13 @@
         this->onRelayLost();
         return;
     }
+    const bool wasDetour = this->context.relays->isHome(this->work->route.service);
+    if (wasDetour && !this->transaction && saysNotRun(relayed.reply.code)) {
+        this->work->triedHomes.push_back(this->work->upstream);
+        this->currentStream.reset();
+        this->attempt();
+        return;
+    }
     this->lastCommit = relayed.lastCommit ? relayed.lastCommit : this->lastCommit;
     switch (relayed.reply.state) {
     case TransactionState::Open:
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -71,7 +71,8 @@
 {
     this->ticket = {};
     if (!result) {
-        this->answerCode(ReplyCode::Busy, result.error().reason);
+        if (!this->startRelay())
+            this->answerCode(ReplyCode::Busy, result.error().reason);
         return;
     }
     this->current = std::move(*result);
--- a/test/engine/fake_links.cpp
+++ b/test/engine/fake_links.cpp
@@ -114,6 +114,10 @@
             opened({ .refused = true });
             return;
         }
+        if (fake.isFull) {
+            opened({ .code = ReplyCode::TooManyConnections });
+            return;
+        }
         ++fake.opened;
         opened({ .link = std::make_unique<FakeLink>(this->loop, fake, std::move(closed)) });
     });
--- a/test/engine/fake_links.hpp
+++ b/test/engine/fake_links.hpp
@@ -21,6 +21,7 @@
     bool isReplica { false }; ///< As it tells of itself when asked for its status.
     group::Position notApplied { 0 }; ///< Positions that it has received and does not show yet.
     bool refusesConnections { false };
+    bool isFull { false }; ///< It has no room for another connection.
     bool isSilent { false }; ///< Takes commands and answers nothing.
     int opened { 0 };
     int closed { 0 };
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -27,6 +27,50 @@
     std::vector<Reply> answers;
 };
 
+/// Hands statements to other daemons of a test, which answer at once.
+class FakeRelays final : public engine::RelayRouter {
+public:
+    class Stream final : public engine::RelayStream {
+    public:
+        Stream(FakeRelays& usedRelays, std::string usedVm)
+            : relays(usedRelays)
+            , name(std::move(usedVm))
+        {
+        }
+        void send(const engine::RelayedRequest& request, Done done) override
+        {
+            this->relays.sent.push_back(this->name + " " + request.request.text);
+            this->relays.loop.post([code = this->relays.codes[this->name], done = std::move(done)] { done({ .reply = { .digest = "relayed", .code = code } }); });
+        }
+        [[nodiscard]] const std::string& vm() const noexcept override { return this->name; }
+        [[nodiscard]] Duration silence(Time) const noexcept override { return {}; }
+        void noteStall() override { }
+
+    private:
+        FakeRelays& relays;
+        std::string name;
+    };
+
+    explicit FakeRelays(kernel::Loop& usedLoop) noexcept
+        : loop(usedLoop)
+    {
+    }
+
+    [[nodiscard]] bool isHome(std::string_view) override { return true; }
+    [[nodiscard]] std::unique_ptr<engine::RelayStream> open(std::string_view, const std::vector<std::string>& tried) override
+    {
+        for (const auto* vm : { "d1", "d2", "d3", "d4", "d5" }) {
+            if (std::find(tried.begin(), tried.end(), vm) == tried.end())
+                return std::make_unique<Stream>(*this, vm);
+        }
+        return nullptr;
+    }
+
+    kernel::Loop& loop;
+    std::map<std::string, ReplyCode> codes; ///< Answers by daemon; success if there is none.
+    std::vector<std::string> sent;
+};
+
 catalog::Configuration configuration()
 {
     catalog::Configuration result { .version = 1, .transactionIdleLimit = 60ms };
@@ -368,3 +412,63 @@
     this->runFor(5ms);
     CHECK_TRUE(this->wasSent("p", "- ROLLBACK"));
 }
+
+/// The way from this daemon to the primary is cut, and other daemons tell that it leads.
+TEST_GROUP_BASE(EngineDetour, TEST_GROUP_CppUTestGroupEngineSession)
+{
+    FakeRelays relays { this->loop };
+    kernel::Registration news;
+
+    void setup() override
+    {
+        TEST_GROUP_CppUTestGroupEngineSession::setup();
+        this->context->relays = &this->relays;
+        this->links.upstreams["p"].refusesConnections = true;
+        this->dispatcher->confirmLeader("s", "p", 1);
+        this->news = this->loop.every(5ms, [this] {
+            this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 10 }, .at = this->loop.now() }, engine::bootNow());
+        });
+    }
+};
+
+TEST(EngineDetour, AnotherDaemonRunsWhatNeedsTheLeader)
+{
+    this->open("strict");
+    CHECK_EQUAL(std::string("relayed"), this->read().digest);
+    CHECK_EQUAL(std::string("relayed"), this->write().digest);
+    CHECK(this->relays.sent == std::vector<std::string>({ "d1 READ a", "d1 WRITE a b" }));
+}
+
+TEST(EngineDetour, ADaemonThatRefusesIsFollowedByAnother)
+{
+    this->relays.codes = { { "d1", ReplyCode::Busy }, { "d2", ReplyCode::ReadOnly } };
+    this->open("strict");
+    CHECK_EQUAL(std::string("relayed"), this->write().digest);
+    LONGS_EQUAL(3, this->relays.sent.size());
+}
+
+TEST(EngineDetour, AfterThreeRefusalsTheCallerIsToldThatNothingRan)
+{
+    this->relays.codes = { { "d1", ReplyCode::Busy }, { "d2", ReplyCode::Busy }, { "d3", ReplyCode::Busy } };
+    this->open("strict");
+    CHECK(engine::saysNotRun(this->write().code));
+    LONGS_EQUAL(3, this->relays.sent.size());
+}
+
+TEST(EngineDetour, AnUnknownOutcomeElsewhereIsNotTriedAgain)
+{
+    this->relays.codes = { { "d1", ReplyCode::InDoubt } };
+    this->open("strict");
+    CHECK(this->write().code == ReplyCode::InDoubt);
+    LONGS_EQUAL(1, this->relays.sent.size());
+}
+
+TEST(EngineDetour, AFullLeaderIsReachedThroughADaemonThatHasAConnection)
+{
+    this->links.upstreams["p"].refusesConnections = false;
+    this->links.upstreams["p"].isFull = true;
+    this->dispatcher->pool("p")->open();
+    this->runFor(10ms);
+    this->open("strict");
+    CHECK_EQUAL(std::string("relayed"), this->write().digest);
+}
