Homes are chosen on a change of the fleet only; upstreams are listed by service

Cause: every half second each daemon ranked all daemons for every service, with their names copied; a look-up of a leader or of candidates read all upstreams of all services. Now a membership number tells whether homes must be chosen anew, and the catalog keeps upstreams by service. The retainOnly() of the catalog was used by nobody and is gone.

--- a/src/amaranthhall/catalog/catalog.cpp
+++ b/src/amaranthhall/catalog/catalog.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/catalog/catalog.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace amaranthhall::catalog {
@@ -9,6 +10,8 @@
 {
     if (this->current && configuration.version <= this->current->version)
         return false;
+    if (!this->current || this->current->services != configuration.services)
+        ++this->limitsChanges;
     this->current = std::make_shared<const Configuration>(std::move(configuration));
     return true;
 }
@@ -27,11 +30,51 @@
         upstream.drainingSince.reset();
     else if (!upstream.drainingSince)
         upstream.drainingSince = now;
+    const bool isMoved = upstream.entry.service != entry.service;
+    if (isMoved)
+        this->unlink(upstream);
     upstream.entry = std::move(entry);
+    if (isMoved)
+        this->link(upstream);
     upstream.version = version;
     upstream.missingSince.reset();
 }
 
+void Catalog::link(const KnownUpstream& upstream)
+{
+    auto& list = this->byService[upstream.entry.service];
+    const auto place = std::find_if(list.begin(), list.end(), [&](const auto* other) { return other->entry.id > upstream.entry.id; });
+    list.insert(place, &upstream);
+}
+
+void Catalog::unlink(const KnownUpstream& upstream)
+{
+    const auto found = this->byService.find(upstream.entry.service);
+    if (found == this->byService.end())
+        return;
+    std::erase(found->second, &upstream);
+    if (found->second.empty())
+        this->byService.erase(found);
+}
+
+std::span<const KnownUpstream* const> Catalog::upstreamsOf(std::string_view service) const noexcept
+{
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? std::span<const KnownUpstream* const>() : found->second;
+}
+
+std::vector<std::string> Catalog::serviceNames() const
+{
+    std::set<std::string> names;
+    if (this->current) {
+        for (const auto& [name, spec] : this->current->services)
+            names.insert(name);
+    }
+    for (const auto& [name, upstreams] : this->byService)
+        names.insert(name);
+    return { names.begin(), names.end() };
+}
+
 void Catalog::markMissing(std::string_view id, std::uint64_t version, Time now)
 {
     const auto found = this->known.find(id);
@@ -42,15 +85,6 @@
         found->second.missingSince = now;
 }
 
-void Catalog::retainOnly(const std::vector<std::string>& ids, Time now)
-{
-    for (auto& [id, upstream] : this->known) {
-        const bool isListed = std::find(ids.begin(), ids.end(), id) != ids.end();
-        if (!isListed && !upstream.missingSince)
-            upstream.missingSince = now;
-    }
-}
-
 std::vector<std::string> Catalog::expire(Time now, std::optional<Time> storeSince)
 {
     std::vector<std::string> dropped;
@@ -60,8 +94,11 @@
         if (upstream.missingSince && now - *upstream.missingSince >= missingGrace)
             dropped.push_back(id);
     }
-    for (const auto& id : dropped)
-        this->known.erase(id);
+    for (const auto& id : dropped) {
+        const auto found = this->known.find(id);
+        this->unlink(found->second);
+        this->known.erase(found);
+    }
     return dropped;
 }
 
--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,12 +49,6 @@
     /// @brief Takes in that an entry is gone from the store.
     void markMissing(std::string_view id, std::uint64_t version, Time now);
 
-    /**
-     * @brief Takes in a whole listing: entries that it lacks are gone.
-     * @param ids Ids that the listing holds.
-     */
-    void retainOnly(const std::vector<std::string>& ids, Time now);
-
     /**
      * @brief Drops entries that have been gone for longer than the grace.
      * @param storeSince When the store last became reachable; entries are kept while it is not.
@@ -65,9 +60,26 @@
 
     [[nodiscard]] const std::map<std::string, KnownUpstream, std::less<>>& upstreams() const noexcept { return this->known; }
 
+    /// @brief Gives the upstreams of a service, in order of their ids; valid until the next change of the catalog.
+    [[nodiscard]] std::span<const KnownUpstream* const> upstreamsOf(std::string_view service) const noexcept;
+
+    /// @brief Names the services that have limits or upstreams, in order.
+    [[nodiscard]] std::vector<std::string> serviceNames() const;
+
+    /// @brief Counts the services that have upstreams.
+    [[nodiscard]] std::size_t services() const noexcept { return this->byService.size(); }
+
+    /// @brief Gives a number that changes with the limits of services.
+    [[nodiscard]] std::uint64_t limitsVersion() const noexcept { return this->limitsChanges; }
+
 private:
+    void link(const KnownUpstream& upstream);
+    void unlink(const KnownUpstream& upstream);
+
     std::shared_ptr<const Configuration> current;
     std::map<std::string, KnownUpstream, std::less<>> known;
+    std::map<std::string, std::vector<const KnownUpstream*>, std::less<>> byService; ///< Into `known`.
+    std::uint64_t limitsChanges { 0 };
 };
 
 }
--- a/src/amaranthhall/catalog/configuration.hpp
+++ b/src/amaranthhall/catalog/configuration.hpp
@@ -31,6 +31,8 @@
 struct ServiceSpec {
     std::string name;
     std::uint32_t maximumConnections { 0 }; ///< To each upstream, from all daemons together.
+
+    friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
 
 /// @brief One version of the operators' configuration.
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -4,7 +4,6 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace amaranthhall::engine {
@@ -72,6 +71,7 @@
     if (this != &other) {
         this->reset();
         this->dispatcher = std::exchange(other.dispatcher, nullptr);
+        this->service = other.service;
         this->number = other.number;
     }
     return *this;
@@ -80,7 +80,7 @@
 void Dispatcher::Ticket::reset() noexcept
 {
     if (auto* owner = std::exchange(this->dispatcher, nullptr))
-        owner->cancel(this->number);
+        owner->cancel(*this->service, this->number);
 }
 
 Dispatcher::Dispatcher(kernel::Loop& usedLoop, LinkFactory& usedFactory, catalog::Catalog& usedCatalog, Options usedOptions)
@@ -96,7 +96,7 @@
 {
     for (const auto& [id, known] : this->catalog.upstreams()) {
         auto& pool = this->pools[id];
-        const bool isReplaced = pool && (pool->entry().startedAt != known.entry.startedAt || pool->entry().address != known.entry.address);
+        const bool isReplaced = pool && (pool->entry().startedAt != known.entry.startedAt || pool->entry().address != known.entry.address || pool->entry().service != known.entry.service);
         if (isReplaced)
             pool->closeAll();
         if (!pool || isReplaced)
@@ -105,33 +105,51 @@
         pool->setDaemons(std::max<std::size_t>(1, this->options.sharers(known.entry.service)));
         // Half as many again as an even share: transactions come unevenly, and the upstream refuses truthfully.
         pool->setLimit(this->shareOf(known.entry) * 3 / 2 + 1);
-        this->schedulePump(known.entry.service);
     }
     std::erase_if(this->pools, [this](const auto& item) {
         if (this->catalog.find(item.first))
             return false;
-        this->services[item.second->entry().service].lags.erase(item.first);
+        this->serviceOf(item.second->entry().service).lags.erase(item.first);
         item.second->closeAll();
         this->loop.post([held = item.second] {});
         return true;
     });
+    this->groupPools();
+}
+
+/// Lists the pools of each service, and looks at its queue anew.
+void Dispatcher::groupPools()
+{
+    for (auto& [name, service] : this->services)
+        service.pools.clear();
+    for (const auto& [id, pool] : this->pools)
+        this->serviceOf(pool->entry().service).pools.push_back(pool);
+    for (auto& [name, service] : this->services) {
+        if (!service.waiters.empty())
+            this->schedulePump(service);
+    }
+}
+
+Dispatcher::Service& Dispatcher::serviceOf(std::string_view name)
+{
+    const auto found = this->services.find(name);
+    if (found != this->services.end())
+        return found->second;
+    auto& service = this->services[std::string(name)];
+    service.name = name;
+    return service;
 }
 
 std::shared_ptr<UpstreamPool> Dispatcher::makePool(const catalog::UpstreamEntry& entry)
 {
+    auto& service = this->serviceOf(entry.service);
     UpstreamPool::Callbacks callbacks {
-        .available = [this, service = entry.service] { this->schedulePump(service); },
-        .heldPoint = [this, service = entry.service, upstream = entry.id](const auto& point) { this->noteHeldPoint(service, upstream, point); },
+        .available = [this, &service] { this->schedulePump(service); },
+        .heldPoint = [&service, upstream = entry.id](const auto& point) { freshness::noteHeld(service.lags[upstream], service.samples, point, bootNow()); },
     };
     return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
 }
 
-void Dispatcher::noteHeldPoint(const std::string& service, const std::string& upstream, const group::LogPoint& point)
-{
-    auto& state = this->services[service];
-    freshness::noteHeld(state.lags[upstream], state.samples, point, bootNow());
-}
-
 /// Gives this daemon's even share of an upstream's connections.
 std::uint32_t Dispatcher::shareOf(const catalog::UpstreamEntry& entry) const
 {
@@ -160,8 +178,7 @@
 Dispatcher::Ticket Dispatcher::acquire(Want want, Granted granted)
 {
     const auto number = ++this->lastNumber;
-    const auto name = want.service;
-    auto& service = this->services[name];
+    auto& service = this->serviceOf(want.service);
     auto& waiters = service.waiters;
     // Urgent statements first, then the one that is to be answered soonest.
     const auto place = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
@@ -173,37 +190,33 @@
     if (const auto shed = admission::admit(lane, arrival)) {
         const auto reason = shed->reason == admission::ShedReason::TooSlow ? tooSlow : queueFull;
         waiters.push_back(Waiter { .number = number, .want = std::move(want), .granted = std::move(granted), .refusal = reason });
-        this->schedulePump(name);
-        return { *this, number };
+        this->schedulePump(service);
+        return { *this, service, number };
     }
     waiters.insert(place, Waiter { .number = number, .want = std::move(want), .granted = std::move(granted) });
-    this->schedulePump(name);
-    return { *this, number };
+    this->schedulePump(service);
+    return { *this, service, number };
 }
 
-void Dispatcher::cancel(std::uint64_t number) noexcept
+void Dispatcher::cancel(Service& service, std::uint64_t number) noexcept
 {
-    for (auto& [name, service] : this->services) {
-        const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
-        if (found != service.waiters.end())
-            this->leave(service, found);
-    }
+    const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
+    if (found != service.waiters.end())
+        this->leave(service, found);
 }
 
-void Dispatcher::schedulePump(const std::string& service)
+void Dispatcher::schedulePump(Service& service)
 {
-    auto& state = this->services[service];
-    if (std::exchange(state.isPumping, true))
+    if (std::exchange(service.isPumping, true))
         return;
-    this->loop.post([this, service] {
-        this->services[service].isPumping = false;
+    this->loop.post([this, &service] {
+        service.isPumping = false;
         this->pump(service);
     });
 }
 
-void Dispatcher::pump(const std::string& name)
+void Dispatcher::pump(Service& service)
 {
-    auto& service = this->services[name];
     // A callback may change the queue, so its end is found anew after each.
     const auto now = this->loop.now();
     std::vector<std::uint64_t> numbers;
@@ -226,9 +239,9 @@
         this->finish(service, waiter.number, tl::unexpected(Refusal { .reason = waiter.refusal }));
         return;
     }
-    if (waiter.want.needsLeader && this->mustCheckLeader(waiter.want.service, service))
+    if (waiter.want.needsLeader && this->mustCheckLeader(service))
         return;
-    const auto candidates = this->candidatesFor(waiter.want.service, service, waiter.want);
+    const auto candidates = this->candidatesFor(service, waiter.want);
     const auto choice = this->chooseFor(service, waiter.want, candidates);
     using Step = placement::Choice::Step;
     if (choice.step == Step::Wait)
@@ -240,15 +253,15 @@
 }
 
 /// Begins to ask a leader whether it has caught up in its term, unless that is known; tells whether statements must wait for it.
-bool Dispatcher::mustCheckLeader(const std::string& name, Service& service)
+bool Dispatcher::mustCheckLeader(Service& service)
 {
-    const auto leader = this->leader(name);
+    const auto leader = this->leaderOf(service);
     const auto pool = leader ? this->pool(*leader) : nullptr;
     const bool isReachable = pool && pool->health().avoidUntil <= this->loop.now();
     const bool isConfirmed = pool && pool->logPoint() && service.leadership.isConfirmed(*leader, pool->logPoint()->term);
     if (!isReachable || isConfirmed)
         return false;
-    this->checkLeader(name, *leader);
+    this->checkLeader(service, *leader);
     return true;
 }
 
@@ -261,7 +274,7 @@
     auto choice = placement::chooseLeader(candidates, now);
     if (choice.step != Step::Refuse)
         service.leaderlessSince.reset();
-    else if (this->mayWaitForLeader(want.service, service))
+    else if (this->mayWaitForLeader(service))
         choice.step = Step::Wait;
     return choice;
 }
@@ -306,46 +319,49 @@
 }
 
 /// Tells whether a leader may come soon: not if others reach the present one, and not for ever.
-bool Dispatcher::mayWaitForLeader(std::string_view name, Service& service)
+bool Dispatcher::mayWaitForLeader(Service& service)
 {
     const auto now = this->loop.now();
     if (!service.leaderlessSince)
         service.leaderlessSince = now;
     if (now - *service.leaderlessSince > longestChange)
         return false;
-    return !this->isLeaderCutOff(name);
+    return !this->isLeaderCutOff(service);
 }
 
 /// Tells whether a service's leader does not answer here, while other daemons have heard of it since.
-bool Dispatcher::isLeaderCutOff(std::string_view service)
+bool Dispatcher::isLeaderCutOff(Service& service)
 {
-    const auto leader = this->leader(service);
+    const auto leader = this->leaderOf(service);
     const auto found = leader ? this->pool(*leader) : nullptr;
-    const auto& proof = this->proof(service);
+    const auto& proof = service.leadership.newestProof();
     if (!found || !found->health().failingSince || !proof || proof->upstream != *leader)
         return false;
     return proof->at > *found->health().failingSince;
 }
 
-bool Dispatcher::isLeaderOutOfReach(std::string_view service)
+bool Dispatcher::isLeaderOutOfReach(std::string_view name)
 {
-    const auto leader = this->leader(service);
+    auto& service = this->serviceOf(name);
+    const auto leader = this->leaderOf(service);
     const auto found = leader ? this->pool(*leader) : nullptr;
-    const auto& proof = this->proof(service);
+    const auto& proof = service.leadership.newestProof();
     const auto now = this->loop.now();
     const bool hasNoRoom = found && found->size() == 0 && found->health().openAfter > now;
     const bool servesOthers = proof && leader && proof->upstream == *leader && now - proof->at < recentProof;
     return this->isLeaderCutOff(service) || (hasNoRoom && servesOthers);
 }
 
-std::vector<placement::Candidate> Dispatcher::candidatesFor(std::string_view name, Service& service, const Want& want)
+std::vector<placement::Candidate> Dispatcher::candidatesFor(Service& service, const Want& want)
 {
-    const auto leader = this->leader(name);
+    const auto leader = this->leaderOf(service);
     const auto now = bootNow();
     std::vector<placement::Candidate> candidates;
-    for (const auto& [id, pool] : this->pools) {
+    candidates.reserve(service.pools.size());
+    for (const auto& pool : service.pools) {
         const auto& entry = pool->entry();
-        const bool isWanted = entry.service == name && (want.only.empty() || want.only == id);
+        const auto& id = entry.id;
+        const bool isWanted = want.only.empty() || want.only == id;
         if (!isWanted || this->isDrained(id))
             continue;
         candidates.push_back({
@@ -374,45 +390,43 @@
 }
 
 /// Asks a leader whether it has applied all that it has received, again until it has.
-void Dispatcher::checkLeader(const std::string& service, const std::string& upstream)
+void Dispatcher::checkLeader(Service& service, const std::string& upstream)
 {
-    auto& state = this->services[service];
-    if (std::exchange(state.isChecking, true))
+    if (std::exchange(service.isChecking, true))
         return;
     const auto deadline = this->loop.now() + leaderCheckLimit;
-    state.leaderCheck = this->askStatus(service, upstream, deadline, [this, service, upstream](std::optional<UpstreamStatus> status) { this->onLeaderStatus(service, upstream, status); });
-    state.leaderCheckTimer = this->loop.after(leaderCheckLimit, [this, service, upstream] { this->onLeaderStatus(service, upstream, std::nullopt); });
+    service.leaderCheck = this->askStatus(service.name, upstream, deadline, [this, &service, upstream](std::optional<UpstreamStatus> status) { this->onLeaderStatus(service, upstream, status); });
+    service.leaderCheckTimer = this->loop.after(leaderCheckLimit, [this, &service, upstream] { this->onLeaderStatus(service, upstream, std::nullopt); });
 }
 
-void Dispatcher::onLeaderStatus(const std::string& service, const std::string& upstream, const std::optional<UpstreamStatus>& status)
+void Dispatcher::onLeaderStatus(Service& service, const std::string& upstream, const std::optional<UpstreamStatus>& status)
 {
-    auto& state = this->services[service];
-    state.leaderCheck = {};
+    service.leaderCheck = {};
     const bool hasCaughtUp = status && status->isPrimary && status->applied.position >= status->received.position;
     if (hasCaughtUp)
-        state.leadership.confirm(upstream, status->applied.term);
+        service.leadership.confirm(upstream, status->applied.term);
     if (status && !status->isPrimary)
-        state.leadership.refute(upstream, this->loop.now());
-    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 } });
-    state.leaderCheckTimer = this->loop.after(hasCaughtUp ? Duration::zero() : leaderCheckPause, [this, service] {
-        this->services[service].isChecking = false;
+        service.leadership.refute(upstream, this->loop.now());
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service.name }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 } });
+    service.leaderCheckTimer = this->loop.after(hasCaughtUp ? Duration::zero() : leaderCheckPause, [this, &service] {
+        service.isChecking = false;
         this->pump(service);
     });
 }
 
 void Dispatcher::confirmLeader(std::string_view service, std::string_view upstream, group::Term term)
 {
-    this->services[std::string(service)].leadership.confirm(upstream, term);
+    this->serviceOf(service).leadership.confirm(upstream, term);
 }
 
 bool Dispatcher::isConfirmed(std::string_view service, std::string_view upstream, group::Term term)
 {
-    return this->services[std::string(service)].leadership.isConfirmed(upstream, term);
+    return this->serviceOf(service).leadership.isConfirmed(upstream, term);
 }
 
 void Dispatcher::noteProof(std::string_view service, leadership::LeaderProof proof, freshness::Micros at)
 {
-    auto& state = this->services[std::string(service)];
+    auto& state = this->serviceOf(service);
     if (!state.leadership.isConfirmed(proof.upstream, proof.point.term))
         return;
     state.samples.add({ .point = proof.point, .at = at });
@@ -421,22 +435,27 @@
 
 void Dispatcher::noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt)
 {
-    this->services[std::string(service)].leadership.refute(upstream, askedAt);
+    this->serviceOf(service).leadership.refute(upstream, askedAt);
 }
 
 const freshness::SampleWindow& Dispatcher::samples(std::string_view service)
 {
-    return this->services[std::string(service)].samples;
+    return this->serviceOf(service).samples;
 }
 
 std::optional<std::string> Dispatcher::leader(std::string_view service)
+{
+    return this->leaderOf(this->serviceOf(service));
+}
+
+std::optional<std::string> Dispatcher::leaderOf(const Service& service) const
 {
     std::vector<leadership::PrimaryClaim> claims;
-    for (const auto& [id, known] : this->catalog.upstreams()) {
-        if (known.entry.service == service && known.entry.role == catalog::Role::Primary)
-            claims.push_back({ .upstream = id, .version = known.roleVersion, .seenAt = known.roleSeenAt });
+    for (const auto* known : this->catalog.upstreamsOf(service.name)) {
+        if (known->entry.role == catalog::Role::Primary)
+            claims.push_back({ .upstream = known->entry.id, .version = known->roleVersion, .seenAt = known->roleSeenAt });
     }
-    const auto found = this->services[std::string(service)].leadership.leader(claims);
+    const auto found = service.leadership.leader(claims);
     return found ? std::optional<std::string>(*found) : std::nullopt;
 }
 
@@ -448,7 +467,7 @@
 
 const std::optional<leadership::LeaderProof>& Dispatcher::proof(std::string_view service)
 {
-    return this->services[std::string(service)].leadership.newestProof();
+    return this->serviceOf(service).leadership.newestProof();
 }
 
 Dispatcher::Ticket Dispatcher::askStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done)
@@ -472,25 +491,13 @@
     });
 }
 
-std::vector<std::string> Dispatcher::serviceNames() const
-{
-    std::set<std::string> names;
-    if (const auto configuration = this->catalog.configuration()) {
-        for (const auto& [name, spec] : configuration->services)
-            names.insert(name);
-    }
-    for (const auto& [id, known] : this->catalog.upstreams())
-        names.insert(known.entry.service);
-    return { names.begin(), names.end() };
-}
-
 void Dispatcher::tick()
 {
     for (auto& [id, pool] : this->pools)
         this->keepWarm(*pool);
     for (auto& [name, service] : this->services) {
         if (!service.waiters.empty())
-            this->schedulePump(name);
+            this->schedulePump(service);
     }
 }
 
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -79,6 +79,8 @@
 
 /// @brief Lends links, and queues statements that wait for one.
 class Dispatcher {
+    struct Service;
+
 public:
     using Granted = std::function<void(tl::expected<Loan, Refusal>)>;
 
@@ -86,13 +88,15 @@
     class Ticket {
     public:
         Ticket() noexcept = default;
-        Ticket(Dispatcher& dispatcher, std::uint64_t number) noexcept
+        Ticket(Dispatcher& dispatcher, Service& service, std::uint64_t number) noexcept
             : dispatcher(&dispatcher)
+            , service(&service)
             , number(number)
         {
         }
         Ticket(Ticket&& other) noexcept
             : dispatcher(std::exchange(other.dispatcher, nullptr))
+            , service(other.service)
             , number(other.number)
         {
         }
@@ -105,6 +109,7 @@
 
     private:
         Dispatcher* dispatcher { nullptr };
+        Service* service { nullptr };
         std::uint64_t number { 0 };
     };
 
@@ -156,9 +161,6 @@
     /// @brief Asks an upstream for its status; `done` is called once, unless the ticket is destroyed before.
     [[nodiscard]] Ticket askStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done);
 
-    /// @brief Names the services that have routes or upstreams.
-    [[nodiscard]] std::vector<std::string> serviceNames() const;
-
 private:
     struct Waiter {
         std::uint64_t number { 0 };
@@ -169,6 +171,8 @@
     };
 
     struct Service {
+        std::string name;
+        std::vector<std::shared_ptr<UpstreamPool>> pools; ///< In order of their upstreams' ids.
         std::list<Waiter> waiters; ///< The next one to be served first.
         leadership::LeaderRecord leadership;
         freshness::SampleWindow samples;
@@ -181,25 +185,27 @@
         bool isPumping { false };
     };
 
-    void cancel(std::uint64_t number) noexcept;
-    void schedulePump(const std::string& service);
-    void pump(const std::string& service);
+    [[nodiscard]] Service& serviceOf(std::string_view name);
+    void groupPools();
+    void cancel(Service& service, std::uint64_t number) noexcept;
+    void schedulePump(Service& service);
+    void pump(Service& service);
     void serve(Service& service, Waiter& waiter);
-    [[nodiscard]] bool mustCheckLeader(const std::string& name, Service& service);
+    [[nodiscard]] bool mustCheckLeader(Service& service);
     [[nodiscard]] placement::Choice chooseFor(Service& service, const Want& want, std::span<const placement::Candidate> candidates);
     static void count(Service& service, Waiter& waiter);
     void use(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
     [[nodiscard]] bool isDrained(std::string_view upstream) const;
     void finish(Service& service, std::uint64_t number, tl::expected<Loan, Refusal> result);
     void leave(Service& service, std::list<Waiter>::iterator waiter) noexcept;
-    [[nodiscard]] std::vector<placement::Candidate> candidatesFor(std::string_view name, Service& service, const Want& want);
+    [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const Want& want);
+    [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
     [[nodiscard]] std::uint32_t shareOf(const catalog::UpstreamEntry& entry) const;
     void keepWarm(UpstreamPool& pool);
-    [[nodiscard]] bool isLeaderCutOff(std::string_view service);
-    [[nodiscard]] bool mayWaitForLeader(std::string_view name, Service& service);
-    void checkLeader(const std::string& service, const std::string& upstream);
-    void onLeaderStatus(const std::string& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
-    void noteHeldPoint(const std::string& service, const std::string& upstream, const group::LogPoint& point);
+    [[nodiscard]] bool isLeaderCutOff(Service& service);
+    [[nodiscard]] bool mayWaitForLeader(Service& service);
+    void checkLeader(Service& service, const std::string& upstream);
+    void onLeaderStatus(Service& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
     [[nodiscard]] std::shared_ptr<UpstreamPool> makePool(const catalog::UpstreamEntry& entry);
     void tick();
 
@@ -209,7 +215,7 @@
     Options options;
     std::uint64_t lastNumber { 0 };
     std::map<std::string, std::shared_ptr<UpstreamPool>, std::less<>> pools; ///< By upstream.
-    std::map<std::string, Service, std::less<>> services;
+    std::map<std::string, Service, std::less<>> services; ///< None is ever dropped.
     kernel::Registration ticker;
 };
 
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -5,7 +5,6 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <random>
-#include <set>
 #include <utility>
 
 namespace amaranthhall::gateway {
@@ -123,7 +122,7 @@
     return {
         .fill = [this](auto& digest) { this->fillDigest(digest); },
         .received = [this](const auto& digest) { this->takeDigest(digest); },
-        .partners = [this] { return this->partners(); },
+        .partners = [this]() -> const std::vector<std::string>& { return this->homes.partners(); },
     };
 }
 
@@ -137,7 +136,8 @@
         .fleet = this->fleetWatch,
         .peers = this->gossip.peers(),
         .promoter = this->ports.promoter,
-        .group = [this](const auto& service) { return this->homes.homes(service); },
+        .group = [this](const auto& service) -> const std::vector<std::string>& { return this->homes.homes(service); },
+        .served = [this]() -> const std::vector<std::string>& { return this->homes.homed(); },
     };
 }
 
@@ -295,9 +295,7 @@
     digest.versions = { .configuration = this->configurationWatch.newestRow(), .upstreams = this->upstreamWatch.newestRow(), .fleet = this->fleetWatch.newestRow() };
     const auto& clock = this->ports.store.clock();
     const auto now = engine::bootNow();
-    for (const auto& service : this->dispatcher.serviceNames()) {
-        if (!this->homes.isHome(service))
-            continue;
+    for (const auto& service : this->homes.homed()) {
         const auto sample = this->dispatcher.samples(service).newest();
         const auto& proof = this->dispatcher.proof(service);
         if (!sample || !proof || now - sample->at > newsSpan)
@@ -327,19 +325,6 @@
     this->catchUp(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.profile.address);
 }
 
-/// Gives the other daemons that have links to the same services, where not all have.
-std::vector<std::string> Gateway::partners()
-{
-    std::set<std::string> names;
-    for (const auto& service : this->dispatcher.serviceNames()) {
-        const auto& group = this->homes.homes(service);
-        if (group.size() <= this->gossip.peers().size() && this->homes.isHome(service))
-            names.insert(group.begin(), group.end());
-    }
-    names.erase(this->settings.vm);
-    return { names.begin(), names.end() };
-}
-
 /// Learns newer rows that a peer has: from the store if it answers, else from the peer.
 void Gateway::catchUp(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer)
 {
@@ -376,10 +361,10 @@
     const auto gone = this->catalog.expire(this->loop.now(), this->upstreamWatch.reachableSince());
     for (const auto& id : gone)
         logEvent(LogLevel::Info, "upstream.gone", { { "upstream", id } });
-    if (!gone.empty())
+    const bool homesChanged = this->homes.refresh();
+    const bool fleetIsNew = this->knowsFleet() != std::exchange(this->knewFleet, this->knowsFleet());
+    if (homesChanged || fleetIsNew || !gone.empty())
         this->dispatcher.onCatalogChanged();
-    this->homes.refresh();
-    this->dispatcher.onCatalogChanged();
     const bool follows = gossip::rankFor(followTask, this->settings.vm, this->gossip.peers().live(this->loop.now())) < mostFollowers;
     for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch })
         watch->setFollowing(follows);
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -71,7 +71,6 @@
     [[nodiscard]] store::RowKey registrationKey() const;
     void unregisterDaemon();
     void updateGauges();
-    [[nodiscard]] std::vector<std::string> partners();
     void tick();
     void stepDrain(engine::CallerServer& callers);
     [[nodiscard]] store::TableWatch* watchOf(const std::string& table) noexcept;
@@ -105,6 +104,7 @@
     bool isRegistering { false }; ///< A registration is under way or waits for its next try.
     store::Version registeredVersion { 0 }; ///< Of this process's registration.
     Time startedAt;
+    bool knewFleet { false }; ///< At the last tick.
     Time drainingSince;
     bool isDraining { false };
     std::function<void()> drained;
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -20,7 +20,7 @@
     struct Callbacks {
         std::function<void(Digest&)> fill; ///< Puts in what is to be told.
         std::function<void(const Digest&)> received;
-        std::function<std::vector<std::string>()> partners; ///< Peers that are told each time.
+        std::function<const std::vector<std::string>&()> partners; ///< Peers that are told each time.
     };
 
     /// @brief How a node is built.
--- a/src/amaranthhall/gossip/peer_book.cpp
+++ b/src/amaranthhall/gossip/peer_book.cpp
@@ -9,26 +9,39 @@
 
 void PeerBook::add(std::string_view vm, const VmProfile& profile, Time now)
 {
-    const auto [place, isNew] = this->peers.try_emplace(std::string(vm), Peer { .addedAt = now });
-    place->second.profile = profile;
+    this->place(vm, profile, now);
+}
+
+Peer& PeerBook::place(std::string_view vm, const VmProfile& profile, Time now)
+{
+    auto found = this->peers.find(vm);
+    if (found == this->peers.end())
+        found = this->peers.emplace(vm, Peer { .addedAt = now }).first;
+    if (found->second.profile != profile) {
+        found->second.profile = profile;
+        ++this->changes;
+    }
+    return found->second;
 }
 
 void PeerBook::noteHeard(std::string_view vm, const VmProfile& profile, Time now)
 {
-    this->add(vm, profile, now);
-    this->peers.find(vm)->second.heardAt = now;
+    this->place(vm, profile, now).heardAt = now;
 }
 
 void PeerBook::remove(std::string_view vm)
 {
     const auto found = this->peers.find(vm);
-    if (found != this->peers.end())
-        this->peers.erase(found);
+    if (found == this->peers.end())
+        return;
+    this->peers.erase(found);
+    ++this->changes;
 }
 
 void PeerBook::forgetSilent(Time now)
 {
-    std::erase_if(this->peers, [now](const auto& item) { return now - std::max(item.second.heardAt, item.second.addedAt) > forgetSpan; });
+    const auto forgotten = std::erase_if(this->peers, [now](const auto& item) { return now - std::max(item.second.heardAt, item.second.addedAt) > forgetSpan; });
+    this->changes += forgotten;
 }
 
 std::vector<kernel::Address> PeerBook::draw(std::size_t count, std::string_view zone, Random& random) const
--- a/src/amaranthhall/gossip/peer_book.hpp
+++ b/src/amaranthhall/gossip/peer_book.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/kernel/random.hpp"
 #include "amaranthhall/kernel/time.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -57,14 +58,19 @@
     /// @brief Gives all peers by name.
     [[nodiscard]] const std::map<std::string, Peer, std::less<>>& all() const noexcept { return this->peers; }
 
+    /// @brief Gives a number that changes when a peer comes, goes or changes its profile.
+    [[nodiscard]] std::uint64_t membershipVersion() const noexcept { return this->changes; }
+
     [[nodiscard]] bool isLive(std::string_view vm, Time now) const noexcept;
     [[nodiscard]] std::size_t size() const noexcept { return this->peers.size(); }
     [[nodiscard]] std::optional<kernel::Address> addressOf(std::string_view vm) const noexcept;
 
 private:
+    Peer& place(std::string_view vm, const VmProfile& profile, Time now);
     [[nodiscard]] Duration span() const noexcept { return this->peers.size() > largeSize ? largeLiveSpan : liveSpan; }
 
     std::map<std::string, Peer, std::less<>> peers;
+    std::uint64_t changes { 0 };
 };
 
 /**
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -1,8 +1,7 @@
 #include "amaranthhall/relay/home_router.hpp"
 
-#include "amaranthhall/relay/homes.hpp"
-
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace amaranthhall::relay {
@@ -16,25 +15,62 @@
 {
 }
 
-void HomeRouter::refresh()
+HomeRouter::Basis HomeRouter::basis() const noexcept
+{
+    return { .membership = this->peers.membershipVersion(), .limits = this->catalog.limitsVersion(), .services = this->catalog.services() };
+}
+
+bool HomeRouter::refresh()
 {
-    for (auto& [service, homes] : this->chosen)
-        homes = this->compute(service);
+    const auto now = this->basis();
+    if (this->computedFrom == now)
+        return false;
+    this->computedFrom = now;
+    this->listDaemons();
+    this->chosen.clear();
+    this->homedServices.clear();
+    for (const auto& service : this->catalog.serviceNames()) {
+        if (this->choiceFor(service).isHome)
+            this->homedServices.push_back(service);
+    }
+    this->listPartners();
+    return true;
 }
 
-std::vector<std::string> HomeRouter::compute(std::string_view service) const
+void HomeRouter::listDaemons()
 {
-    std::vector<Daemon> daemons { { .vm = this->options.vm, .zone = this->options.zone, .cores = this->options.cores } };
+    this->daemons.clear();
+    this->daemons.push_back({ .vm = this->options.vm, .zone = this->options.zone, .cores = this->options.cores });
     for (const auto& [vm, peer] : this->peers.all())
-        daemons.push_back({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
+        this->daemons.push_back({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
+}
+
+void HomeRouter::listPartners()
+{
+    std::set<std::string> names;
+    for (const auto& service : this->homedServices) {
+        const auto& homes = this->choiceFor(service).homes;
+        if (homes.size() < this->daemons.size())
+            names.insert(homes.begin(), homes.end());
+    }
+    names.erase(this->options.vm);
+    this->homePartners.assign(names.begin(), names.end());
+}
+
+HomeRouter::Choice HomeRouter::compute(std::string_view service) const
+{
     const auto configuration = this->catalog.configuration();
-    const auto spec = configuration ? configuration->services.find(service) : std::map<std::string, catalog::ServiceSpec, std::less<>>::const_iterator();
-    const bool isKnown = configuration && spec != configuration->services.end();
-    const auto connections = isKnown ? spec->second.maximumConnections : static_cast<std::uint32_t>(daemons.size());
-    return chooseHomes(service, daemons, connections);
+    auto connections = static_cast<std::uint32_t>(this->daemons.size());
+    if (configuration) {
+        const auto spec = configuration->services.find(service);
+        connections = spec == configuration->services.end() ? connections : spec->second.maximumConnections;
+    }
+    Choice choice { .homes = chooseHomes(service, this->daemons, connections) };
+    choice.isHome = std::find(choice.homes.begin(), choice.homes.end(), this->options.vm) != choice.homes.end();
+    return choice;
 }
 
-const std::vector<std::string>& HomeRouter::homes(std::string_view service)
+const HomeRouter::Choice& HomeRouter::choiceFor(std::string_view service)
 {
     const auto found = this->chosen.find(service);
     if (found != this->chosen.end())
@@ -42,10 +78,28 @@
     return this->chosen[std::string(service)] = this->compute(service);
 }
 
+const std::vector<std::string>& HomeRouter::homed()
+{
+    this->refresh();
+    return this->homedServices;
+}
+
+const std::vector<std::string>& HomeRouter::partners()
+{
+    this->refresh();
+    return this->homePartners;
+}
+
+const std::vector<std::string>& HomeRouter::homes(std::string_view service)
+{
+    this->refresh();
+    return this->choiceFor(service).homes;
+}
+
 bool HomeRouter::isHome(std::string_view service)
 {
-    const auto& known = this->homes(service);
-    return std::find(known.begin(), known.end(), this->options.vm) != known.end();
+    this->refresh();
+    return this->choiceFor(service).isHome;
 }
 
 std::size_t HomeRouter::sharers(std::string_view service)
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -3,9 +3,12 @@
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/relay.hpp"
 #include "amaranthhall/gossip/peer_book.hpp"
+#include "amaranthhall/relay/homes.hpp"
 #include "amaranthhall/relay/relay_client.hpp"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +31,17 @@
     [[nodiscard]] bool isHome(std::string_view service) override;
     [[nodiscard]] std::unique_ptr<engine::RelayStream> open(std::string_view service, const std::vector<std::string>& tried) override;
 
-    /// @brief Chooses the homes anew from the daemons that are alive now.
-    void refresh();
+    /**
+     * @brief Chooses the homes anew if daemons, services or their limits have changed since.
+     * @return True if they had.
+     */
+    bool refresh();
+
+    /// @brief Gives the services that this daemon is a home of, in order.
+    [[nodiscard]] const std::vector<std::string>& homed();
+
+    /// @brief Gives the other homes of those services, where not all daemons are homes.
+    [[nodiscard]] const std::vector<std::string>& partners();
 
     /// @brief Gives the homes of a service.
     [[nodiscard]] const std::vector<std::string>& homes(std::string_view service);
@@ -38,14 +50,36 @@
     [[nodiscard]] std::size_t sharers(std::string_view service);
 
 private:
-    [[nodiscard]] std::vector<std::string> compute(std::string_view service) const;
+    /// What the choice depends on.
+    struct Basis {
+        std::uint64_t membership { 0 };
+        std::uint64_t limits { 0 };
+        std::size_t services { 0 };
+
+        friend bool operator==(const Basis&, const Basis&) = default;
+    };
+
+    struct Choice {
+        std::vector<std::string> homes;
+        bool isHome { false }; ///< This daemon is one of them.
+    };
+
+    [[nodiscard]] Basis basis() const noexcept;
+    [[nodiscard]] const Choice& choiceFor(std::string_view service);
+    [[nodiscard]] Choice compute(std::string_view service) const;
+    void listDaemons();
+    void listPartners();
 
     kernel::Loop& loop;
     const catalog::Catalog& catalog;
     gossip::PeerBook& peers;
     Options options;
     RelayClient client;
-    std::map<std::string, std::vector<std::string>, std::less<>> chosen; ///< By service.
+    std::optional<Basis> computedFrom;
+    std::vector<Daemon> daemons; ///< This one and its peers.
+    std::map<std::string, Choice, std::less<>> chosen; ///< By service.
+    std::vector<std::string> homedServices;
+    std::vector<std::string> homePartners;
 };
 
 }
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -76,13 +76,13 @@
         logEvent(LogLevel::Warning, "daemon.woken");
         this->wokenAt = now;
     }
-    for (const auto& service : this->parts.dispatcher.serviceNames()) {
-        const auto group = this->parts.group(service);
-        if (std::find(group.begin(), group.end(), this->options.vm) != group.end())
-            this->watch(service, this->duties[service]);
-        else
-            this->duties[service].suspicion.reset();
+    const auto& served = this->parts.served();
+    for (auto& [service, duty] : this->duties) {
+        if (!std::binary_search(served.begin(), served.end(), service))
+            duty.suspicion.reset();
     }
+    for (const auto& service : served)
+        this->watch(service, this->duties[service]);
 }
 
 /// Gives the other daemons of a service's group that are alive.
@@ -226,13 +226,13 @@
     duty.stage = Stage::Asking;
     duty.heirs.clear();
     duty.questions.clear();
-    for (const auto& [name, known] : this->parts.catalog.upstreams()) {
-        const auto& id = known.entry.id;
+    for (const auto* known : this->parts.catalog.upstreamsOf(service)) {
+        const auto& id = known->entry.id;
         const auto refused = duty.refusedHeirs.find(id);
         const bool wasRefused = refused != duty.refusedHeirs.end() && now - refused->second < refusalMemory;
-        if (known.entry.service != service || id == duty.suspect || known.entry.draining || known.missingSince || wasRefused)
+        if (id == duty.suspect || known->entry.draining || known->missingSince || wasRefused)
             continue;
-        const Heir heir { .upstream = id, .isNear = known.entry.zone == this->options.zone };
+        const Heir heir { .upstream = id, .isNear = known->entry.zone == this->options.zone };
         duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, heir](std::optional<engine::UpstreamStatus> status) {
             if (!status)
                 return;
@@ -251,9 +251,10 @@
 /// Takes replicas that did not answer in time by what they last told.
 void SuccessionService::addFallbackHeirs(const std::string& service, Duty& duty) const
 {
-    for (const auto& [name, known] : this->parts.catalog.upstreams()) {
+    for (const auto* known : this->parts.catalog.upstreamsOf(service)) {
+        const auto& name = known->entry.id;
         const auto pool = this->parts.dispatcher.pool(name);
-        const bool mayLead = known.entry.service == service && name != duty.suspect && !known.entry.draining;
+        const bool mayLead = name != duty.suspect && !known->entry.draining;
         if (mayLead && pool && pool->logPoint() && !pool->health().failingSince)
             duty.heirs.push_back({ .upstream = name, .point = *pool->logPoint() });
     }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -35,7 +35,8 @@
         store::TableWatch& fleet; ///< Table with the rows of the duties.
         gossip::PeerBook& peers;
         Promoter& promoter;
-        std::function<std::vector<std::string>(const std::string& service)> group; ///< Daemons, this one among them, that have links to a service.
+        std::function<const std::vector<std::string>&(const std::string& service)> group; ///< Daemons, this one among them, that have links to a service.
+        std::function<const std::vector<std::string>&()> served; ///< Services to which this daemon has links, in order.
     };
 
     /// @brief How a service is built.
--- a/test/catalog/test_catalog.cpp
+++ b/test/catalog/test_catalog.cpp
@@ -70,3 +70,33 @@
     this->put("a", 7);
     CHECK_FALSE(this->known.find("a")->drainingSince.has_value());
 }
+
+TEST(Catalog, UpstreamsAreListedByService)
+{
+    this->put("b", 1);
+    this->put("a", 2);
+    this->known.put({ .id = "c", .service = "other" }, 3, this->now);
+    const auto listed = this->known.upstreamsOf("s");
+    LONGS_EQUAL(2, listed.size());
+    CHECK_EQUAL(std::string("a"), listed[0]->entry.id);
+    CHECK_EQUAL(std::string("b"), listed[1]->entry.id);
+    LONGS_EQUAL(2, this->known.services());
+    // An id may be used again by another service.
+    this->known.put({ .id = "a", .service = "other" }, 4, this->now);
+    LONGS_EQUAL(1, this->known.upstreamsOf("s").size());
+    LONGS_EQUAL(2, this->known.upstreamsOf("other").size());
+    this->known.markMissing("b", 5, this->now);
+    static_cast<void>(this->known.expire(this->now + 10s, this->now));
+    CHECK(this->known.upstreamsOf("s").empty());
+    LONGS_EQUAL(1, this->known.services());
+}
+
+TEST(Catalog, LimitsHaveAVersionOfTheirOwn)
+{
+    this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
+    const auto before = this->known.limitsVersion();
+    this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
+    LONGS_EQUAL(before, this->known.limitsVersion());
+    this->known.apply({ .version = 3, .services = { { "s", { .name = "s", .maximumConnections = 31 } } } });
+    CHECK(before != this->known.limitsVersion());
+}
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -62,6 +62,8 @@
     PromptStore storage { this->loop };
     store::TableWatch fleet { this->loop, this->storage, { .table = "t" }, { .changed = [](const auto&) {}, .settled = [] {}, .reached = [](bool) {} } };
     gossip::PeerBook peers;
+    const std::vector<std::string> daemons { "me", "other" };
+    const std::vector<std::string> services { "s" };
     RecordingPromoter promoter;
     std::unique_ptr<succession::SuccessionService> service;
 
@@ -83,7 +85,8 @@
             .fleet = this->fleet,
             .peers = this->peers,
             .promoter = this->promoter,
-            .group = [](const auto&) { return std::vector<std::string> { "me", "other" }; },
+            .group = [this](const auto&) -> const std::vector<std::string>& { return this->daemons; },
+            .served = [this]() -> const std::vector<std::string>& { return this->services; },
         };
         this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .vm = "me", .zone = "z", .incarnation = 1, .table = "t" }, [] {});
     }
