Small fleets use homes too, and half of an upstream's connections stays free

After the loss of all power the upstreams hold the dead connections for 3 s, so that 765 openings were refused as too many, and 284 statements waited 0.8 s for a link that did not come. Now a home has three links, as many homes are chosen as half of the connections carries, and a daemon that reaches no home opens up to two links of its own. Resting transactions count as load of a home. While the fleet is not known no link is opened.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -14,7 +14,6 @@
 
     constexpr Duration tickInterval = 250ms;
     constexpr Duration idleRest = 5s; // extra links are closed after this long without use
-    constexpr std::uint32_t warmLinks = 2; // to each upstream, opened before they are needed
     constexpr Duration leaderCheckLimit = 150ms;
     constexpr Duration leaderCheckPause = 25ms;
     constexpr Duration recentProof = 500ms; // news of a leader that serves others come several times in this
@@ -102,9 +101,8 @@
         if (!pool || isReplaced)
             pool = this->makePool(known.entry);
         pool->update(known.entry);
-        pool->setDaemons(std::max<std::size_t>(1, this->options.sharers(known.entry.service)));
-        // Half as many again as an even share: transactions come unevenly, and the upstream refuses truthfully.
-        pool->setLimit(this->shareOf(known.entry) * 3 / 2 + 1);
+        pool->setDaemons(std::max<std::size_t>(1, this->options.sharers(known.entry.service).value_or(1)));
+        pool->setShare(this->shareOf(known.entry));
     }
     std::erase_if(this->pools, [this](const auto& item) {
         if (this->catalog.find(item.first))
@@ -150,26 +148,23 @@
     return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
 }
 
-/// Gives this daemon's even share of an upstream's connections.
-std::uint32_t Dispatcher::shareOf(const catalog::UpstreamEntry& entry) const
+placement::ConnectionShare Dispatcher::shareOf(const catalog::UpstreamEntry& entry) const
 {
-    const auto sharers = this->options.sharers(entry.service);
     const auto configuration = this->catalog.configuration();
-    if (!configuration || sharers == 0)
-        return 0;
+    const auto sharers = this->options.sharers(entry.service);
+    if (!configuration || !sharers)
+        return {};
     const auto spec = configuration->services.find(entry.service);
     const auto connections = spec == configuration->services.end() ? 1 : spec->second.maximumConnections;
-    return std::max(1U, static_cast<std::uint32_t>(connections / sharers));
+    return placement::shareConnections(connections, *sharers);
 }
 
-/// Opens a link in advance where fewer than the kept ones are open, and closes what rests beyond the share.
+/// Opens a link in advance where fewer than the warm ones are open, and closes those beyond them that rest.
 void Dispatcher::keepWarm(UpstreamPool& pool)
 {
-    const auto share = this->shareOf(pool.entry());
+    const auto warm = pool.share().warm;
     const auto& health = pool.health();
     const bool mayOpen = pool.opening() == 0 && pool.canOpen() && !pool.entry().draining && health.busyUntil <= this->loop.now();
-    // Half of the share is left free, so that daemons that all start anew find room beside their dead connections.
-    const auto warm = share == 0 ? 0 : std::min(std::max(1U, share / 2), warmLinks);
     if (pool.size() < warm && mayOpen)
         pool.open();
     pool.closeIdle(warm, idleRest);
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "amaranthhall/freshness/replica_lag.hpp"
 #include "amaranthhall/freshness/sample_window.hpp"
 #include "amaranthhall/leadership/leader_record.hpp"
+#include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/placement.hpp"
 
 #include <array>
@@ -117,7 +118,7 @@
     struct Options {
         std::string zone; ///< Of this daemon.
         Duration upstreamDrainLimit { std::chrono::seconds(6) }; ///< A draining upstream gets statements for so long.
-        std::function<std::size_t(std::string_view service)> sharers; ///< Daemons that share the connections of a service; 0 if this one keeps none.
+        std::function<std::optional<std::size_t>(std::string_view service)> sharers; ///< Daemons that share the connections of a service, 0 if this one keeps none; nothing while that is not known.
     };
 
     Dispatcher(kernel::Loop& loop, LinkFactory& factory, catalog::Catalog& catalog, Options options);
@@ -200,7 +201,7 @@
     void leave(Service& service, std::list<Waiter>::iterator waiter) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const Want& want);
     [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
-    [[nodiscard]] std::uint32_t shareOf(const catalog::UpstreamEntry& entry) const;
+    [[nodiscard]] placement::ConnectionShare shareOf(const catalog::UpstreamEntry& entry) const;
     void keepWarm(UpstreamPool& pool);
     [[nodiscard]] bool isLeaderCutOff(Service& service);
     [[nodiscard]] bool mayWaitForLeader(Service& service);
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -247,7 +247,7 @@
     const auto now = this->loop.now();
     const bool isWelcome = this->state.openAfter <= now && this->state.avoidUntil <= now;
     const bool hasFreeSlot = this->running() + this->openings.size() < std::max(1U, this->upstream.slots);
-    return isWelcome && hasFreeSlot && this->links.size() + this->openings.size() < this->limit;
+    return isWelcome && hasFreeSlot && this->links.size() + this->openings.size() < this->allowed.limit;
 }
 
 std::uint32_t UpstreamPool::idle() const noexcept
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/catalog/upstream_entry.hpp"
 #include "amaranthhall/engine/link.hpp"
 #include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/upstream_health.hpp"
 
 #include <functional>
@@ -44,7 +45,7 @@
     ~UpstreamPool();
 
     void update(const catalog::UpstreamEntry& fresh) { this->upstream = fresh; }
-    void setLimit(std::uint32_t links) noexcept { this->limit = links; }
+    void setShare(const placement::ConnectionShare& links) noexcept { this->allowed = links; }
 
     /// @brief Sets the number of daemons that send to the upstream.
     void setDaemons(std::size_t count) noexcept { this->daemons = count; }
@@ -79,6 +80,7 @@
     [[nodiscard]] std::uint32_t idle() const noexcept;
     [[nodiscard]] std::uint32_t running() const noexcept;
     [[nodiscard]] std::uint32_t opening() const noexcept { return static_cast<std::uint32_t>(this->openings.size()); }
+    [[nodiscard]] const placement::ConnectionShare& share() const noexcept { return this->allowed; }
     [[nodiscard]] const catalog::UpstreamEntry& entry() const noexcept { return this->upstream; }
     [[nodiscard]] placement::UpstreamHealth& health() noexcept { return this->state; }
 
@@ -109,7 +111,7 @@
     std::optional<group::LogPoint> lastPoint;
     std::size_t daemons { 1 };
     kernel::Registration paceTimer;
-    std::uint32_t limit { 1 };
+    placement::ConnectionShare allowed;
     std::vector<std::shared_ptr<PooledLink>> links;
     std::vector<std::unique_ptr<Opening>> openings;
 };
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -71,7 +71,7 @@
     return {
         .zone = this->settings.zone,
         .upstreamDrainLimit = this->settings.upstreamDrainLimit - drainMargin,
-        .sharers = [this](auto service) { return this->knowsFleet() ? this->homes.sharers(service) : 0; },
+        .sharers = [this](auto service) { return this->knowsFleet() ? std::optional(this->homes.sharers(service)) : std::nullopt; },
     };
 }
 
--- /dev/null
+++ b/src/amaranthhall/placement/connection_share.cpp
@@ -0,0 +1,24 @@
+#include "amaranthhall/placement/connection_share.hpp"
+
+#include <algorithm>
+
+namespace amaranthhall::placement {
+
+namespace {
+
+    constexpr std::uint32_t mostWarm = 2;
+    constexpr std::uint32_t guestLinks = 2; // of a daemon that reaches none of the sharers: one for a transaction that rests
+
+}
+
+ConnectionShare shareConnections(std::uint32_t connections, std::size_t sharers) noexcept
+{
+    if (sharers == 0)
+        return { .limit = guestLinks };
+    const auto even = static_cast<std::uint32_t>(connections / 2 / sharers);
+    const auto share = std::max(1U, even);
+    // Transactions come unevenly, so that one daemon may open more than its share for a while.
+    return { .warm = std::min(share, mostWarm), .limit = share + share / 2 };
+}
+
+}
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -109,12 +109,20 @@
 
 std::unique_ptr<engine::RelayStream> HomeRouter::open(std::string_view service, const std::vector<std::string>& tried)
 {
+    const auto now = this->loop.now();
     std::vector<HomeState> states;
     for (const auto& home : this->homes(service)) {
         const auto peer = this->peers.all().find(home);
         const bool isTried = std::find(tried.begin(), tried.end(), home) != tried.end();
-        if (!isTried && peer != this->peers.all().end())
-            states.push_back({ .vm = peer->first, .zone = peer->second.profile.zone, .isAvoided = this->client.isAvoided(home, this->loop.now()), .outstanding = this->client.outstanding(home) });
+        if (isTried || peer == this->peers.all().end())
+            continue;
+        states.push_back({
+            .vm = peer->first,
+            .zone = peer->second.profile.zone,
+            .isAvoided = this->client.isAvoided(home, now),
+            .isSilent = !this->peers.isLive(home, now),
+            .outstanding = this->client.outstanding(home),
+        });
     }
     const auto chosenHome = chooseHome(states, this->options.vm, this->options.zone);
     if (!chosenHome)
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-    constexpr std::size_t linksOfAHome = 6; // to each upstream: enough for its slots and for transactions that rest
+    constexpr std::size_t linksOfAHome = 3; // to each upstream: for its slots, and for a transaction that rests
+    constexpr std::uint32_t keptFree = 2; // one connection of so many stays free, for daemons that start anew beside dead connections
     constexpr std::size_t fewestHomes = 2; // one may be lost
     constexpr std::size_t mostHomes = 12; // all that start at once open their links in a fraction of a second
-    constexpr std::size_t smallFleet = 24; // daemons that all hold links, if there are enough
     constexpr std::size_t busyFrom = 4; // outstanding statements of one daemon; a way to another zone is then the shorter wait
 
     struct Candidate {
@@ -53,9 +53,10 @@
 
 std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, std::uint32_t connections)
 {
-    if (daemons.empty() || (daemons.size() <= smallFleet && connections >= daemons.size()))
+    const auto wanted = std::clamp<std::size_t>(connections / keptFree / linksOfAHome, fewestHomes, mostHomes);
+    if (daemons.size() <= wanted)
         return names(daemons);
-    const auto count = std::min(daemons.size(), std::clamp<std::size_t>(connections / linksOfAHome, fewestHomes, mostHomes));
+    const auto count = wanted;
     const auto zones = countZones(daemons);
     const auto mostInZone = (count + zones - 1) / zones;
     std::vector<std::string> homes;
@@ -76,10 +77,12 @@
 {
     const auto rankOf = [&](const HomeState& home) {
         const auto affinity = hashing::rendezvousScore(home.vm, vm);
-        return std::tuple(home.isAvoided, home.outstanding >= busyFrom, home.zone != zone, home.outstanding, affinity);
+        return std::tuple(home.isAvoided, home.isSilent, home.outstanding >= busyFrom, home.zone != zone, home.outstanding, affinity);
     };
     const auto best = std::min_element(homes.begin(), homes.end(), [&](const auto& left, const auto& right) { return rankOf(left) < rankOf(right); });
-    return best == homes.end() ? std::nullopt : std::optional(static_cast<std::size_t>(best - homes.begin()));
+    if (best == homes.end() || best->isAvoided)
+        return std::nullopt;
+    return static_cast<std::size_t>(best - homes.begin());
 }
 
 }
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -20,8 +20,9 @@
 /**
  * @brief Chooses the daemons that hold the connections to the upstreams of a service.
  *
- * In a small fleet all hold some, where an upstream allows one for each daemon. Else a few do, drawn by rendezvous hashing so that
- * all daemons choose alike, and the others relay to them. Larger VMs are drawn more often, and each zone gets an even share of the homes.
+ * A few do, each with enough links that a transaction which rests does not block it, and half of the connections stays free. They
+ * are drawn by rendezvous hashing, so that all daemons choose alike, and the others relay to them. Larger VMs are drawn more often,
+ * and each zone gets an even share of the homes.
  *
  * @param daemons All live daemons.
  * @param connections Connections that each upstream of the service allows.
@@ -32,16 +33,19 @@
 struct HomeState {
     std::string_view vm;
     std::string_view zone;
-    bool isAvoided { false }; ///< It has failed or fallen silent lately.
-    std::size_t outstanding { 0 }; ///< Statements that it has not answered yet.
+    bool isAvoided { false }; ///< The way to it has failed or fallen silent lately.
+    bool isSilent { false }; ///< No daemon has heard of it lately.
+    std::size_t outstanding { 0 }; ///< Statements and open transactions that it runs for this daemon.
 };
 
 /**
  * @brief Chooses the home for a statement: one in the daemon's own zone, unless all those are busy, and among them the least busy.
  *
+ * None is chosen to which the way has just failed: a daemon that reaches no home is better off with links of its own.
+ *
  * Daemons differ in the home that they take first, so that idle homes share the load.
  *
- * @return Index of the home; nothing if there is none.
+ * @return Index of the home; nothing if there is none that can be used.
  */
 [[nodiscard]] std::optional<std::size_t> chooseHome(std::span<const HomeState> homes, std::string_view vm, std::string_view zone);
 
--- a/src/amaranthhall/relay/relay_client.cpp
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -62,7 +62,11 @@
         return this->waiting.empty() ? Duration::zero() : now - this->heardAt;
     }
 
-    [[nodiscard]] std::size_t outstanding() const noexcept { return this->waiting.size(); }
+    void noteOpened() noexcept { ++this->streams; }
+    void noteClosed() noexcept { --this->streams; }
+
+    /// @brief Gives the statements and transactions that have not ended, such as rest between two statements among them.
+    [[nodiscard]] std::size_t outstanding() const noexcept { return this->streams; }
     [[nodiscard]] bool isAvoided(Time now) const noexcept { return this->avoidUntil > now; }
 
     std::string vm;
@@ -157,6 +161,7 @@
     FrameReader reader;
     std::map<std::uint64_t, engine::RelayStream::Done> waiting; ///< By stream.
     std::uint64_t lastStream { 0 };
+    std::size_t streams { 0 };
     std::uint64_t connectionNumber { 0 };
     Time heardAt;
     Time avoidUntil;
@@ -175,13 +180,16 @@
 
         ~ClientStream() override
         {
-            if (this->isUsed)
-                this->connection->end(this->number);
+            if (!this->isUsed)
+                return;
+            this->connection->noteClosed();
+            this->connection->end(this->number);
         }
 
         void send(const engine::RelayedRequest& request, Done done) override
         {
-            this->isUsed = true;
+            if (!std::exchange(this->isUsed, true))
+                this->connection->noteOpened();
             this->connection->send(this->number, request, std::move(done));
         }
 
--- a/src/amaranthhall/relay/relay_client.hpp
+++ b/src/amaranthhall/relay/relay_client.hpp
@@ -23,7 +23,7 @@
     /// @brief Opens a stream to a daemon, over the connection to it or a new one.
     [[nodiscard]] std::unique_ptr<engine::RelayStream> open(const std::string& vm, const kernel::Address& address);
 
-    /// @brief Gives the number of statements that a daemon has not answered yet.
+    /// @brief Gives the number of statements and open transactions of this daemon that another one runs.
     [[nodiscard]] std::size_t outstanding(const std::string& vm) const noexcept;
 
     /// @brief Tells whether a daemon has failed or fallen silent lately.
