--- a/src/amaranthhall/admission/admission.cpp
+++ b/src/amaranthhall/admission/admission.cpp
@@ -19,6 +19,13 @@
         return std::max(leastRetryAfter, estimateWait(lane, now).value_or(leastRetryAfter));
     }
 
+    /// Gives how long a statement may wait: until its deadline, and a heavy one only part of that.
+    Duration longestWait(const Arrival& arrival)
+    {
+        const auto heaviness = std::max(1.0, arrival.weight);
+        return std::chrono::duration_cast<Duration>((arrival.deadline - arrival.now) / (heaviness * heaviness));
+    }
+
 }
 
 std::optional<Duration> estimateWait(const LaneState& lane, Time now) noexcept
@@ -36,8 +43,9 @@
     if (arrival.serviceWaiting >= arrival.serviceLimit / 2 && arrival.groupWaiting >= groupPart)
         return Shed { .reason = ShedReason::GroupShareFull, .retryAfter = retryAfter(lane, arrival.now) };
     const auto wait = estimateWait(lane, arrival.now);
-    if (wait && arrival.now + *wait > arrival.deadline)
-        return Shed { .reason = ShedReason::TooSlow, .retryAfter = std::max(leastRetryAfter, *wait - (arrival.deadline - arrival.now)) };
+    const auto longest = longestWait(arrival);
+    if (wait && *wait > longest)
+        return Shed { .reason = ShedReason::TooSlow, .retryAfter = std::max(leastRetryAfter, *wait - longest) };
     return std::nullopt;
 }
 
--- a/src/amaranthhall/admission/admission.hpp
+++ b/src/amaranthhall/admission/admission.hpp
@@ -24,6 +24,7 @@
     std::uint32_t groupWaiting { 0 }; ///< Of these, the group's.
     std::uint32_t serviceLimit { 0 }; ///< Statements of the service that may wait.
     std::uint32_t groups { 1 }; ///< Groups of the service.
+    double weight { 1 }; ///< Its work over that of all statements.
 };
 
 /// @brief Why work is refused at once.
@@ -46,6 +47,9 @@
  * slow group does not shut out the others. A lane whose rate is not known, as during a change of primary, is not
  * judged by it.
  *
+ * Answers an upstream that is asked for more than it can do: heavy statements give way first, as several light ones run in the
+ * time of each.
+ *
  * @return Nothing if it may wait.
  */
 [[nodiscard]] std::optional<Shed> admit(const LaneState& lane, const Arrival& arrival) noexcept;
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -183,7 +183,7 @@
     });
     auto lane = service.lanes[want.needsLeader ? 1 : 0];
     lane.waiting = static_cast<std::uint32_t>(std::count_if(waiters.begin(), place, [&](const Waiter& other) { return other.want.needsLeader == want.needsLeader; }));
-    const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters };
+    const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters, .weight = admission::weightOf(service.work, want.kind) };
     if (const auto shed = admission::admit(lane, arrival)) {
         const auto reason = shed->reason == admission::ShedReason::TooSlow ? tooSlow : queueFull;
         waiters.push_back(Waiter { .number = number, .want = std::move(want), .granted = std::move(granted), .refusal = reason });
@@ -450,6 +450,12 @@
     this->serviceOf(service).leadership.refute(upstream, askedAt);
 }
 
+void Dispatcher::noteWork(std::string_view service, const admission::WorkKind& kind, Duration taken, const Loan& loan)
+{
+    if (!loan.isCongested())
+        admission::noteWork(this->serviceOf(service).work, kind, taken);
+}
+
 const freshness::SampleWindow& Dispatcher::samples(std::string_view service)
 {
     return this->serviceOf(service).samples;
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/admission/admission.hpp"
+#include "amaranthhall/admission/work_record.hpp"
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/upstream_pool.hpp"
 #include "amaranthhall/freshness/replica_lag.hpp"
@@ -36,6 +37,8 @@
 
     [[nodiscard]] explicit operator bool() const noexcept { return this->link != nullptr; }
     [[nodiscard]] bool isBroken() const noexcept { return this->link->isBroken; }
+    /// @brief Tells whether statements wait at the upstream.
+    [[nodiscard]] bool isCongested() const noexcept { return placement::isCongested(this->pool->health()); }
     [[nodiscard]] PooledLink& state() const noexcept { return *this->link; }
     [[nodiscard]] const std::string& upstream() const noexcept { return this->pool->entry().id; }
 
@@ -70,6 +73,7 @@
     Time target; ///< When it is to be answered; the queue is kept short enough for it.
     Time deadline;
     unsigned priority { 0 };
+    admission::WorkKind kind;
     bool mayDetour { false }; ///< Another daemon may run it if this one does not reach the leader.
     const SessionSettings* settings { nullptr };
 };
@@ -152,6 +156,9 @@
     /// @brief Takes in that an upstream refused as one that does not lead.
     void noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt);
 
+    /// @brief Takes in how long a statement took at an upstream; what it took in a queue there is no measure of its work.
+    void noteWork(std::string_view service, const admission::WorkKind& kind, Duration taken, const Loan& loan);
+
     /// @brief Gives the samples of a service.
     [[nodiscard]] const freshness::SampleWindow& samples(std::string_view service);
 
@@ -187,6 +194,7 @@
         freshness::SampleWindow samples;
         std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< By upstream.
         std::array<admission::LaneState, 2> lanes; ///< Of statements for any upstream, and for the leader.
+        admission::WorkRecord work;
         std::optional<Time> leaderlessSince; ///< Set while no leader can be used.
         std::optional<Time> reachedAt; ///< Last answer of a leader to this daemon.
         Ticket leaderCheck; ///< Set while the leader is asked whether it has caught up.
--- a/src/amaranthhall/engine/request_log.cpp
+++ b/src/amaranthhall/engine/request_log.cpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace amaranthhall::engine {
@@ -17,6 +18,23 @@
         this->answered[i] = &metrics.counter("amaranthhall_requests_total", "Requests by the code of their answer", { { "code", nameOf(static_cast<ReplyCode>(i)) } });
 }
 
+namespace {
+
+    std::string describe(const std::optional<group::LogPoint>& point)
+    {
+        return point ? std::to_string(point->term) + "." + std::to_string(point->position) : "-";
+    }
+
+}
+
+void RequestLog::writeRetry(const RetryRecord& record, Time now)
+{
+    if (!this->admit(now))
+        return;
+    telemetry::logEvent(telemetry::LogLevel::Info, "request.retried",
+        { { "request", record.id }, { "upstream", record.upstream }, { "code", nameOf(record.code) }, { "lost", record.lost }, { "wanted", describe(record.wanted) }, { "held", describe(record.held) } });
+}
+
 bool RequestLog::admit(Time now)
 {
     const auto passed = std::chrono::duration<double>(now - this->refilledAt).count();
--- a/src/amaranthhall/engine/request_log.hpp
+++ b/src/amaranthhall/engine/request_log.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "amaranthhall/engine/reply_code.hpp"
+#include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/time.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace amaranthhall::engine {
@@ -24,6 +26,16 @@
     std::uint64_t configurationVersion { 0 };
 };
 
+/// @brief What a log line tells of an attempt that is followed by another one.
+struct RetryRecord {
+    std::string_view id;
+    std::string_view upstream; ///< Of the attempt.
+    ReplyCode code { ReplyCode::None };
+    bool lost { false }; ///< No answer came.
+    std::optional<group::LogPoint> wanted; ///< Position that the upstream's log had to hold.
+    std::optional<group::LogPoint> held; ///< Position that it told.
+};
+
 /// @brief Counts each request, and writes a line for it, up to a rate; what it leaves out is counted.
 class RequestLog {
 public:
@@ -35,6 +47,9 @@
     /// @brief Counts a request and writes its line, unless too many were written lately.
     void write(const RequestRecord& record, Time now);
 
+    /// @brief Writes the line of an attempt that is followed by another one, unless too many were written lately.
+    void writeRetry(const RetryRecord& record, Time now);
+
 private:
     [[nodiscard]] bool admit(Time now);
 
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -121,7 +121,7 @@
     void onCommitReply(Reply reply);
     void settle(Reply reply);
     void retryOrAnswer(Reply reply, bool wasLost);
-    void retryLater();
+    void retryLater(const Reply& reply);
     void watchStall();
     void onDeadline();
     void failTransaction(Reply reply);
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -15,6 +15,11 @@
     constexpr unsigned mostLagRetries = 8;
     constexpr freshness::Micros clockMargin = 5'000; // µs that a read's bound is tightened by
 
+    admission::WorkKind kindOf(const catalog::Route& route)
+    {
+        return { .consistency = static_cast<std::size_t>(route.consistency), .priority = route.priority };
+    }
+
     std::string linkName(bool writes, std::string_view shape)
     {
         return (writes ? "w_" : "r_") + std::string(shape);
@@ -62,6 +67,7 @@
         .target = plan.arrived + plan.route.targetLatency,
         .deadline = plan.deadline,
         .priority = plan.route.priority,
+        .kind = kindOf(plan.route),
         .mayDetour = this->mayDetour(),
         .settings = &this->settings,
     };
@@ -239,6 +245,7 @@
             this->lastCommit = reply.point ? reply.point : this->lastCommit;
         }
         retry::deposit(this->context.budget);
+        this->context.dispatcher.noteWork(this->work->route.service, kindOf(this->work->route), this->context.loop.now() - this->work->sentAt, this->current);
         this->current.reset();
         this->answer({ .rows = std::move(reply.rows), .digest = std::move(reply.digest) });
         return;
@@ -262,9 +269,7 @@
     }
     // A replica that lacks the position refuses before it takes a slot, so that another try costs the service nothing.
     if (reply.code == ReplyCode::Lagging && plan.retries < mostLagRetries && this->context.loop.now() < plan.deadline) {
-        ++plan.retries;
-        plan.tried.push_back(plan.upstream);
-        this->retryLater();
+        this->retryLater(reply);
         return;
     }
     const bool isWrite = this->writes(plan.request);
@@ -278,9 +283,7 @@
     };
     switch (retry::decide(outcome, this->context.budget)) {
     case retry::Decision::Retry:
-        ++plan.retries;
-        plan.tried.push_back(plan.upstream);
-        this->retryLater();
+        this->retryLater(reply);
         return;
     case retry::Decision::Answer:
         this->answerCode(reply.code, reply.detail);
@@ -294,10 +297,13 @@
     }
 }
 
-void Session::retryLater()
+void Session::retryLater(const Reply& reply)
 {
     constexpr unsigned retriesBeforeLeader = 2; // a leader holds every position
     auto& plan = *this->work;
+    this->context.log.writeRetry({ .id = plan.request.id, .upstream = plan.upstream, .code = reply.code, .lost = reply.lost, .wanted = plan.after, .held = reply.point }, this->context.loop.now());
+    ++plan.retries;
+    plan.tried.push_back(plan.upstream);
     if (plan.retries >= retriesBeforeLeader && !plan.needsLeader)
         plan.needsLeader = true;
     const auto pause = plan.needsLeader ? retryPause : Duration::zero();
--- a/src/amaranthhall/placement/upstream_health.hpp
+++ b/src/amaranthhall/placement/upstream_health.hpp
@@ -54,6 +54,13 @@
     health.faults = std::min(most, health.faults + 1);
 }
 
+/// @brief Tells whether statements take so long that they must be waiting at the upstream.
+[[nodiscard]] inline bool isCongested(const UpstreamHealth& health) noexcept
+{
+    constexpr Duration congested = std::chrono::milliseconds(30); // well over a statement's work and well under a route's target
+    return health.latency >= congested;
+}
+
 /**
  * @brief Gives how long to wait after an answer before the next statement goes to an upstream.
  *
@@ -62,10 +69,9 @@
  */
 [[nodiscard]] inline Duration paceAfter(const UpstreamHealth& health, std::size_t daemons, std::uint32_t slots) noexcept
 {
-    constexpr Duration congested = std::chrono::milliseconds(30); // well over a statement's work and well under a route's target
     constexpr std::size_t wantedPerSlot = 2; // one at work, one that waits for it
     const auto wanted = wantedPerSlot * std::max<std::size_t>(1, slots);
-    if (health.latency < congested || daemons <= wanted)
+    if (!isCongested(health) || daemons <= wanted)
         return Duration::zero();
     return health.latency * (daemons - wanted) / wanted;
 }
