A home that is at work says so; the time at the upstream counts in admission

A home with unanswered statements now sends a short frame every 50 ms, so that silence means a fault (test Relay, which fails without it).

--- a/src/amaranthhall/admission/admission.cpp
+++ b/src/amaranthhall/admission/admission.cpp
@@ -19,11 +19,12 @@
         return std::max(leastRetryAfter, estimateWait(lane, now).value_or(leastRetryAfter));
     }
 
-    /// Gives how long a statement may wait: until its deadline, and a heavy one only part of that.
+    /// Gives how long a statement may wait so that its answer comes by its deadline; a heavy one only part of that.
     Duration longestWait(const Arrival& arrival)
     {
         const auto heaviness = std::max(1.0, arrival.weight);
-        return std::chrono::duration_cast<Duration>((arrival.deadline - arrival.now) / (heaviness * heaviness));
+        const auto left = arrival.deadline - arrival.now - arrival.atUpstream;
+        return std::chrono::duration_cast<Duration>(left / (heaviness * heaviness));
     }
 
 }
--- a/src/amaranthhall/admission/admission.hpp
+++ b/src/amaranthhall/admission/admission.hpp
@@ -24,6 +24,7 @@
     std::uint32_t groupWaiting { 0 }; ///< Of these, the group's.
     std::uint32_t serviceLimit { 0 }; ///< Statements of the service that may wait.
     std::uint32_t groups { 1 }; ///< Groups of the service.
+    Duration atUpstream { 0 }; ///< From its sending to its answer, as statements take now.
     double weight { 1 }; ///< Its work over that of all statements.
 };
 
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -183,7 +183,7 @@
     });
     auto lane = service.lanes[want.needsLeader ? 1 : 0];
     lane.waiting = static_cast<std::uint32_t>(std::count_if(waiters.begin(), place, [&](const Waiter& other) { return other.want.needsLeader == want.needsLeader; }));
-    const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters, .weight = admission::weightOf(service.work, want.kind) };
+    const admission::Arrival arrival { .now = this->loop.now(), .deadline = want.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = mostWaiters, .atUpstream = this->latencyFor(service, want), .weight = admission::weightOf(service.work, want.kind) };
     if (const auto shed = admission::admit(lane, arrival)) {
         const auto reason = shed->reason == admission::ShedReason::TooSlow ? tooSlow : queueFull;
         waiters.push_back(Waiter { .number = number, .want = std::move(want), .granted = std::move(granted), .refusal = reason });
@@ -195,6 +195,18 @@
     return { *this, service, number };
 }
 
+/// Gives how long a statement takes now at the leader, or at the fastest upstream if any will do.
+Duration Dispatcher::latencyFor(const Service& service, const Want& want) const
+{
+    if (want.needsLeader) {
+        const auto leader = this->leaderOf(service);
+        const auto found = leader ? this->pool(*leader) : nullptr;
+        return found ? found->health().latency : Duration::zero();
+    }
+    const auto fastest = std::min_element(service.pools.begin(), service.pools.end(), [](const auto& left, const auto& right) { return left->health().latency < right->health().latency; });
+    return fastest == service.pools.end() ? Duration::zero() : (*fastest)->health().latency;
+}
+
 void Dispatcher::cancel(Service& service, std::uint64_t number) noexcept
 {
     const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [number](const Waiter& waiter) { return waiter.number == number; });
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -223,6 +223,7 @@
     [[nodiscard]] bool isLeaderCutOff(Service& service);
     [[nodiscard]] bool mayWaitForLeader(Service& service);
     [[nodiscard]] bool isOutOfReach(Service& service);
+    [[nodiscard]] Duration latencyFor(const Service& service, const Want& want) const;
     void checkLeader(Service& service, const std::string& upstream);
     void onLeaderStatus(Service& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
     [[nodiscard]] std::shared_ptr<UpstreamPool> makePool(const catalog::UpstreamEntry& entry);
--- a/src/amaranthhall/relay/frame.cpp
+++ b/src/amaranthhall/relay/frame.cpp
@@ -50,6 +50,11 @@
         return { { "type", "end" }, { "stream", frame.stream } };
     }
 
+    Json encode(const PulseFrame&)
+    {
+        return { { "type", "pulse" } };
+    }
+
     catalog::Route decodeRoute(const Json& json)
     {
         using std::chrono::milliseconds;
@@ -96,6 +101,8 @@
             return decodeStatement(json);
         if (type == "answer")
             return decodeAnswer(json);
+        if (type == "pulse")
+            return PulseFrame {};
         return EndFrame { .stream = json.at("stream").get<std::uint64_t>() };
     }
 
--- a/src/amaranthhall/relay/frame.hpp
+++ b/src/amaranthhall/relay/frame.hpp
@@ -27,7 +27,10 @@
     std::uint64_t stream { 0 };
 };
 
-using Frame = std::variant<StatementFrame, AnswerFrame, EndFrame>;
+/// @brief Tells that statements are at work or wait there, so that silence means a fault.
+struct PulseFrame { };
+
+using Frame = std::variant<StatementFrame, AnswerFrame, EndFrame, PulseFrame>;
 
 /// @brief Appends a frame: its length in four bytes, the most significant first, then CBOR.
 void appendFrame(std::string& out, const Frame& frame);
--- a/src/amaranthhall/relay/relay_server.cpp
+++ b/src/amaranthhall/relay/relay_server.cpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/kernel/byte_stream.hpp"
 #include "amaranthhall/relay/frame.hpp"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -10,6 +11,10 @@
 
 namespace {
 
+    using namespace std::chrono_literals;
+
+    constexpr Duration pulseInterval = 50ms; // a third of the silence after which the other daemon looks elsewhere
+
     /// The session that runs one stream's statements, and the way back to the other daemon.
     class ServedStream final : public engine::CallerChannel {
     public:
@@ -32,6 +37,7 @@
             this->answerBack({ .reply = reply, .lastCommit = this->session.newestCommit() });
         }
 
+        [[nodiscard]] bool isBusy() const noexcept { return this->session.isBusy(); }
         [[nodiscard]] bool isOver() const noexcept { return !this->session.isBusy() && !this->session.inTransaction(); }
 
     private:
@@ -73,6 +79,21 @@
         if (!place)
             place = std::make_unique<ServedStream>(this->context, [this, number](engine::RelayedReply reply) { this->answer(number, std::move(reply)); });
         place->handle(std::move(request));
+        if (!this->pulseTimer)
+            this->pulseTimer = this->loop.after(pulseInterval, [this] { this->pulse(); });
+    }
+
+    /// Tells the other daemon that its statements are not forgotten, for as long as any is not answered.
+    void pulse()
+    {
+        this->pulseTimer.reset();
+        const bool isBusy = std::any_of(this->served.begin(), this->served.end(), [](const auto& item) { return item.second->isBusy(); });
+        if (!isBusy)
+            return;
+        std::string bytes;
+        appendFrame(bytes, PulseFrame {});
+        this->stream.write(bytes);
+        this->pulseTimer = this->loop.after(pulseInterval, [this] { this->pulse(); });
     }
 
     void answer(std::uint64_t number, engine::RelayedReply reply)
@@ -95,6 +116,7 @@
     FrameReader reader;
     std::shared_ptr<int> alive { std::make_shared<int>(0) };
     std::map<std::uint64_t, std::unique_ptr<ServedStream>> served;
+    kernel::Registration pulseTimer;
     kernel::ByteStream stream;
 };
 
--- a/src/amaranthhall/relay/relay_server.hpp
+++ b/src/amaranthhall/relay/relay_server.hpp
@@ -18,6 +18,9 @@
     RelayServer(kernel::Loop& loop, const kernel::Address& listen, engine::SessionContext& context);
     ~RelayServer();
 
+    /// @brief Gives the port on which it listens.
+    [[nodiscard]] std::uint16_t port() const { return kernel::boundPort(this->listener); }
+
     /// @brief Gives the number of statements and transactions that run for others.
     [[nodiscard]] std::size_t streams() const noexcept;
 
--- a/test/admission/test_admission.cpp
+++ b/test/admission/test_admission.cpp
@@ -54,6 +54,16 @@
     CHECK(!admit(lane, slow));
 }
 
+TEST(Admission, TheTimeAtTheUpstreamIsPartOfTheWait)
+{
+    const auto lane = makeLane(10ms);
+    auto arrival = makeArrival(start + 200ms, 10, 10);
+    arrival.deadline = arrival.now + 600ms;
+    CHECK(!admit(lane, arrival));
+    arrival.atUpstream = 100ms;
+    CHECK(admit(lane, arrival)->reason == ShedReason::TooSlow);
+}
+
 TEST(Admission, AnUnknownOrOldRateRefusesNothing)
 {
     LaneState fresh { .waiting = 40 };
--- a/test/admission/test_overload.cpp
+++ b/test/admission/test_overload.cpp
@@ -72,7 +72,7 @@
         auto ahead = this->lane;
         ahead.waiting = static_cast<std::uint32_t>(std::distance(this->queue.begin(), place));
         const auto weight = this->weighs ? admission::weightOf(this->record, statement.route->kind) : 1;
-        const admission::Arrival arrival { .now = this->now, .deadline = statement.due(), .serviceWaiting = static_cast<std::uint32_t>(this->queue.size()), .serviceLimit = 256, .weight = weight };
+        const admission::Arrival arrival { .now = this->now, .deadline = statement.due(), .serviceWaiting = static_cast<std::uint32_t>(this->queue.size()), .serviceLimit = 256, .atUpstream = 14ms, .weight = weight };
         if (admission::admit(ahead, arrival))
             return;
         this->queue.insert(place, statement);
--- /dev/null
+++ b/test/relay/test_relay.cpp
@@ -0,0 +1,75 @@
+#include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/relay/relay_client.hpp"
+#include "amaranthhall/relay/relay_server.hpp"
+#include "engine/fake_links.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace amaranthhall;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Relay)
+{
+    kernel::Loop loop;
+    catalog::Catalog known;
+    engine::fakes::FakeLinkFactory links { this->loop };
+    engine::Dispatcher dispatcher { this->loop, this->links, this->known, { .zone = "z", .sharers = [](auto) { return std::optional<std::size_t>(1); } } };
+    telemetry::Metrics metrics;
+    engine::RequestLog log { this->metrics };
+    engine::SessionContext context { .loop = this->loop, .catalog = this->known, .dispatcher = this->dispatcher, .log = this->log, .budget = {} };
+    relay::RelayServer server { this->loop, { .host = "127.0.0.1" }, this->context };
+    const kernel::Address address { .host = "127.0.0.1", .port = this->server.port() };
+    relay::RelayClient client { this->loop };
+
+    void setup() override
+    {
+        this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
+        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 1, this->loop.now());
+        this->dispatcher.onCatalogChanged();
+    }
+
+    [[nodiscard]] static engine::RelayedRequest write()
+    {
+        return {
+            .request = { .id = "q", .kind = engine::RequestKind::Write, .text = "WRITE a b", .writes = true },
+            .route = { .database = "d", .service = "s", .statementTimeout = 600ms, .targetLatency = 600ms },
+            .timeLeft = 600ms,
+        };
+    }
+
+    void runFor(Duration span)
+    {
+        const auto end = this->loop.after(span, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+};
+
+// Load: a home whose upstream is slow or asked for too much; its statements wait, and nothing is wrong with the home.
+TEST(Relay, AHomeThatIsAtWorkIsNotSilent)
+{
+    this->links.upstreams["p"].isSilent = true;
+    const auto stream = this->client.open("home", this->address);
+    Duration longest { 0 };
+    bool isAnswered = false;
+    const auto look = this->loop.every(5ms, [&] { longest = std::max(longest, stream->silence(this->loop.now())); });
+    stream->send(write(), [&](const auto&) { isAnswered = true; });
+    this->runFor(400ms);
+    CHECK_FALSE(isAnswered);
+    CHECK(longest < 150ms);
+}
+
+TEST(Relay, AnOpenTransactionCountsAsLoadOfItsHome)
+{
+    auto stream = this->client.open("home", this->address);
+    LONGS_EQUAL(0, this->client.outstanding("home"));
+    auto begin = write();
+    begin.request = { .id = "q", .kind = engine::RequestKind::Begin, .text = "BEGIN" };
+    bool isOpen = false;
+    stream->send(begin, [&](const engine::RelayedReply& reply) { isOpen = reply.reply.state == engine::TransactionState::Open; });
+    this->runFor(100ms);
+    CHECK_TRUE(isOpen);
+    LONGS_EQUAL(1, this->client.outstanding("home"));
+    stream.reset();
+    LONGS_EQUAL(0, this->client.outstanding("home"));
+}
