Datagrams and relay frames are MessagePack; news of a service go to its homes only, and half as often

Datagrams to other homes held everything that their sender is home of, five times a second. Now each gets the services that both are homes of, every 0.4 s and at once when something is suspected or ordered; draws carry none of that. Encoding is done by a library without trees (libmsgpack-cxx-dev); bounds on what a few bytes may claim are tested. Four daemons follow the store's feeds in place of eight.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -16,7 +16,7 @@
     constexpr Duration idleRest = 5s; // extra links are closed after this long without use
     constexpr Duration leaderCheckLimit = 150ms;
     constexpr Duration leaderCheckPause = 25ms;
-    constexpr Duration recentProof = 500ms; // news of a leader that serves others come several times in this
+    constexpr Duration recentProof = 900ms; // news of a leader that serves others come twice in this
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
     constexpr Duration longestNews = 500ms; // after a primary was superseded, news of its successor come sooner, or not at all
     constexpr Duration usualWork = 30ms; // a statement's time on an upstream with a short queue
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -23,7 +23,7 @@
     constexpr Duration restBeforeClose = 30ms; // a caller that has just been answered may have its next request on the way
     constexpr Duration endMargin = 500ms; // before the platform kills the process
     constexpr freshness::Micros newsSpan = 4'000'000; // µs; older evidence of a leader is not told
-    constexpr std::size_t mostFollowers = 8; // daemons that follow the store; the others learn its rows from them
+    constexpr std::size_t mostFollowers = 4; // daemons that follow the store; the others learn its rows from them
     constexpr Duration pauseAfterChange = 100ms; // upstreams change in groups, as on a failover
     constexpr Duration pauseAfterFleetChange = 1s; // daemons that start learn of each other by datagrams
     constexpr std::string_view followTask = "follow";
@@ -122,7 +122,7 @@
     return {
         .fill = [this](auto& digest) { this->fillDigest(digest); },
         .received = [this](const auto& digest) { this->takeDigest(digest); },
-        .partners = [this]() -> const std::vector<std::string>& { return this->homes.partners(); },
+        .audiences = [this]() -> const std::vector<gossip::GossipNode::Audience>& { return this->homes.audiences(); },
     };
 }
 
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -1,110 +1,131 @@
 #include "amaranthhall/gossip/digest.hpp"
 
+#include "amaranthhall/packing/packing.hpp"
+
+#include <algorithm>
+#include <chrono>
 #include <cmath>
-#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
 
 namespace amaranthhall::gossip {
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr double milli = 1000; // cores travel as thousandths
 
-    Json encode(const LeaderNews& news)
+    using PackedAddress = std::tuple<std::string, std::uint16_t>;
+    using PackedProfile = std::tuple<PackedAddress, std::string, std::int64_t>;
+    using PackedVersions = std::tuple<store::Version, store::Version, store::Version>;
+    using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Position, freshness::Micros, bool>;
+    using PackedSuspicion = std::tuple<std::string, std::string, bool>;
+    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros>;
+    using PackedAge = std::tuple<std::string, std::int64_t>;
+    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
+
+    PackedAddress packed(const kernel::Address& address) { return { address.host, address.port }; }
+    PackedProfile packed(const VmProfile& profile) { return { packed(profile.address), profile.zone, std::lround(profile.cores * milli) }; }
+    PackedVersions packed(const TableVersions& versions) { return { versions.configuration, versions.upstreams, versions.fleet }; }
+    PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.point.term, news.point.position, news.at, news.isReached }; }
+    PackedSuspicion packed(const SuspicionNews& news) { return { news.service, news.upstream, news.isRefusing }; }
+    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at }; }
+    PackedAge packed(const AgeNews& news) { return { news.vm, news.age.count() }; }
+
+    template <typename Item>
+    auto packedAll(const std::vector<Item>& items)
+    {
+        std::vector<decltype(packed(items.front()))> all;
+        all.reserve(items.size());
+        for (const auto& item : items)
+            all.push_back(packed(item));
+        return all;
+    }
+
+    kernel::Address restore(PackedAddress&& from)
+    {
+        return { .host = std::move(std::get<0>(from)), .port = std::get<1>(from) };
+    }
+
+    VmProfile restore(PackedProfile&& from)
     {
-        return Json::array({ news.service, news.upstream, news.point.term, news.point.position, news.at, news.isReached });
+        auto& [address, zone, cores] = from;
+        return { .address = restore(std::move(address)), .zone = std::move(zone), .cores = static_cast<double>(cores) / milli };
     }
 
-    Json encode(const SuspicionNews& news)
+    TableVersions restore(PackedVersions&& from)
     {
-        return Json::array({ news.service, news.upstream, news.isRefusing });
+        const auto& [configuration, upstreams, fleet] = from;
+        return { .configuration = configuration, .upstreams = upstreams, .fleet = fleet };
     }
 
-    Json encode(const OrderNews& news)
+    LeaderNews restore(PackedLeader&& from)
     {
-        return Json::array({ news.service, news.candidate, news.fence, news.at });
+        auto& [service, upstream, term, position, at, isReached] = from;
+        return { .service = std::move(service), .upstream = std::move(upstream), .point = { .term = term, .position = position }, .at = at, .isReached = isReached };
     }
 
-    Json encode(const AgeNews& news)
+    SuspicionNews restore(PackedSuspicion&& from)
     {
-        return Json::array({ news.vm, news.age.count() });
+        auto& [service, upstream, isRefusing] = from;
+        return { .service = std::move(service), .upstream = std::move(upstream), .isRefusing = isRefusing };
     }
 
-    template <typename News>
-    void put(Json& json, const char* field, const std::vector<News>& news)
+    OrderNews restore(PackedOrder&& from)
     {
-        if (news.empty())
-            return;
-        auto list = Json::array();
-        for (const auto& item : news)
-            list.push_back(encode(item));
-        json[field] = std::move(list);
+        auto& [service, candidate, fence, at] = from;
+        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at };
     }
 
-    kernel::Address decodeAddress(const Json& json)
+    AgeNews restore(PackedAge&& from)
     {
-        return kernel::parseAddress(json.get<std::string>()).value_or(kernel::Address {});
+        auto& [vm, age] = from;
+        return { .vm = std::move(vm), .age = std::chrono::milliseconds(age) };
     }
 
-    template <typename Take>
-    void take(const Json& json, const char* field, Take takeItem)
+    template <typename Packed>
+    auto restoreAll(std::vector<Packed>&& items)
     {
-        const auto found = json.find(field);
-        if (found == json.end())
-            return;
-        for (const auto& item : *found)
-            takeItem(item);
+        std::vector<decltype(restore(std::move(items.front())))> all;
+        all.reserve(items.size());
+        for (auto& item : items)
+            all.push_back(restore(std::move(item)));
+        return all;
     }
 
 }
 
+Digest restrictTo(const Digest& digest, std::span<const std::string> services)
+{
+    auto restricted = digest;
+    const auto isOther = [services](const auto& news) { return !std::binary_search(services.begin(), services.end(), news.service); };
+    std::erase_if(restricted.leaders, isOther);
+    std::erase_if(restricted.suspicions, isOther);
+    std::erase_if(restricted.orders, isOther);
+    return restricted;
+}
+
 std::string encodeDigest(const Digest& digest)
 {
-    Json json { { "vm", digest.vm }, { "profile", { kernel::formatAddress(digest.profile.address), digest.profile.zone, std::lround(digest.profile.cores * milli) } }, { "versions", { digest.versions.configuration, digest.versions.upstreams, digest.versions.fleet } } };
-    if (digest.wantsPeers)
-        json["wants_peers"] = true;
-    put(json, "leaders", digest.leaders);
-    put(json, "suspicions", digest.suspicions);
-    put(json, "orders", digest.orders);
-    put(json, "ages", digest.ages);
-    for (const auto& peer : digest.peers)
-        json["peers"].push_back(kernel::formatAddress(peer));
-    std::string bytes;
-    Json::to_cbor(json, bytes);
-    return bytes;
+    return packing::pack(PackedDigest { digest.vm, packed(digest.profile), digest.wantsPeers, packed(digest.versions), packedAll(digest.leaders), packedAll(digest.suspicions), packedAll(digest.orders), packedAll(digest.ages), packedAll(digest.peers) });
 }
 
 std::optional<Digest> decodeDigest(std::string_view bytes)
 {
-    try {
-        const auto json = Json::from_cbor(bytes);
-        Digest digest;
-        digest.vm = json.at("vm").get<std::string>();
-        digest.wantsPeers = json.value("wants_peers", false);
-        const auto& profile = json.at("profile");
-        digest.profile.address = decodeAddress(profile.at(0));
-        digest.profile.zone = profile.at(1).get<std::string>();
-        digest.profile.cores = profile.at(2).get<double>() / milli;
-        const auto& versions = json.at("versions");
-        digest.versions = { .configuration = versions.at(0).get<store::Version>(), .upstreams = versions.at(1).get<store::Version>(), .fleet = versions.at(2).get<store::Version>() };
-        take(json, "leaders", [&](const Json& item) {
-            digest.leaders.push_back({ .service = item.at(0).get<std::string>(), .upstream = item.at(1).get<std::string>(), .point = { .term = item.at(2).get<group::Term>(), .position = item.at(3).get<group::Position>() }, .at = item.at(4).get<freshness::Micros>(), .isReached = item.at(5).get<bool>() });
-        });
-        take(json, "suspicions", [&](const Json& item) {
-            digest.suspicions.push_back({ .service = item.at(0).get<std::string>(), .upstream = item.at(1).get<std::string>(), .isRefusing = item.at(2).get<bool>() });
-        });
-        take(json, "orders", [&](const Json& item) {
-            digest.orders.push_back({ .service = item.at(0).get<std::string>(), .candidate = item.at(1).get<std::string>(), .fence = item.at(2).get<store::Version>(), .at = item.at(3).get<freshness::Micros>() });
-        });
-        take(json, "ages", [&](const Json& item) {
-            digest.ages.push_back({ .vm = item.at(0).get<std::string>(), .age = std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
-        });
-        take(json, "peers", [&](const Json& item) { digest.peers.push_back(decodeAddress(item)); });
-        return digest;
-    } catch (const Json::exception&) {
+    auto whole = packing::unpack<PackedDigest>(bytes);
+    if (!whole)
         return std::nullopt;
-    }
+    auto& [vm, profile, wantsPeers, versions, leaders, suspicions, orders, ages, peers] = *whole;
+    return Digest {
+        .vm = std::move(vm),
+        .profile = restore(std::move(profile)),
+        .wantsPeers = wantsPeers,
+        .versions = restore(std::move(versions)),
+        .leaders = restoreAll(std::move(leaders)),
+        .suspicions = restoreAll(std::move(suspicions)),
+        .orders = restoreAll(std::move(orders)),
+        .ages = restoreAll(std::move(ages)),
+        .peers = restoreAll(std::move(peers)),
+    };
 }
 
 }
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,7 +65,13 @@
     std::vector<kernel::Address> peers; ///< Answer to `wantsPeers`.
 };
 
-/// @brief Encodes a digest as CBOR.
+/**
+ * @brief Gives a digest without the news of other services.
+ * @param services Names in order.
+ */
+[[nodiscard]] Digest restrictTo(const Digest& digest, std::span<const std::string> services);
+
+/// @brief Encodes a digest as MessagePack.
 [[nodiscard]] std::string encodeDigest(const Digest& digest);
 
 /// @brief Decodes a digest; gives nothing if it is malformed.
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -13,6 +13,7 @@
 
     constexpr Duration interval = 200ms; // news reach 2,300 daemons in five rounds, about a second
     constexpr std::size_t fanOut = 5;
+    constexpr Duration audienceInterval = 400ms; // within the time for which evidence of a leader counts as recent
     constexpr std::size_t urgentFanOut = 40;
     constexpr std::size_t agesTold = 16; // a peer's age is told on about four times a second
     constexpr std::size_t mostPeersTold = 30; // addresses in one answer
@@ -26,6 +27,7 @@
     , random(this->options.seed)
     , socket(usedLoop, this->options.profile.address, [this](auto bytes) { this->receive(bytes); })
     , timer(usedLoop.every(interval, [this] { this->tell(fanOut); }))
+    , audienceTimer(usedLoop.every(audienceInterval, [this] { this->tellAudiences(this->makeDigest()); }))
 {
 }
 
@@ -60,29 +62,46 @@
 {
     this->book.forgetSilent(this->loop.now());
     auto targets = this->book.draw(count, this->options.profile.zone, this->random);
-    std::vector<kernel::Address> partners;
-    for (const auto& partner : this->callbacks.partners()) {
-        const auto address = this->book.addressOf(partner);
-        if (address && std::find(targets.begin(), targets.end(), *address) == targets.end())
-            partners.push_back(*address);
-    }
     auto digest = this->makeDigest();
-    this->send(partners, digest);
     if (targets.empty()) {
         targets = this->options.seeds;
         digest.wantsPeers = true;
     }
     this->addAges(digest);
+    this->leaveOutAudiences(digest);
     this->send(targets, digest);
 }
 
+/// Leaves out evidence of leaders that is told to those who can use it anyway.
+void GossipNode::leaveOutAudiences(Digest& digest) const
+{
+    for (const auto& audience : this->callbacks.audiences())
+        std::erase_if(digest.leaders, [&](const auto& news) { return std::binary_search(audience.services.begin(), audience.services.end(), news.service); });
+}
+
+/// Tells the other daemons that hold links to the same services of these services, and of these only.
+void GossipNode::tellAudiences(const Digest& digest)
+{
+    std::vector<kernel::Address> targets;
+    for (const auto& audience : this->callbacks.audiences()) {
+        targets.clear();
+        for (const auto& peer : audience.peers) {
+            if (const auto address = this->book.addressOf(peer))
+                targets.push_back(*address);
+        }
+        this->send(targets, restrictTo(digest, audience.services));
+    }
+}
+
 void GossipNode::tellUrgently()
 {
-    if (!this->urgentTimer)
-        this->urgentTimer = this->loop.after(Duration::zero(), [this] {
-            this->urgentTimer.reset();
-            this->tell(urgentFanOut);
-        });
+    if (this->urgentTimer)
+        return;
+    this->urgentTimer = this->loop.after(Duration::zero(), [this] {
+        this->urgentTimer.reset();
+        this->tell(urgentFanOut);
+        this->tellAudiences(this->makeDigest());
+    });
 }
 
 void GossipNode::receive(std::string_view bytes)
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -16,11 +16,17 @@
 /// @brief Tells other daemons what this one knows, and takes in what they know, by datagrams.
 class GossipNode {
 public:
+    /// @brief Peers that are told of some services each time.
+    struct Audience {
+        std::vector<std::string> peers;
+        std::vector<std::string> services; ///< In order.
+    };
+
     /// @brief What a node asks of its owner.
     struct Callbacks {
         std::function<void(Digest&)> fill; ///< Puts in what is to be told.
         std::function<void(const Digest&)> received;
-        std::function<const std::vector<std::string>&()> partners; ///< Peers that are told each time.
+        std::function<const std::vector<Audience>&()> audiences; ///< Peers that hold links to the same services.
     };
 
     /// @brief How a node is built.
@@ -41,6 +47,8 @@
 private:
     void tell(std::size_t fanOut);
     void receive(std::string_view bytes);
+    void tellAudiences(const Digest& digest);
+    void leaveOutAudiences(Digest& digest) const;
     [[nodiscard]] Digest makeDigest();
     void addAges(Digest& digest);
     void send(std::span<const kernel::Address> targets, const Digest& digest);
@@ -52,6 +60,7 @@
     Random random;
     kernel::DatagramSocket socket;
     kernel::Registration timer;
+    kernel::Registration audienceTimer;
     kernel::Registration urgentTimer;
 };
 
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -1,18 +1,20 @@
 #include "amaranthhall/gossip/row_exchange.hpp"
 
 #include "amaranthhall/gossip/compression.hpp"
+#include "amaranthhall/packing/packing.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
+#include <tuple>
+#include <utility>
 
 namespace amaranthhall::gossip {
 
 namespace {
 
     using namespace std::chrono_literals;
-    using Json = nlohmann::json;
+    using PackedRow = std::tuple<std::string, std::string, std::string, std::string, store::Version, bool>;
 
     constexpr auto fetchTimeout = 2500ms; // a peer on a slow link may answer many at once
     constexpr std::size_t mostBytes = 16U << 20U; // of rows that a peer hands on, restored
@@ -29,34 +31,26 @@
 
 std::string encodeRows(const std::vector<store::Row>& rows)
 {
-    auto list = Json::array();
+    std::vector<PackedRow> packed;
+    packed.reserve(rows.size());
     for (const auto& row : rows)
-        list.push_back(Json::array({ row.key.table, row.key.part, row.key.key, row.value, row.version, row.isRemoved }));
-    std::string bytes;
-    Json::to_cbor(list, bytes);
-    return compress(bytes);
+        packed.emplace_back(row.key.table, row.key.part, row.key.key, row.value, row.version, row.isRemoved);
+    return compress(packing::pack(packed));
 }
 
 std::optional<std::vector<store::Row>> decodeRows(std::string_view compressed)
 {
     const auto bytes = decompress(compressed, mostBytes);
-    if (!bytes) {
-        telemetry::logEvent(telemetry::LogLevel::Warning, "peer.malformed_rows", { { "problem", "damaged or too large" }, { "bytes", compressed.size() } });
-        return std::nullopt;
-    }
-    try {
-        std::vector<store::Row> rows;
-        for (const auto& item : Json::from_cbor(*bytes)) {
-            rows.push_back({ .key = { .table = item.at(0).get<std::string>(), .part = item.at(1).get<std::string>(), .key = item.at(2).get<std::string>() },
-                .value = item.at(3).get<std::string>(),
-                .version = item.at(4).get<store::Version>(),
-                .isRemoved = item.at(5).get<bool>() });
-        }
-        return rows;
-    } catch (const Json::exception& exception) {
-        telemetry::logEvent(telemetry::LogLevel::Warning, "peer.malformed_rows", { { "problem", exception.what() } });
+    auto packed = bytes ? packing::unpack<std::vector<PackedRow>>(*bytes) : std::nullopt;
+    if (!packed) {
+        telemetry::logEvent(telemetry::LogLevel::Warning, "peer.malformed_rows", { { "problem", bytes ? "no rows" : "damaged or too large" }, { "bytes", compressed.size() } });
         return std::nullopt;
     }
+    std::vector<store::Row> rows;
+    rows.reserve(packed->size());
+    for (auto& [table, part, key, value, version, isRemoved] : *packed)
+        rows.push_back({ .key = { .table = std::move(table), .part = std::move(part), .key = std::move(key) }, .value = std::move(value), .version = version, .isRemoved = isRemoved });
+    return rows;
 }
 
 RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource)
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -42,7 +42,7 @@
     http::Client client;
 };
 
-/// @brief Encodes rows as compressed CBOR.
+/// @brief Encodes rows as compressed MessagePack.
 [[nodiscard]] std::string encodeRows(const std::vector<store::Row>& rows);
 
 /// @brief Decodes rows; gives nothing, and logs why, if the bytes are malformed.
--- /dev/null
+++ b/src/amaranthhall/packing/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace amaranthhall::packing {
+
+class TextSink;
+
+}
--- a/src/amaranthhall/relay/frame.cpp
+++ b/src/amaranthhall/relay/frame.cpp
@@ -1,120 +1,169 @@
 #include "amaranthhall/relay/frame.hpp"
 
-#include <nlohmann/json.hpp>
+#include "amaranthhall/packing/packing.hpp"
+
+#include <cstdint>
+#include <map>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace amaranthhall::relay {
 
 namespace {
 
-    using Json = nlohmann::json;
-
     constexpr std::size_t lengthBytes = 4;
     constexpr unsigned byteBits = 8;
 
-    Json encodePoint(const std::optional<group::LogPoint>& point)
+    /// The first byte of a frame's body; what follows is packed.
+    enum class FrameType : char {
+        Statement = 's',
+        Answer = 'a',
+        End = 'e',
+        Pulse = 'p',
+    };
+
+    using Point = std::optional<std::tuple<group::Term, group::Position>>;
+    using Route = std::tuple<std::string, std::string, std::uint8_t, std::int64_t, std::int64_t, std::int64_t, unsigned>;
+    using Settings = std::map<std::string, std::string, std::less<>>;
+    using Prepared = std::optional<std::tuple<bool, std::string>>;
+    using PackedRequest = std::tuple<std::string, std::uint8_t, std::string, std::string, std::string, bool>;
+    using PackedStatement = std::tuple<std::uint64_t, PackedRequest, Route, Settings, Prepared, Point, std::int64_t>;
+    using PackedReply = std::tuple<std::vector<std::string>, std::string, std::uint8_t, std::string, std::uint8_t, bool>;
+    using PackedAnswer = std::tuple<std::uint64_t, PackedReply, Point>;
+
+    template <typename Enum>
+    std::uint8_t number(Enum value) noexcept
+    {
+        return static_cast<std::uint8_t>(value);
+    }
+
+    Point packPoint(const std::optional<group::LogPoint>& point)
     {
-        return point ? Json::array({ point->term, point->position }) : Json();
+        return point ? Point({ point->term, point->position }) : std::nullopt;
     }
 
-    std::optional<group::LogPoint> decodePoint(const Json& json)
+    std::optional<group::LogPoint> restorePoint(const Point& point)
     {
-        if (json.is_null())
+        if (!point)
             return std::nullopt;
-        return group::LogPoint { .term = json.at(0).get<group::Term>(), .position = json.at(1).get<group::Position>() };
+        return group::LogPoint { .term = std::get<0>(*point), .position = std::get<1>(*point) };
     }
 
-    Json encode(const StatementFrame& frame)
+    Route packRoute(const catalog::Route& route)
     {
-        const auto& request = frame.request.request;
-        const auto& route = frame.request.route;
-        Json json { { "type", "statement" }, { "stream", frame.stream }, { "id", request.id }, { "kind", static_cast<int>(request.kind) }, { "text", request.text }, { "name", request.name },
-            { "value", request.value }, { "writes", request.writes }, { "time_left", frame.request.timeLeft.count() }, { "last_commit", encodePoint(frame.request.lastCommit) } };
-        json["route"] = Json::array({ route.database, route.service, static_cast<int>(route.consistency), route.statementTimeout.count(), route.targetLatency.count(), route.maximumStaleness.count(), route.priority });
-        if (!frame.request.settings.empty())
-            json["settings"] = frame.request.settings;
-        if (frame.request.prepared)
-            json["prepared"] = Json::array({ frame.request.prepared->writes, frame.request.prepared->shape });
-        return json;
+        return { route.database, route.service, number(route.consistency), route.statementTimeout.count(), route.targetLatency.count(), route.maximumStaleness.count(), route.priority };
     }
 
-    Json encode(const AnswerFrame& frame)
+    catalog::Route restoreRoute(Route&& packed)
     {
-        const auto& reply = frame.reply.reply;
-        return { { "type", "answer" }, { "stream", frame.stream }, { "rows", reply.rows }, { "digest", reply.digest }, { "code", static_cast<int>(reply.code) }, { "detail", reply.detail },
-            { "state", static_cast<int>(reply.state) }, { "is_local", reply.isLocal }, { "last_commit", encodePoint(frame.reply.lastCommit) } };
+        using std::chrono::milliseconds;
+        auto& [database, service, consistency, timeout, target, staleness, priority] = packed;
+        return {
+            .database = std::move(database),
+            .service = std::move(service),
+            .consistency = static_cast<catalog::Consistency>(consistency),
+            .statementTimeout = milliseconds(timeout),
+            .targetLatency = milliseconds(target),
+            .maximumStaleness = milliseconds(staleness),
+            .priority = priority,
+        };
     }
 
-    Json encode(const EndFrame& frame)
+    void appendBody(std::string& out, const StatementFrame& frame)
     {
-        return { { "type", "end" }, { "stream", frame.stream } };
+        const auto& relayed = frame.request;
+        const auto& request = relayed.request;
+        Prepared prepared;
+        if (relayed.prepared)
+            prepared = { relayed.prepared->writes, relayed.prepared->shape };
+        out.push_back(static_cast<char>(FrameType::Statement));
+        packing::append(out, PackedStatement { frame.stream, { request.id, number(request.kind), request.text, request.name, request.value, request.writes }, packRoute(relayed.route), relayed.settings, prepared, packPoint(relayed.lastCommit), relayed.timeLeft.count() });
     }
 
-    Json encode(const PulseFrame&)
+    void appendBody(std::string& out, const AnswerFrame& frame)
     {
-        return { { "type", "pulse" } };
+        const auto& reply = frame.reply.reply;
+        out.push_back(static_cast<char>(FrameType::Answer));
+        packing::append(out, PackedAnswer { frame.stream, { reply.rows, reply.digest, number(reply.code), reply.detail, number(reply.state), reply.isLocal }, packPoint(frame.reply.lastCommit) });
     }
 
-    catalog::Route decodeRoute(const Json& json)
+    void appendBody(std::string& out, const EndFrame& frame)
     {
-        using std::chrono::milliseconds;
-        return {
-            .database = json.at(0).get<std::string>(),
-            .service = json.at(1).get<std::string>(),
-            .consistency = static_cast<catalog::Consistency>(json.at(2).get<int>()),
-            .statementTimeout = milliseconds(json.at(3).get<std::int64_t>()),
-            .targetLatency = milliseconds(json.at(4).get<std::int64_t>()),
-            .maximumStaleness = milliseconds(json.at(5).get<std::int64_t>()),
-            .priority = json.at(6).get<unsigned>(),
-        };
+        out.push_back(static_cast<char>(FrameType::End));
+        packing::append(out, frame.stream);
     }
 
-    StatementFrame decodeStatement(const Json& json)
+    void appendBody(std::string& out, const PulseFrame&)
     {
-        StatementFrame frame { .stream = json.at("stream").get<std::uint64_t>() };
-        frame.request.request = { .id = json.at("id").get<std::string>(), .kind = static_cast<engine::RequestKind>(json.at("kind").get<int>()), .text = json.at("text").get<std::string>(), .name = json.at("name").get<std::string>(), .value = json.at("value").get<std::string>(), .writes = json.at("writes").get<bool>() };
-        frame.request.route = decodeRoute(json.at("route"));
-        frame.request.timeLeft = std::chrono::milliseconds(json.at("time_left").get<std::int64_t>());
-        frame.request.lastCommit = decodePoint(json.at("last_commit"));
-        if (json.contains("settings")) {
-            for (const auto& [name, value] : json["settings"].items())
-                frame.request.settings.emplace(name, value.get<std::string>());
-        }
-        if (json.contains("prepared"))
-            frame.request.prepared = { .writes = json["prepared"].at(0).get<bool>(), .shape = json["prepared"].at(1).get<std::string>() };
+        out.push_back(static_cast<char>(FrameType::Pulse));
+    }
+
+    std::optional<Frame> restoreStatement(std::string_view bytes)
+    {
+        auto packed = packing::unpack<PackedStatement>(bytes);
+        if (!packed)
+            return std::nullopt;
+        auto& [stream, request, route, settings, prepared, lastCommit, timeLeft] = *packed;
+        auto& [id, kind, text, name, value, writes] = request;
+        StatementFrame frame { .stream = stream };
+        frame.request.request = { .id = std::move(id), .kind = static_cast<engine::RequestKind>(kind), .text = std::move(text), .name = std::move(name), .value = std::move(value), .writes = writes };
+        frame.request.route = restoreRoute(std::move(route));
+        frame.request.settings = std::move(settings);
+        if (prepared)
+            frame.request.prepared = engine::PreparedStatement { .writes = std::get<0>(*prepared), .shape = std::get<1>(*prepared) };
+        frame.request.lastCommit = restorePoint(lastCommit);
+        frame.request.timeLeft = std::chrono::milliseconds(timeLeft);
         return frame;
     }
 
-    AnswerFrame decodeAnswer(const Json& json)
+    std::optional<Frame> restoreAnswer(std::string_view bytes)
     {
-        AnswerFrame frame { .stream = json.at("stream").get<std::uint64_t>() };
-        frame.reply.reply = { .rows = json.at("rows").get<std::vector<std::string>>(), .digest = json.at("digest").get<std::string>(), .code = static_cast<engine::ReplyCode>(json.at("code").get<int>()), .detail = json.at("detail").get<std::string>(), .state = static_cast<engine::TransactionState>(json.at("state").get<int>()), .isLocal = json.at("is_local").get<bool>() };
-        frame.reply.lastCommit = decodePoint(json.at("last_commit"));
+        auto packed = packing::unpack<PackedAnswer>(bytes);
+        if (!packed)
+            return std::nullopt;
+        auto& [stream, reply, lastCommit] = *packed;
+        auto& [rows, digest, code, detail, state, isLocal] = reply;
+        AnswerFrame frame { .stream = stream };
+        frame.reply.reply = { .rows = std::move(rows), .digest = std::move(digest), .code = static_cast<engine::ReplyCode>(code), .detail = std::move(detail), .state = static_cast<engine::TransactionState>(state), .isLocal = isLocal };
+        frame.reply.lastCommit = restorePoint(lastCommit);
         return frame;
     }
 
-    Frame decode(std::string_view bytes)
+    std::optional<Frame> restoreEnd(std::string_view bytes)
+    {
+        const auto stream = packing::unpack<std::uint64_t>(bytes);
+        return stream ? std::optional<Frame>(EndFrame { .stream = *stream }) : std::nullopt;
+    }
+
+    std::optional<Frame> restore(std::string_view body)
     {
-        const auto json = Json::from_cbor(bytes);
-        const auto type = json.at("type").get<std::string>();
-        if (type == "statement")
-            return decodeStatement(json);
-        if (type == "answer")
-            return decodeAnswer(json);
-        if (type == "pulse")
+        if (body.empty())
+            return std::nullopt;
+        const auto packed = body.substr(1);
+        switch (static_cast<FrameType>(body.front())) {
+        case FrameType::Statement:
+            return restoreStatement(packed);
+        case FrameType::Answer:
+            return restoreAnswer(packed);
+        case FrameType::End:
+            return restoreEnd(packed);
+        case FrameType::Pulse:
             return PulseFrame {};
-        return EndFrame { .stream = json.at("stream").get<std::uint64_t>() };
+        }
+        return std::nullopt;
     }
 
 }
 
 void appendFrame(std::string& out, const Frame& frame)
 {
-    std::string body;
-    Json::to_cbor(std::visit([](const auto& content) { return encode(content); }, frame), body);
-    for (std::size_t i = lengthBytes; i > 0; --i)
-        out.push_back(static_cast<char>(body.size() >> (byteBits * (i - 1))));
-    out.append(body);
+    const auto begin = out.size();
+    out.append(lengthBytes, '\0');
+    std::visit([&out](const auto& content) { appendBody(out, content); }, frame);
+    const auto length = out.size() - begin - lengthBytes;
+    for (std::size_t i = 0; i < lengthBytes; ++i)
+        out[begin + i] = static_cast<char>(length >> (byteBits * (lengthBytes - 1 - i)));
 }
 
 std::optional<Frame> FrameReader::next()
@@ -131,22 +180,19 @@
     }
     if (available < lengthBytes + length)
         return std::nullopt;
-    const auto body = std::string_view(this->buffer).substr(this->begin + lengthBytes, length);
-    try {
-        auto frame = decode(body);
-        this->begin += lengthBytes + length;
-        if (this->begin == this->buffer.size()) {
-            this->buffer.clear();
-            this->begin = 0;
-        } else if (this->begin > this->buffer.size() / 2) {
-            this->buffer.erase(0, this->begin);
-            this->begin = 0;
-        }
-        return frame;
-    } catch (const Json::exception&) {
-        this->broken = true;
-        return std::nullopt;
-    }
+    auto frame = restore(std::string_view(this->buffer).substr(this->begin + lengthBytes, length));
+    this->broken = !frame;
+    this->drop(lengthBytes + length);
+    return frame;
+}
+
+void FrameReader::drop(std::size_t count)
+{
+    this->begin += count;
+    if (this->begin <= this->buffer.size() / 2)
+        return;
+    this->buffer.erase(0, this->begin);
+    this->begin = 0;
 }
 
 }
--- a/src/amaranthhall/relay/frame.hpp
+++ b/src/amaranthhall/relay/frame.hpp
@@ -32,7 +32,7 @@
 
 using Frame = std::variant<StatementFrame, AnswerFrame, EndFrame, PulseFrame>;
 
-/// @brief Appends a frame: its length in four bytes, the most significant first, then CBOR.
+/// @brief Appends a frame: its length in four bytes, the most significant first, its type in one, then its content as MessagePack.
 void appendFrame(std::string& out, const Frame& frame);
 
 /// @brief Splits received bytes into frames.
@@ -49,6 +49,8 @@
     [[nodiscard]] bool isBroken() const noexcept { return this->broken; }
 
 private:
+    void drop(std::size_t count);
+
     std::string buffer;
     std::size_t begin { 0 };
     bool broken { false };
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -1,7 +1,6 @@
 #include "amaranthhall/relay/home_router.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace amaranthhall::relay {
@@ -39,7 +38,7 @@
         if (this->choiceFor(service).isHome)
             this->homedServices.push_back(service);
     }
-    this->listPartners();
+    this->listAudiences();
     return true;
 }
 
@@ -51,16 +50,23 @@
         this->daemons.push_back({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
 }
 
-void HomeRouter::listPartners()
+void HomeRouter::listAudiences()
 {
-    std::set<std::string> names;
+    std::map<std::string, std::vector<std::string>> servicesOf; ///< By the other home.
     for (const auto& service : this->homedServices) {
         const auto& homes = this->choiceFor(service).homes;
-        if (homes.size() < this->daemons.size())
-            names.insert(homes.begin(), homes.end());
+        if (homes.size() == this->daemons.size())
+            continue;
+        for (const auto& home : homes)
+            servicesOf[home].push_back(service);
     }
-    names.erase(this->options.vm);
-    this->homePartners.assign(names.begin(), names.end());
+    servicesOf.erase(this->options.vm);
+    std::map<std::vector<std::string>, std::vector<std::string>> peersOf; ///< By their services.
+    for (const auto& [peer, services] : servicesOf)
+        peersOf[services].push_back(peer);
+    this->homeAudiences.clear();
+    for (const auto& [services, others] : peersOf)
+        this->homeAudiences.push_back({ .peers = others, .services = services });
 }
 
 HomeRouter::Choice HomeRouter::compute(std::string_view service) const
@@ -90,10 +96,10 @@
     return this->homedServices;
 }
 
-const std::vector<std::string>& HomeRouter::partners()
+const std::vector<gossip::GossipNode::Audience>& HomeRouter::audiences()
 {
     this->refresh();
-    return this->homePartners;
+    return this->homeAudiences;
 }
 
 const std::vector<std::string>& HomeRouter::homes(std::string_view service)
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/relay.hpp"
+#include "amaranthhall/gossip/gossip_node.hpp"
 #include "amaranthhall/gossip/peer_book.hpp"
 #include "amaranthhall/relay/homes.hpp"
 #include "amaranthhall/relay/relay_client.hpp"
@@ -41,8 +42,8 @@
     /// @brief Gives the services that this daemon is a home of, in order.
     [[nodiscard]] const std::vector<std::string>& homed();
 
-    /// @brief Gives the other homes of those services, where not all daemons are homes.
-    [[nodiscard]] const std::vector<std::string>& partners();
+    /// @brief Gives the other homes of those services, where not all daemons are homes; homes of the same services stand together.
+    [[nodiscard]] const std::vector<gossip::GossipNode::Audience>& audiences();
 
     /// @brief Gives the homes of a service.
     [[nodiscard]] const std::vector<std::string>& homes(std::string_view service);
@@ -77,7 +78,7 @@
     [[nodiscard]] Choice& choiceFor(std::string_view service);
     [[nodiscard]] Choice compute(std::string_view service) const;
     void listDaemons();
-    void listPartners();
+    void listAudiences();
 
     kernel::Loop& loop;
     const catalog::Catalog& catalog;
@@ -88,7 +89,7 @@
     std::vector<Daemon> daemons; ///< This one and its peers.
     std::map<std::string, Choice, std::less<>> chosen; ///< By service.
     std::vector<std::string> homedServices;
-    std::vector<std::string> homePartners;
+    std::vector<gossip::GossipNode::Audience> homeAudiences;
 };
 
 }
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -39,3 +39,18 @@
     for (std::size_t length = 0; length < whole.size(); ++length)
         CHECK_FALSE(gossip::decodeDigest(std::string_view(whole).substr(0, length)).has_value());
 }
+
+TEST(Digest, NewsOfOtherServicesAreLeftOut)
+{
+    gossip::Digest digest { .vm = "a", .versions = { .configuration = 3 } };
+    digest.leaders = { { .service = "s", .upstream = "i-1" }, { .service = "t", .upstream = "i-2" } };
+    digest.suspicions = { { .service = "t", .upstream = "i-2" } };
+    digest.orders = { { .service = "s", .candidate = "i-1" }, { .service = "t", .candidate = "i-2" } };
+    const std::vector<std::string> services { "s", "u" };
+    const auto restricted = gossip::restrictTo(digest, services);
+    LONGS_EQUAL(3, restricted.versions.configuration);
+    LONGS_EQUAL(1, restricted.leaders.size());
+    CHECK_EQUAL(std::string("i-1"), restricted.leaders[0].upstream);
+    CHECK(restricted.suspicions.empty());
+    LONGS_EQUAL(1, restricted.orders.size());
+}
--- /dev/null
+++ b/test/packing/test_packing.cpp
@@ -0,0 +1,47 @@
+#include "amaranthhall/packing/packing.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <cstdint>
+#include <rapidcheck.h>
+#include <tuple>
+#include <vector>
+
+using namespace amaranthhall;
+
+namespace {
+
+using Sample = std::tuple<std::string, std::uint64_t, bool, std::optional<std::int64_t>, std::vector<std::string>>;
+
+}
+
+TEST_GROUP(Packing) {};
+
+TEST(Packing, WhatIsPackedIsRestored)
+{
+    const Sample sample { "text", 1ULL << 60U, true, std::nullopt, { "a", std::string("\0\xff", 2) } };
+    CHECK(packing::unpack<Sample>(packing::pack(sample)) == sample);
+}
+
+TEST(Packing, BytesThatAreNoWholeValueAreRefused)
+{
+    const auto whole = packing::pack(Sample { "text", 7, true, 5, { "a" } });
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        CHECK_FALSE(packing::unpack<Sample>(std::string_view(whole).substr(0, length)).has_value());
+    CHECK_FALSE(packing::unpack<Sample>(whole + "x").has_value());
+}
+
+TEST(Packing, AnyBytesAreRestoredOrRefused)
+{
+    CHECK_TRUE(rc::check("any bytes are a value or refused", [](const std::string& bytes) {
+        static_cast<void>(packing::unpack<Sample>(bytes));
+        static_cast<void>(packing::unpack<std::vector<std::string>>(bytes));
+    }));
+}
+
+// Fault: a few bytes that claim four billion elements, or a thousand lists within each other.
+TEST(Packing, AClaimOfMuchMemoryIsRefused)
+{
+    CHECK_FALSE(packing::unpack<std::vector<std::string>>("\xdd\xff\xff\xff\xff").has_value());
+    CHECK_FALSE(packing::unpack<std::string>("\xdb\xff\xff\xff\xff").has_value());
+    CHECK_FALSE(packing::unpack<std::vector<std::string>>(std::string(1000, '\x91')).has_value());
+}
