What a daemon holds and tells no longer grows with the fleet

Now a service has three homes or more, as many as make a daemon home of 12 services; other homes are told when there is news, else every 0.8 s; links and pools exist for services that a daemon holds or has used; a service without statements has one warm link; ages of daemons travel under ids of four bytes, to three drawn peers in place of five. Tests: Homes (a fleet with four services a daemon), PeerBook, Digest.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -13,6 +13,8 @@
     using namespace std::chrono_literals;
 
     constexpr Duration tickInterval = 250ms;
+    constexpr Duration usedSpan = 30s; // a service without statements for so long needs no more than a link that shows whether its upstreams live
+    constexpr std::uint32_t unusedWarm = 1;
     constexpr Duration idleRest = 5s; // extra links are closed after this long without use
     constexpr Duration leaderCheckLimit = 150ms;
     constexpr Duration leaderCheckPause = 25ms;
@@ -96,6 +98,8 @@
 void Dispatcher::onCatalogChanged()
 {
     for (const auto& [id, known] : this->catalog.upstreams()) {
+        if (!this->holdsLinks(known.entry.service))
+            continue;
         auto& pool = this->pools[id];
         const bool isReplaced = pool && (pool->entry().startedAt != known.entry.startedAt || pool->entry().address != known.entry.address || pool->entry().service != known.entry.service);
         if (isReplaced)
@@ -107,7 +111,8 @@
         pool->setShare(this->shareOf(known.entry));
     }
     std::erase_if(this->pools, [this](const auto& item) {
-        if (this->catalog.find(item.first))
+        const bool isIdle = item.second->size() == 0 && item.second->opening() == 0;
+        if (this->catalog.find(item.first) && (this->holdsLinks(item.second->entry().service) || !isIdle))
             return false;
         this->serviceOf(item.second->entry().service).lags.erase(item.first);
         item.second->closeAll();
@@ -117,6 +122,12 @@
     this->groupPools();
 }
 
+/// Tells whether this daemon needs links to a service: it shares its connections, or statements have come that it could not hand on.
+bool Dispatcher::holdsLinks(std::string_view service)
+{
+    return this->options.sharers(service).value_or(0) > 0 || this->serviceOf(service).usedAt;
+}
+
 /// Lists the pools of each service, and looks at its queue anew.
 void Dispatcher::groupPools()
 {
@@ -162,9 +173,10 @@
 }
 
 /// Opens a link in advance where fewer than the warm ones are open, and closes those beyond them that rest.
-void Dispatcher::keepWarm(UpstreamPool& pool)
+void Dispatcher::keepWarm(const Service& service, UpstreamPool& pool)
 {
-    const auto warm = pool.share().warm;
+    const bool isUsed = service.usedAt && this->loop.now() - *service.usedAt < usedSpan;
+    const auto warm = isUsed ? pool.share().warm : std::min(unusedWarm, pool.share().warm);
     const auto& health = pool.health();
     const bool mayOpen = pool.opening() == 0 && pool.canOpen() && !pool.entry().draining && health.busyUntil <= this->loop.now();
     if (pool.size() < warm && mayOpen)
@@ -176,6 +188,9 @@
 {
     const auto number = ++this->lastNumber;
     auto& service = this->serviceOf(want.service);
+    const bool isFirst = !std::exchange(service.usedAt, this->loop.now());
+    if (isFirst && service.pools.empty())
+        this->onCatalogChanged();
     auto& waiters = service.waiters;
     // Urgent statements first, then the one that is to be answered soonest.
     const auto place = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
@@ -523,9 +538,9 @@
 
 void Dispatcher::tick()
 {
-    for (auto& [id, pool] : this->pools)
-        this->keepWarm(*pool);
     for (auto& [name, service] : this->services) {
+        for (const auto& pool : service.pools)
+            this->keepWarm(service, *pool);
         if (!service.waiters.empty())
             this->schedulePump(service);
     }
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -195,6 +195,7 @@
         std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< By upstream.
         std::array<admission::LaneState, 2> lanes; ///< Of statements for any upstream, and for the leader.
         admission::WorkRecord work;
+        std::optional<Time> usedAt; ///< When a statement last asked for a link.
         std::optional<Time> leaderlessSince; ///< Set while no leader can be used.
         std::optional<Time> reachedAt; ///< Last answer of a leader to this daemon.
         Ticket leaderCheck; ///< Set while the leader is asked whether it has caught up.
@@ -219,7 +220,8 @@
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const Want& want);
     [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
     [[nodiscard]] placement::ConnectionShare shareOf(const catalog::UpstreamEntry& entry) const;
-    void keepWarm(UpstreamPool& pool);
+    void keepWarm(const Service& service, UpstreamPool& pool);
+    [[nodiscard]] bool holdsLinks(std::string_view service);
     [[nodiscard]] bool isLeaderCutOff(Service& service);
     [[nodiscard]] bool mayWaitForLeader(Service& service);
     [[nodiscard]] bool isOutOfReach(Service& service);
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -20,7 +20,7 @@
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Position, freshness::Micros, bool>;
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
     using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros>;
-    using PackedAge = std::tuple<std::string, std::int64_t>;
+    using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
     using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
 
     PackedAddress packed(const kernel::Address& address) { return { address.host, address.port }; }
@@ -78,8 +78,8 @@
 
     AgeNews restore(PackedAge&& from)
     {
-        auto& [vm, age] = from;
-        return { .vm = std::move(vm), .age = std::chrono::milliseconds(age) };
+        const auto& [vm, age] = from;
+        return { .vm = vm, .age = std::chrono::milliseconds(age) };
     }
 
     template <typename Packed>
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -48,7 +48,7 @@
 
 /// @brief How long ago a daemon was heard of.
 struct AgeNews {
-    std::string vm;
+    std::uint32_t vm { 0 }; ///< Its short id.
     std::chrono::milliseconds age { 0 };
 };
 
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -13,9 +13,13 @@
 
     constexpr Duration interval = 200ms; // news reach 2,300 daemons in five rounds, about a second
     constexpr std::size_t fanOut = 5;
+    constexpr std::size_t largeFanOut = 3;
     constexpr Duration audienceInterval = 400ms; // within the time for which evidence of a leader counts as recent
+    constexpr unsigned heartbeatRounds = 2; // audiences are told every second round, also without news
     constexpr std::size_t urgentFanOut = 40;
-    constexpr std::size_t agesTold = 16; // a peer's age is told on about four times a second
+    constexpr std::size_t fewestAges = 16; // in one datagram
+    constexpr std::size_t mostAges = 64; // about 8 bytes each
+    constexpr std::size_t agesPart = 4; // one in so many peers is told, so that a peer is heard of about four times a second
     constexpr std::size_t mostPeersTold = 30; // addresses in one answer
 
 }
@@ -26,8 +30,8 @@
     , callbacks(std::move(usedCallbacks))
     , random(this->options.seed)
     , socket(usedLoop, this->options.profile.address, [this](auto bytes) { this->receive(bytes); })
-    , timer(usedLoop.every(interval, [this] { this->tell(fanOut); }))
-    , audienceTimer(usedLoop.every(audienceInterval, [this] { this->tellAudiences(this->makeDigest()); }))
+    , timer(usedLoop.every(interval, [this] { this->tell(this->book.size() > PeerBook::largeSize ? largeFanOut : fanOut); }))
+    , audienceTimer(usedLoop.every(audienceInterval, [this] { this->tellAudiences(++this->audienceRounds % heartbeatRounds == 0); }))
 {
 }
 
@@ -43,7 +47,8 @@
 {
     if (this->book.size() <= PeerBook::largeSize)
         return;
-    for (const auto& [vm, age] : this->book.drawAges(agesTold, this->loop.now(), this->random))
+    const auto count = std::clamp(this->book.size() / agesPart, fewestAges, mostAges);
+    for (const auto& [vm, age] : this->book.drawAges(count, this->loop.now(), this->random))
         digest.ages.push_back({ .vm = vm, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
 }
 
@@ -80,17 +85,39 @@
 }
 
 /// Tells the other daemons that hold links to the same services of these services, and of these only.
-void GossipNode::tellAudiences(const Digest& digest)
+void GossipNode::tellAudiences(bool isHeartbeat)
 {
+    if (this->callbacks.audiences().empty())
+        return;
+    const auto digest = this->makeDigest();
     std::vector<kernel::Address> targets;
     for (const auto& audience : this->callbacks.audiences()) {
+        const auto restricted = restrictTo(digest, audience.services);
+        if (!isHeartbeat && !this->isNews(restricted))
+            continue;
         targets.clear();
         for (const auto& peer : audience.peers) {
             if (const auto address = this->book.addressOf(peer))
                 targets.push_back(*address);
         }
-        this->send(targets, restrictTo(digest, audience.services));
+        this->send(targets, restricted);
     }
+    this->noteTold(digest);
+}
+
+bool GossipNode::isNews(const Digest& digest) const
+{
+    const auto isFresh = [this](const LeaderNews& news) {
+        const auto found = this->toldAt.find(news.service);
+        return found == this->toldAt.end() || found->second < news.at;
+    };
+    return !digest.suspicions.empty() || !digest.orders.empty() || std::any_of(digest.leaders.begin(), digest.leaders.end(), isFresh);
+}
+
+void GossipNode::noteTold(const Digest& digest)
+{
+    for (const auto& news : digest.leaders)
+        this->toldAt[news.service] = news.at;
 }
 
 void GossipNode::tellUrgently()
@@ -100,7 +127,7 @@
     this->urgentTimer = this->loop.after(Duration::zero(), [this] {
         this->urgentTimer.reset();
         this->tell(urgentFanOut);
-        this->tellAudiences(this->makeDigest());
+        this->tellAudiences(true);
     });
 }
 
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -7,6 +7,7 @@
 #include "amaranthhall/kernel/random.hpp"
 
 #include <functional>
+#include <map>
 #include <span>
 #include <string>
 #include <vector>
@@ -47,7 +48,9 @@
 private:
     void tell(std::size_t fanOut);
     void receive(std::string_view bytes);
-    void tellAudiences(const Digest& digest);
+    void tellAudiences(bool isHeartbeat);
+    [[nodiscard]] bool isNews(const Digest& digest) const;
+    void noteTold(const Digest& digest);
     void leaveOutAudiences(Digest& digest) const;
     [[nodiscard]] Digest makeDigest();
     void addAges(Digest& digest);
@@ -57,6 +60,8 @@
     Options options;
     Callbacks callbacks;
     PeerBook book;
+    std::map<std::string, freshness::Micros, std::less<>> toldAt; ///< Moment of the evidence that audiences were last told, by service.
+    unsigned audienceRounds { 0 };
     Random random;
     kernel::DatagramSocket socket;
     kernel::Registration timer;
--- a/src/amaranthhall/gossip/peer_book.cpp
+++ b/src/amaranthhall/gossip/peer_book.cpp
@@ -15,8 +15,10 @@
 Peer& PeerBook::place(std::string_view vm, const VmProfile& profile, Time now)
 {
     auto found = this->peers.find(vm);
-    if (found == this->peers.end())
+    if (found == this->peers.end()) {
         found = this->peers.emplace(vm, Peer { .addedAt = now }).first;
+        this->byId[hashing::shortId(vm)] = &found->second;
+    }
     if (found->second.profile != profile) {
         found->second.profile = profile;
         ++this->changes;
@@ -34,14 +36,20 @@
     const auto found = this->peers.find(vm);
     if (found == this->peers.end())
         return;
+    this->byId.erase(hashing::shortId(vm));
     this->peers.erase(found);
     ++this->changes;
 }
 
 void PeerBook::forgetSilent(Time now)
 {
-    const auto forgotten = std::erase_if(this->peers, [now](const auto& item) { return now - std::max(item.second.heardAt, item.second.addedAt) > forgetSpan; });
-    this->changes += forgotten;
+    std::vector<std::string> silent;
+    for (const auto& [vm, peer] : this->peers) {
+        if (now - std::max(peer.heardAt, peer.addedAt) > this->patience())
+            silent.push_back(vm);
+    }
+    for (const auto& vm : silent)
+        this->remove(vm);
 }
 
 std::vector<kernel::Address> PeerBook::draw(std::size_t count, std::string_view zone, Random& random) const
@@ -71,21 +79,22 @@
     return names;
 }
 
-void PeerBook::noteHeardOf(std::string_view vm, Time heardAt) noexcept
+void PeerBook::noteHeardOf(std::uint32_t id, Time heardAt) noexcept
 {
-    const auto found = this->peers.find(vm);
-    if (found != this->peers.end() && found->second.heardAt < heardAt)
-        found->second.heardAt = heardAt;
+    const auto found = this->byId.find(id);
+    if (found != this->byId.end() && found->second->heardAt < heardAt)
+        found->second->heardAt = heardAt;
 }
 
-std::vector<std::pair<std::string, Duration>> PeerBook::drawAges(std::size_t count, Time now, Random& random) const
+std::vector<std::pair<std::uint32_t, Duration>> PeerBook::drawAges(std::size_t count, Time now, Random& random) const
 {
-    std::vector<std::pair<std::string, Duration>> heard;
-    for (const auto& [vm, peer] : this->peers) {
-        if (now - peer.heardAt <= this->span())
-            heard.emplace_back(vm, now - peer.heardAt);
+    std::vector<std::pair<std::uint32_t, Duration>> heard;
+    heard.reserve(this->byId.size());
+    for (const auto& [id, peer] : this->byId) {
+        if (now - peer->heardAt <= this->span())
+            heard.emplace_back(id, now - peer->heardAt);
     }
-    std::vector<std::pair<std::string, Duration>> drawn;
+    std::vector<std::pair<std::uint32_t, Duration>> drawn;
     std::sample(heard.begin(), heard.end(), std::back_inserter(drawn), count, random);
     return drawn;
 }
--- a/src/amaranthhall/gossip/peer_book.hpp
+++ b/src/amaranthhall/gossip/peer_book.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,8 @@
     static constexpr std::size_t largeSize = 30; ///< Peers from which on few datagrams come from each of them.
     static constexpr std::size_t farEvery = 5; ///< In a large fleet one of so many drawn peers is in another zone.
     static constexpr Duration forgetSpan = std::chrono::seconds(10); ///< A peer that was not heard for this is dropped.
+    static constexpr std::size_t hugeSize = 500; ///< Peers from which on news of one come seldom.
+    static constexpr Duration hugeForgetSpan = std::chrono::seconds(30); ///< The span after which a peer of such a fleet is dropped.
 
     /// @brief Takes in that a peer exists.
     void add(std::string_view vm, const VmProfile& profile, Time now);
@@ -37,11 +40,11 @@
     /// @brief Takes in a datagram of a peer.
     void noteHeard(std::string_view vm, const VmProfile& profile, Time now);
 
-    /// @brief Takes in that another daemon has heard of a peer.
-    void noteHeardOf(std::string_view vm, Time heardAt) noexcept;
+    /// @brief Takes in that another daemon has heard of a peer, by its short id.
+    void noteHeardOf(std::uint32_t id, Time heardAt) noexcept;
 
-    /// @brief Draws peers, with the time since they were heard of, to tell others.
-    [[nodiscard]] std::vector<std::pair<std::string, Duration>> drawAges(std::size_t count, Time now, Random& random) const;
+    /// @brief Draws peers by their short ids, with the time since they were heard of, to tell others.
+    [[nodiscard]] std::vector<std::pair<std::uint32_t, Duration>> drawAges(std::size_t count, Time now, Random& random) const;
 
     /// @brief Drops a peer that has left.
     void remove(std::string_view vm);
@@ -69,7 +72,10 @@
     Peer& place(std::string_view vm, const VmProfile& profile, Time now);
     [[nodiscard]] Duration span() const noexcept { return this->peers.size() > largeSize ? largeLiveSpan : liveSpan; }
 
+    [[nodiscard]] Duration patience() const noexcept { return this->peers.size() > hugeSize ? hugeForgetSpan : forgetSpan; }
+
     std::map<std::string, Peer, std::less<>> peers;
+    std::unordered_map<std::uint32_t, Peer*> byId; ///< Into `peers`, by short id.
     std::uint64_t changes { 0 };
 };
 
--- a/src/amaranthhall/hashing/rendezvous.cpp
+++ b/src/amaranthhall/hashing/rendezvous.cpp
@@ -43,4 +43,9 @@
     return -weight / std::log(std::min(uniform, 1 - 0x1p-53));
 }
 
+std::uint32_t shortId(std::string_view name) noexcept
+{
+    return static_cast<std::uint32_t>(mix(addText(fnvOffset, name)));
+}
+
 }
--- a/src/amaranthhall/hashing/rendezvous.hpp
+++ b/src/amaranthhall/hashing/rendezvous.hpp
@@ -17,4 +17,7 @@
 /// @brief Scores a member like rendezvousScore(), so that it has the highest score in proportion to its weight, which is above 0.
 [[nodiscard]] double weightedScore(std::string_view memberId, std::string_view key, double weight) noexcept;
 
+/// @brief Gives a short id of a name, the same on all daemons; two of 2,300 names share one in six of ten thousand fleets.
+[[nodiscard]] std::uint32_t shortId(std::string_view name) noexcept;
+
 }
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -77,7 +77,7 @@
         const auto spec = configuration->services.find(service);
         connections = spec == configuration->services.end() ? connections : spec->second.maximumConnections;
     }
-    Choice choice { .homes = chooseHomes(service, this->daemons, connections) };
+    Choice choice { .homes = chooseHomes(service, this->daemons, { .connections = connections, .services = this->computedFrom ? this->computedFrom->services : 1 }) };
     choice.isHome = std::find(choice.homes.begin(), choice.homes.end(), this->options.vm) != choice.homes.end();
     return choice;
 }
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -13,6 +13,8 @@
     constexpr std::size_t linksOfAHome = 3; // to each upstream: for its slots, and for a transaction that rests
     constexpr std::uint32_t keptFree = 2; // one connection of so many stays free, for daemons that start anew beside dead connections
     constexpr std::size_t fewestHomes = 2; // one may be lost
+    constexpr std::size_t fewestOfMany = 3; // homes of a service, however many services there are
+    constexpr std::size_t servicesOfADaemon = 12; // that an average one is a home of
     constexpr std::size_t mostHomes = 12; // all that start at once open their links in a fraction of a second
     constexpr std::size_t busyFrom = 4; // outstanding statements of one daemon; a way to another zone is then the shorter wait
 
@@ -60,14 +62,20 @@
         return all;
     }
 
+    std::size_t countHomes(std::size_t daemons, const HomeLimits& limits)
+    {
+        const auto byConnections = std::clamp<std::size_t>(limits.connections / keptFree / linksOfAHome, fewestHomes, mostHomes);
+        const auto byServices = std::max(fewestOfMany, servicesOfADaemon * daemons / std::max<std::size_t>(1, limits.services));
+        return std::min(byConnections, byServices);
+    }
+
 }
 
-std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, std::uint32_t connections)
+std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, const HomeLimits& limits)
 {
-    const auto wanted = std::clamp<std::size_t>(connections / keptFree / linksOfAHome, fewestHomes, mostHomes);
-    if (daemons.size() <= wanted)
+    const auto count = countHomes(daemons.size(), limits);
+    if (daemons.size() <= count)
         return names(daemons);
-    const auto count = wanted;
     const auto zones = countZones(daemons);
     const auto mostInZone = (count + zones - 1) / zones;
     std::vector<std::string> homes;
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -19,6 +19,12 @@
     double cores { 1 }; ///< Of its VM.
 };
 
+/// @brief What bounds the number of homes of a service.
+struct HomeLimits {
+    std::uint32_t connections { 0 }; ///< That each upstream of the service allows.
+    std::size_t services { 1 }; ///< Of the whole fleet.
+};
+
 /**
  * @brief Chooses the daemons that hold the connections to the upstreams of a service.
  *
@@ -26,10 +32,11 @@
  * are drawn by rendezvous hashing, so that all daemons choose alike, and the others relay to them. Larger VMs are drawn more often,
  * and each zone gets an even share of the homes.
  *
- * @param daemons All live daemons.
- * @param connections Connections that each upstream of the service allows.
+ * Where there are many services for each daemon, each has fewer homes, so that what a daemon holds does not grow with the fleet.
+ *
+ * @param daemons All daemons.
  */
-[[nodiscard]] std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, std::uint32_t connections);
+[[nodiscard]] std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, const HomeLimits& limits);
 
 /// @brief A home as seen from a daemon that has a statement for it.
 struct HomeState {
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -13,7 +13,7 @@
     sent.leaders.push_back({ .service = "s", .upstream = "i-1", .point = { .term = 2, .position = 99 }, .at = 123'456 });
     sent.suspicions.push_back({ .service = "s", .upstream = "i-2", .isRefusing = true });
     sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = 77, .at = 5 });
-    sent.ages.push_back({ .vm = "front-2", .age = std::chrono::milliseconds(1200) });
+    sent.ages.push_back({ .vm = 77, .age = std::chrono::milliseconds(1200) });
     sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
     const auto got = gossip::decodeDigest(gossip::encodeDigest(sent));
     CHECK_TRUE(got.has_value());
--- a/test/gossip/test_peer_book.cpp
+++ b/test/gossip/test_peer_book.cpp
@@ -1,4 +1,5 @@
 #include "amaranthhall/gossip/peer_book.hpp"
+#include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <set>
@@ -20,7 +21,7 @@
     this->book.noteHeard("a", this->profile, this->now);
     CHECK_TRUE(this->book.isLive("a", this->now + 1s));
     CHECK_FALSE(this->book.isLive("a", this->now + 2s));
-    this->book.noteHeardOf("a", this->now + 1900ms);
+    this->book.noteHeardOf(hashing::shortId("a"), this->now + 1900ms);
     CHECK_TRUE(this->book.isLive("a", this->now + 2s));
 }
 
--- a/test/relay/test_homes.cpp
+++ b/test/relay/test_homes.cpp
@@ -33,36 +33,49 @@
 
 TEST(Homes, WhereConnectionsGoRoundAllAreHomes)
 {
-    LONGS_EQUAL(6, relay::chooseHomes("s", daemons(6), 36).size());
-    LONGS_EQUAL(12, relay::chooseHomes("s", daemons(12), 72).size());
+    LONGS_EQUAL(6, relay::chooseHomes("s", daemons(6), { .connections = 36 }).size());
+    LONGS_EQUAL(12, relay::chooseHomes("s", daemons(12), { .connections = 72 }).size());
 }
 
 // Load: all VMs of a small fleet lose power at once; with a few links on each daemon the upstream would have no room for anew started ones.
 TEST(Homes, ASmallFleetKeepsHalfOfTheConnectionsFree)
 {
-    LONGS_EQUAL(6, relay::chooseHomes("s", daemons(18), 36).size());
-    LONGS_EQUAL(5, relay::chooseHomes("s", daemons(15), 34).size());
+    LONGS_EQUAL(6, relay::chooseHomes("s", daemons(18), { .connections = 36 }).size());
+    LONGS_EQUAL(5, relay::chooseHomes("s", daemons(15), { .connections = 34 }).size());
 }
 
 TEST(Homes, ElseAFewHoldThemAll)
 {
-    const auto homes = relay::chooseHomes("s", daemons(113), 46);
+    const auto homes = relay::chooseHomes("s", daemons(113), { .connections = 46 });
     LONGS_EQUAL(7, homes.size());
 }
 
+// Load: a fleet that has grown to four services for each daemon.
+TEST(Homes, WhatADaemonHoldsDoesNotGrowWithTheFleet)
+{
+    for (const int count : { 30, 100, 300 }) {
+        const std::size_t services = static_cast<std::size_t>(count) * 4;
+        std::size_t roles = 0;
+        for (std::size_t service = 0; service < services; ++service)
+            roles += relay::chooseHomes("s" + std::to_string(service), daemons(count), { .connections = 72, .services = services }).size();
+        CHECK(roles <= static_cast<std::size_t>(count) * 12);
+        CHECK(roles >= services * 3);
+    }
+}
+
 TEST(Homes, AllDaemonsChooseAlikeWhateverTheOrder)
 {
     auto shuffled = daemons(113);
     std::reverse(shuffled.begin(), shuffled.end());
-    CHECK(relay::chooseHomes("s", daemons(113), 46) == relay::chooseHomes("s", shuffled, 46));
+    CHECK(relay::chooseHomes("s", daemons(113), { .connections = 46 }) == relay::chooseHomes("s", shuffled, { .connections = 46 }));
 }
 
 TEST(Homes, TheLossOfOneMovesOneHomeAtMost)
 {
-    const auto before = relay::chooseHomes("s", daemons(113), 46);
+    const auto before = relay::chooseHomes("s", daemons(113), { .connections = 46 });
     auto left = daemons(113);
     std::erase_if(left, [&](const auto& daemon) { return daemon.vm == before.front(); });
-    const auto after = relay::chooseHomes("s", left, 46);
+    const auto after = relay::chooseHomes("s", left, { .connections = 46 });
     LONGS_EQUAL(before.size() - 1, std::count_if(after.begin(), after.end(), [&](const auto& home) { return std::find(before.begin(), before.end(), home) != before.end(); }));
 }
 
@@ -70,7 +83,7 @@
 {
     std::map<std::string, int> roles;
     for (int service = 0; service < 80; ++service) {
-        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), daemons(113), 46))
+        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), daemons(113), { .connections = 46 }))
             ++roles[home];
     }
     // 560 roles on 113 daemons are five each.
@@ -82,7 +95,7 @@
 {
     for (int service = 0; service < 20; ++service) {
         std::map<int, int> inZone;
-        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), daemons(113), 72))
+        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), daemons(113), { .connections = 72 }))
             ++inZone[numberOf(home) % 3];
         LONGS_EQUAL(4, inZone[0]);
         LONGS_EQUAL(4, inZone[1]);
@@ -98,7 +111,7 @@
     int large = 0;
     int drawn = 0;
     for (int service = 0; service < 50; ++service) {
-        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), all, 72)) {
+        for (const auto& home : relay::chooseHomes("s" + std::to_string(service), all, { .connections = 72 })) {
             ++drawn;
             large += numberOf(home) < 50 ? 1 : 0;
         }
