A daemon that starts asks its neighbours before the store; feeds are followed only by those whose rank says so

Now the list of daemons is asked for at once (it also gives the store's clock), configuration and upstreams after 150 to 250 ms unless a neighbour has handed them on; seeds and one daemon in four ask at once, and seeds are asked every 40 ms meanwhile. At the very first start all still list, as there is no configuration yet. Tests: two of TableWatch (new).

--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -27,6 +28,10 @@
     constexpr Duration pauseAfterChange = 100ms; // upstreams change in groups, as on a failover
     constexpr Duration pauseAfterFleetChange = 1s; // daemons that start learn of each other by datagrams
     constexpr std::string_view followTask = "follow";
+    constexpr double earlyPart = 0.25; // of the daemons that start at once ask the store at once; the others their neighbours first
+    constexpr Duration neighbourTime = 150ms; // for neighbours to hand on what they have
+    constexpr Duration neighbourSpread = 100ms; // those that were told nothing don't ask the store all at once
+    constexpr Duration longestSeek = 500ms;
     constexpr std::string_view fleetTable = "amaranthhall";
     constexpr std::string_view daemonPrefix = "daemon/";
 
@@ -36,9 +41,21 @@
         return (static_cast<std::uint64_t>(device()) << 32U) | device();
     }
 
-    store::TableWatch::Options watchOptions(std::string table, Duration pause)
+    store::TableWatch::Options watchOptions(std::string table, Duration pause, Duration listAfter)
     {
-        return { .table = std::move(table), .part = {}, .seed = drawNumber(), .pauseAfterChange = pause };
+        return { .table = std::move(table), .part = {}, .seed = drawNumber(), .pauseAfterChange = pause, .listAfter = listAfter, .follows = false };
+    }
+
+    /// Draws how long this daemon waits for its neighbours before it asks the store for configuration and upstreams. Answers a fleet that
+    /// starts all at once. The list of daemons is asked for at once: without an answer of the store its clock is not known.
+    Duration drawListAfter(const GatewaySettings& settings)
+    {
+        const bool isSeed = std::find(settings.seeds.begin(), settings.seeds.end(), settings.peers) != settings.seeds.end();
+        Random random(drawNumber());
+        if (isSeed || std::bernoulli_distribution(earlyPart)(random))
+            return Duration::zero();
+        const std::chrono::duration<double> spread = neighbourSpread;
+        return neighbourTime + std::chrono::duration_cast<Duration>(spread * std::uniform_real_distribution<double>(0, 1)(random));
     }
 
 }
@@ -49,9 +66,10 @@
     , ports(usedPorts)
     , dispatcher(usedLoop, usedPorts.links, this->catalog, this->dispatcherOptions())
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
-    , upstreamWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.upstreamTable(), pauseAfterChange), this->upstreamCallbacks())
-    , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable(), pauseAfterChange), this->configurationCallbacks())
-    , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange), this->fleetCallbacks())
+    , listAfter(drawListAfter(usedSettings))
+    , upstreamWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.upstreamTable(), pauseAfterChange, this->listAfter), this->upstreamCallbacks())
+    , configurationWatch(usedLoop, usedPorts.store, watchOptions(usedPorts.rows.configurationTable(), pauseAfterChange, this->listAfter), this->configurationCallbacks())
+    , fleetWatch(usedLoop, usedPorts.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero()), this->fleetCallbacks())
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
     , relays(usedLoop, usedSettings.relay, this->context)
@@ -79,7 +97,7 @@
 {
     return {
         .changed = [this](const auto& row) { this->onUpstreamRow(row); },
-        .settled = [this] { this->dispatcher.onCatalogChanged(); },
+        .settled = [this] { this->onCatalogSettled(); },
         .reached = [](bool) {},
     };
 }
@@ -88,7 +106,7 @@
 {
     return {
         .changed = [this](const auto& row) { this->onConfigurationRow(row); },
-        .settled = [this] { this->dispatcher.onCatalogChanged(); },
+        .settled = [this] { this->onCatalogSettled(); },
         .reached = [](bool) {},
     };
 }
@@ -169,6 +187,15 @@
     this->configurationWatch.start();
     this->upstreamWatch.start();
     this->fleetWatch.start();
+    this->gossip.seek();
+    this->seekEnd = this->loop.after(longestSeek, [this] { this->gossip.stopSeeking(); });
+}
+
+/// Ends the quick questions to the seeds once all that a daemon starts with is known.
+void Gateway::stopSeekingIfDone()
+{
+    if (this->configurationWatch.hasRows() && this->upstreamWatch.hasRows() && this->fleetWatch.hasRows())
+        this->gossip.stopSeeking();
 }
 
 bool Gateway::isReady() const noexcept
@@ -180,7 +207,7 @@
 bool Gateway::knowsFleet() const noexcept
 {
     const bool isPatient = this->loop.now() - this->startedAt < fleetPatience;
-    return this->fleetWatch.isListed() || !this->fleetWatch.rows().empty() || !isPatient;
+    return this->fleetWatch.hasRows() || !isPatient;
 }
 
 store::TableWatch* Gateway::watchOf(const std::string& table) noexcept
@@ -239,8 +266,15 @@
         logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", row.version } });
 }
 
+void Gateway::onCatalogSettled()
+{
+    this->stopSeekingIfDone();
+    this->dispatcher.onCatalogChanged();
+}
+
 void Gateway::onFleetSettled()
 {
+    this->stopSeekingIfDone();
     this->ensureRegistered();
     this->homes.refresh();
     this->dispatcher.onCatalogChanged();
@@ -360,7 +394,9 @@
 
 void Gateway::tick()
 {
-    const auto gone = this->catalog.expire(this->loop.now(), this->upstreamWatch.reachableSince());
+    // A daemon that does not follow the store learns of a removal only by way of one that the store has answered.
+    const auto reachableSince = this->upstreamWatch.follows() ? this->upstreamWatch.reachableSince() : std::optional(this->startedAt);
+    const auto gone = this->catalog.expire(this->loop.now(), reachableSince);
     for (const auto& id : gone)
         logEvent(LogLevel::Info, "upstream.gone", { { "upstream", id } });
     const bool homesChanged = this->homes.refresh();
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -61,7 +61,9 @@
     void onUpstreamRow(const store::Row& row);
     void onConfigurationRow(const store::Row& row);
     void onFleetRow(const store::Row& row);
+    void onCatalogSettled();
     void onFleetSettled();
+    void stopSeekingIfDone();
     [[nodiscard]] bool knowsFleet() const noexcept;
     void fillDigest(gossip::Digest& digest);
     void takeDigest(const gossip::Digest& digest);
@@ -83,6 +85,7 @@
     telemetry::Metrics metrics;
     engine::RequestLog requestLog { this->metrics };
     engine::SessionContext context;
+    Duration listAfter; ///< How long neighbours have to hand on the store's rows at the start.
     store::TableWatch upstreamWatch;
     store::TableWatch configurationWatch;
     store::TableWatch fleetWatch;
@@ -98,6 +101,7 @@
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& relayedStreams;
     kernel::Registration ticker;
+    kernel::Registration seekEnd;
     kernel::Registration registration;
     kernel::Registration drainTimer;
     unsigned registrationFailures { 0 };
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -12,6 +12,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration interval = 200ms; // news reach 2,300 daemons in five rounds, about a second
+    constexpr Duration seekInterval = 40ms;
     constexpr std::size_t fanOut = 5;
     constexpr std::size_t largeFanOut = 3;
     constexpr Duration audienceInterval = 400ms; // within the time for which evidence of a leader counts as recent
@@ -84,6 +85,17 @@
         std::erase_if(digest.leaders, [&](const auto& news) { return std::binary_search(audience.services.begin(), audience.services.end(), news.service); });
 }
 
+void GossipNode::seek()
+{
+    const auto ask = [this] {
+        auto digest = this->makeDigest();
+        digest.wantsPeers = true;
+        this->send(this->options.seeds, digest);
+    };
+    ask();
+    this->seekTimer = this->loop.every(seekInterval, ask);
+}
+
 /// Tells the other daemons that hold links to the same services of these services, and of these only.
 void GossipNode::tellAudiences(bool isHeartbeat)
 {
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -40,6 +40,10 @@
 
     GossipNode(kernel::Loop& loop, Options options, Callbacks callbacks);
 
+    /// @brief Asks the seeds for news and for other daemons every few milliseconds, until it is told to stop.
+    void seek();
+    void stopSeeking() { this->seekTimer.reset(); }
+
     /// @brief Tells news at once, to many peers.
     void tellUrgently();
 
@@ -67,6 +71,7 @@
     kernel::Registration timer;
     kernel::Registration audienceTimer;
     kernel::Registration urgentTimer;
+    kernel::Registration seekTimer;
 };
 
 }
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -27,12 +27,20 @@
     , options(std::move(usedOptions))
     , callbacks(std::move(usedCallbacks))
     , random(this->options.seed)
+    , isFollowing(this->options.follows)
 {
 }
 
 void TableWatch::start()
 {
-    this->list({});
+    if (this->options.listAfter == Duration::zero()) {
+        this->list({});
+        return;
+    }
+    this->timer = this->loop.after(this->options.listAfter, [this] {
+        if (!this->hasRows())
+            this->list({});
+    });
 }
 
 void TableWatch::list(const std::string& from)
@@ -169,7 +177,7 @@
 {
     if (std::exchange(this->isFollowing, follows) || !follows)
         return;
-    if (this->listed && this->reachedAt && !this->isCatchingUp)
+    if (this->failures == 0 && !this->isCatchingUp)
         this->list({});
 }
 
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -12,7 +12,7 @@
 namespace amaranthhall::store {
 
 /**
- * @brief Keeps a copy of a table up to date: one listing, then its feed.
+ * @brief Keeps a copy of a table up to date: one listing, then its feed; or rows that other daemons hand on.
  *
  * The rows of one part of the table are kept. After a lost history or a failure of the listing it lists anew. A row that a listing lacks, and an earlier one or
  * the feed had, is told as removed.
@@ -32,10 +32,13 @@
         std::string part;
         std::uint64_t seed { 0 }; ///< Of the pauses between failed calls.
         Duration pauseAfterChange { 0 }; ///< Before the feed is asked again, so that changes in quick succession cost one call.
+        Duration listAfter { 0 }; ///< After the start; if other daemons hand on the rows before, the store is not asked.
+        bool follows { true }; ///< From the start on.
     };
 
     TableWatch(kernel::Loop& loop, Store& store, Options options, Callbacks callbacks);
 
+    /// @brief Begins to list the table, at once or after the time that other daemons have to hand on its rows.
     void start();
 
     /// @brief Lists the table anew at once, unless a listing is under way or failed calls are made again by themselves.
@@ -66,6 +69,9 @@
     /// @brief Tells since when the store has answered without a failure; nothing while it does not.
     [[nodiscard]] std::optional<Time> reachableSince() const noexcept { return this->reachedAt; }
 
+    /// @brief Tells whether rows are known, by a listing or from other daemons.
+    [[nodiscard]] bool hasRows() const noexcept { return this->listed || this->newest > 0; }
+
     /// @brief Tells whether a listing was taken in.
     [[nodiscard]] bool isListed() const noexcept { return this->listed; }
 
@@ -90,7 +96,7 @@
     Version newest { 0 };
     Version followed { 0 };
     std::optional<Version> listingVersion;
-    bool isFollowing { true };
+    bool isFollowing;
     bool listed { false };
     unsigned failures { 0 };
     std::optional<Time> reachedAt;
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -194,3 +194,28 @@
     LONGS_EQUAL(2, this->storage.follows);
     LONGS_EQUAL(6, this->storage.lastAfter);
 }
+
+// Load: a fleet that starts all at once; few daemons ask the store, and hand on what they are told.
+TEST(TableWatch, ADaemonWhoseNeighboursHandOnTheRowsDoesNotAskTheStore)
+{
+    store::TableWatch patient(this->loop, this->storage, { .table = "t", .listAfter = 20ms, .follows = false }, { .changed = [](const auto&) {}, .settled = [] {}, .reached = [](bool) {} });
+    patient.start();
+    LONGS_EQUAL(0, this->storage.reads);
+    patient.merge({ row("a", 3) });
+    this->runFor(40ms);
+    LONGS_EQUAL(0, this->storage.reads);
+    CHECK_TRUE(patient.hasRows());
+    // It lists once it is to follow the store.
+    patient.setFollowing(true);
+    LONGS_EQUAL(1, this->storage.reads);
+}
+
+TEST(TableWatch, ADaemonThatIsToldNothingAsksTheStore)
+{
+    store::TableWatch patient(this->loop, this->storage, { .table = "t", .listAfter = 20ms, .follows = false }, { .changed = [](const auto&) {}, .settled = [] {}, .reached = [](bool) {} });
+    patient.start();
+    this->runFor(40ms);
+    LONGS_EQUAL(1, this->storage.reads);
+    this->storage.answer(Rows { .rows = { row("a", 3) }, .version = 3 });
+    LONGS_EQUAL(0, this->storage.follows);
+}
