An ordered candidate that says it leads is used before its registration says so; first links open at once

While the store is away a promotion is carried out, but nobody learned of the new primary before the store came back: its registration can't change. Now the daemon that ordered asks the candidate every 150 ms whether it leads, and tells the others; a plain transaction still proves the lead. Warm links are opened as soon as a service is known, not at the next tick of 250 ms. Tests: two of SuccessionService (new; the leader stays the old one without the change).

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -128,7 +128,7 @@
     return this->options.sharers(service).value_or(0) > 0 || this->serviceOf(service).usedAt;
 }
 
-/// Lists the pools of each service, and looks at its queue anew.
+/// Lists the pools of each service, opens their first links, and looks at the queue anew.
 void Dispatcher::groupPools()
 {
     for (auto& [name, service] : this->services)
@@ -136,6 +136,8 @@
     for (const auto& [id, pool] : this->pools)
         this->serviceOf(pool->entry().service).pools.push_back(pool);
     for (auto& [name, service] : this->services) {
+        for (const auto& pool : service.pools)
+            this->keepWarm(service, *pool);
         if (!service.waiters.empty())
             this->schedulePump(service);
     }
@@ -472,6 +474,21 @@
     state.leadership.prove(proof);
 }
 
+void Dispatcher::noteClaim(std::string_view name, std::string_view upstream, std::uint64_t version)
+{
+    auto& service = this->serviceOf(name);
+    if (service.claim && service.claim->upstream == upstream && service.claim->version >= version)
+        return;
+    // A registration that was known before says less than the order.
+    for (const auto* known : this->catalog.upstreamsOf(name)) {
+        if (known->entry.id != upstream && known->entry.role == catalog::Role::Primary)
+            version = std::max(version, known->roleVersion);
+    }
+    service.claim = OrderedClaim { .upstream = std::string(upstream), .version = version, .seenAt = this->loop.now() };
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.claims", { { "service", name }, { "upstream", upstream }, { "version", version } });
+    this->schedulePump(service);
+}
+
 void Dispatcher::noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt)
 {
     this->serviceOf(service).leadership.refute(upstream, askedAt);
@@ -496,6 +513,8 @@
 std::optional<std::string> Dispatcher::leaderOf(const Service& service) const
 {
     std::vector<leadership::PrimaryClaim> claims;
+    if (service.claim && this->catalog.find(service.claim->upstream))
+        claims.push_back({ .upstream = service.claim->upstream, .version = service.claim->version, .seenAt = service.claim->seenAt });
     for (const auto* known : this->catalog.upstreamsOf(service.name)) {
         if (known->entry.role == catalog::Role::Primary)
             claims.push_back({ .upstream = known->entry.id, .version = known->roleVersion, .seenAt = known->roleSeenAt });
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -153,6 +153,12 @@
     /// @brief Takes in that another daemon knows a leader to have caught up in a term.
     void confirmLeader(std::string_view service, std::string_view upstream, group::Term term);
 
+    /**
+     * @brief Takes in that an upstream which was ordered to lead says that it does, while its registration may not have changed yet.
+     * @param version Version of the store that was known when it was ordered.
+     */
+    void noteClaim(std::string_view service, std::string_view upstream, std::uint64_t version);
+
     /// @brief Takes in that an upstream refused as one that does not lead.
     void noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt);
 
@@ -186,11 +192,18 @@
         bool isCounted { false }; ///< It had to wait, and its lane counts it.
     };
 
+    struct OrderedClaim {
+        std::string upstream;
+        std::uint64_t version { 0 };
+        Time seenAt;
+    };
+
     struct Service {
         std::string name;
         std::vector<std::shared_ptr<UpstreamPool>> pools; ///< In order of their upstreams' ids.
         std::list<Waiter> waiters; ///< The next one to be served first.
         leadership::LeaderRecord leadership;
+        std::optional<OrderedClaim> claim; ///< Of an upstream that was ordered to lead.
         freshness::SampleWindow samples;
         std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< By upstream.
         std::array<admission::LaneState, 2> lanes; ///< Of statements for any upstream, and for the leader.
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -19,7 +19,7 @@
     using PackedVersions = std::tuple<store::Version, store::Version, store::Version>;
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Position, freshness::Micros, bool>;
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
-    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros>;
+    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros, bool>;
     using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
     using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
 
@@ -28,7 +28,7 @@
     PackedVersions packed(const TableVersions& versions) { return { versions.configuration, versions.upstreams, versions.fleet }; }
     PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.point.term, news.point.position, news.at, news.isReached }; }
     PackedSuspicion packed(const SuspicionNews& news) { return { news.service, news.upstream, news.isRefusing }; }
-    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at }; }
+    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at, news.isLeading }; }
     PackedAge packed(const AgeNews& news) { return { news.vm, news.age.count() }; }
 
     template <typename Item>
@@ -72,8 +72,8 @@
 
     OrderNews restore(PackedOrder&& from)
     {
-        auto& [service, candidate, fence, at] = from;
-        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at };
+        auto& [service, candidate, fence, at, isLeading] = from;
+        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at, .isLeading = isLeading };
     }
 
     AgeNews restore(PackedAge&& from)
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -37,6 +37,7 @@
     std::string candidate;
     store::Version fence { 0 };
     freshness::Micros at { 0 };
+    bool isLeading { false }; ///< The candidate says that it leads.
 };
 
 /// @brief Newest versions of the store's tables that a daemon knows.
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -21,6 +21,7 @@
     constexpr Duration answerTime = 80ms; // for replicas to tell their positions
     constexpr Duration retryPause = 100ms;
     constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
+    constexpr Duration heirPause = 150ms; // between two questions to a candidate; a promotion takes several of them
     constexpr Duration dutyLease = 3200ms; // no other daemon takes the duty within it; over what an order needs to take effect
     constexpr Duration sameOrderSpan = 500ms; // news of one order differ by the bounds of the store's clock
     constexpr Duration orderLife = 5s; // news of older orders are not told
@@ -81,8 +82,11 @@
         if (!std::binary_search(served.begin(), served.end(), service))
             duty.suspicion.reset();
     }
-    for (const auto& service : served)
-        this->watch(service, this->duties[service]);
+    for (const auto& service : served) {
+        auto& duty = this->duties[service];
+        this->watch(service, duty);
+        this->askOrderedHeir(service, duty);
+    }
 }
 
 /// Gives the other daemons of a service's group that are alive.
@@ -192,6 +196,27 @@
     return *latest - holder->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(dutyLease).count();
 }
 
+/// Asks a candidate that this daemon ordered whether it leads. Its registration tells so too, but not while the store is away.
+void SuccessionService::askOrderedHeir(const std::string& service, Duty& duty)
+{
+    const auto now = this->parts.loop.now();
+    const bool isOpen = duty.order && duty.order->isOwn && !duty.order->isLeading && now - duty.order->at < orderPatience;
+    if (!isOpen || now - std::max(duty.order->at, duty.heirAskedAt) < heirPause || this->parts.dispatcher.leader(service) == duty.order->candidate)
+        return;
+    duty.heirAskedAt = now;
+    duty.heirQuestion = this->parts.dispatcher.askStatus(service, duty.order->candidate, now + heirPause, [this, service](const auto& status) { this->onHeirStatus(service, status); });
+}
+
+void SuccessionService::onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status)
+{
+    auto& duty = this->duties[service];
+    if (!duty.order || !status || !status->isPrimary)
+        return;
+    duty.order->isLeading = true;
+    this->parts.dispatcher.noteClaim(service, duty.order->candidate, duty.order->fence);
+    this->newsToTell();
+}
+
 void SuccessionService::takeOver(const std::string& service)
 {
     auto& duty = this->duties[service];
@@ -286,7 +311,7 @@
     logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", sent.candidate }, { "fence", sent.fence }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case OrderOutcome::Accepted:
-        duty.order = KnownOrder { .candidate = sent.candidate, .fence = sent.fence, .at = now };
+        duty.order = KnownOrder { .candidate = sent.candidate, .fence = sent.fence, .at = now, .isOwn = true };
         this->newsToTell();
         return;
     case OrderOutcome::Refused:
@@ -311,7 +336,7 @@
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - duty.order->at).count();
         if (const auto at = clock.earliest(engine::bootNow() - age))
-            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at });
+            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at, .isLeading = duty.order->isLeading });
     }
 }
 
@@ -322,15 +347,19 @@
     for (const auto& suspicion : digest.suspicions)
         this->peerSuspicions[{ suspicion.service, digest.vm }] = { .upstream = suspicion.upstream, .heardAt = now };
     for (const auto& told : digest.orders) {
+        if (told.isLeading)
+            this->parts.dispatcher.noteClaim(told.service, told.candidate, told.fence);
         auto& duty = this->duties[told.service];
         const auto boot = engine::bootNow();
         const auto local = clock.localBefore(told.at, boot);
         const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
         // A holder may order again under the fence that it has.
         const bool isKnown = duty.order && (duty.order->fence > told.fence || (duty.order->fence == told.fence && now - age <= duty.order->at + sameOrderSpan));
-        if (isKnown)
+        if (isKnown) {
+            duty.order->isLeading = duty.order->isLeading || (told.isLeading && duty.order->fence == told.fence);
             continue;
-        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age };
+        }
+        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading };
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", told.fence }, { "from", digest.vm } });
     }
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -67,6 +67,8 @@
         std::string candidate;
         store::Version fence { 0 };
         Time at;
+        bool isOwn { false }; ///< This daemon gave it.
+        bool isLeading { false }; ///< The candidate says that it leads.
     };
 
     struct Duty {
@@ -76,6 +78,8 @@
         Cause cause { Cause::None };
         Time causeSince;
         std::optional<KnownOrder> order;
+        engine::Dispatcher::Ticket heirQuestion; ///< Set while the ordered candidate is asked whether it leads.
+        Time heirAskedAt;
         std::vector<Heir> heirs;
         std::vector<engine::Dispatcher::Ticket> questions;
         std::map<std::string, Time> refusedHeirs; ///< Candidates that the platform refused, and when.
@@ -97,6 +101,8 @@
     [[nodiscard]] std::optional<store::Version> heldFence(const std::string& service) const;
     [[nodiscard]] bool isHeldByAnother(const std::string& service, const Duty& duty) const;
     [[nodiscard]] std::string holderOf(const std::string& service) const;
+    void askOrderedHeir(const std::string& service, Duty& duty);
+    void onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
     void takeOver(const std::string& service);
     void askHeirs(const std::string& service, store::Version fence);
     void order(const std::string& service, store::Version fence);
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -169,3 +169,32 @@
     CHECK_EQUAL(std::string("a"), this->promoter.orders[1].candidate);
     CHECK(this->promoter.orders[1].fence > this->promoter.orders[0].fence);
 }
+
+// Fault: the store is away while a primary is replaced, so that the registration of the new one does not change.
+TEST(SuccessionService, AnOrderedCandidateThatSaysItLeadsIsUsedWithoutItsRegistration)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->links.upstreams["a"].isReplica = true;
+    this->links.upstreams["b"].isReplica = true;
+    this->runFor(1200ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    CHECK(this->dispatcher.leader("s") == std::optional<std::string>("p"));
+    this->links.upstreams["b"].isReplica = false;
+    this->runFor(400ms);
+    CHECK(this->dispatcher.leader("s") == std::optional<std::string>("b"));
+    // The others are told.
+    gossip::Digest digest;
+    this->service->fill(digest, this->storage.clock());
+    CHECK_TRUE(digest.orders.at(0).isLeading);
+    // A registration that came later counts more.
+    this->known.put({ .id = "a", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 200, this->loop.now());
+    CHECK(this->dispatcher.leader("s") == std::optional<std::string>("a"));
+}
+
+TEST(SuccessionService, ADaemonThatIsToldOfALeadingCandidateUsesIt)
+{
+    gossip::Digest digest { .vm = "other" };
+    digest.orders.push_back({ .service = "s", .candidate = "b", .fence = 50, .at = engine::bootNow(), .isLeading = true });
+    this->service->take(digest, this->storage.clock());
+    CHECK(this->dispatcher.leader("s") == std::optional<std::string>("b"));
+}
