What a home hears stays the same, however many tell it

A home with eleven who tell it hears 27 times a second what it needs about once. Now the more homes a service has, the less often each tells the others: 0.4 s for up to five, 1.2 s for twelve; suspicions and orders still go out at once.

--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -16,7 +16,8 @@
     constexpr std::size_t fanOut = 5;
     constexpr std::size_t largeFanOut = 3;
     constexpr Duration audienceInterval = 400ms; // within the time for which evidence of a leader counts as recent
-    constexpr unsigned heartbeatRounds = 2; // audiences are told every second round, also without news
+    constexpr unsigned heartbeatRounds = 2; // an audience is told every second of its rounds, also without news
+    constexpr unsigned tellersOfARound = 4; // so many of those who tell a daemon of a service do so in each round
     constexpr std::size_t urgentFanOut = 40;
     constexpr std::size_t fewestAges = 16; // in one datagram
     constexpr std::size_t mostAges = 64; // about 8 bytes each
@@ -32,7 +33,7 @@
     , random(this->options.seed)
     , socket(usedLoop, this->options.profile.address, [this](auto bytes) { this->receive(bytes); })
     , timer(usedLoop.every(interval, [this] { this->tell(this->book.size() > PeerBook::largeSize ? largeFanOut : fanOut); }))
-    , audienceTimer(usedLoop.every(audienceInterval, [this] { this->tellAudiences(++this->audienceRounds % heartbeatRounds == 0); }))
+    , audienceTimer(usedLoop.every(audienceInterval, [this] { this->tellAudiences(false); }))
 {
 }
 
@@ -97,15 +98,17 @@
 }
 
 /// Tells the other daemons that hold links to the same services of these services, and of these only.
-void GossipNode::tellAudiences(bool isHeartbeat)
+void GossipNode::tellAudiences(bool isUrgent)
 {
     if (this->callbacks.audiences().empty())
         return;
+    ++this->audienceRound;
     const auto digest = this->makeDigest();
     std::vector<kernel::Address> targets;
+    std::vector<const Audience*> told;
     for (const auto& audience : this->callbacks.audiences()) {
         const auto restricted = restrictTo(digest, audience.services);
-        if (!isHeartbeat && !this->isNews(restricted))
+        if (!isUrgent && !this->isDue(audience, restricted))
             continue;
         targets.clear();
         for (const auto& peer : audience.peers) {
@@ -113,8 +116,23 @@
                 targets.push_back(*address);
         }
         this->send(targets, restricted);
+        told.push_back(&audience);
     }
-    this->noteTold(digest);
+    for (const auto* audience : told)
+        this->noteTold(restrictTo(digest, audience->services));
+}
+
+unsigned GossipNode::roundsBetween(const Audience& audience) noexcept
+{
+    return 1 + static_cast<unsigned>(audience.tellers - 1) / tellersOfARound;
+}
+
+bool GossipNode::isDue(const Audience& audience, const Digest& restricted) const
+{
+    const auto rounds = roundsBetween(audience);
+    if (this->audienceRound % rounds != 0)
+        return false;
+    return this->audienceRound % (rounds * heartbeatRounds) == 0 || this->isNews(restricted);
 }
 
 bool GossipNode::isNews(const Digest& digest) const
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -21,8 +21,16 @@
     struct Audience {
         std::vector<std::string> peers;
         std::vector<std::string> services; ///< In order.
+        std::size_t tellers { 1 }; ///< Daemons that tell them of these services, this one among them.
     };
 
+    /**
+     * @brief Gives how many rounds lie between two datagrams to an audience.
+     *
+     * Answers services with many homes: what one of them hears stays the same, however many tell it.
+     */
+    [[nodiscard]] static unsigned roundsBetween(const Audience& audience) noexcept;
+
     /// @brief What a node asks of its owner.
     struct Callbacks {
         std::function<void(Digest&)> fill; ///< Puts in what is to be told.
@@ -52,7 +60,8 @@
 private:
     void tell(std::size_t fanOut);
     void receive(std::string_view bytes);
-    void tellAudiences(bool isHeartbeat);
+    void tellAudiences(bool isUrgent);
+    [[nodiscard]] bool isDue(const Audience& audience, const Digest& restricted) const;
     [[nodiscard]] bool isNews(const Digest& digest) const;
     void noteTold(const Digest& digest);
     void leaveOutAudiences(Digest& digest) const;
@@ -65,7 +74,7 @@
     Callbacks callbacks;
     PeerBook book;
     std::map<std::string, freshness::Micros, std::less<>> toldAt; ///< Moment of the evidence that audiences were last told, by service.
-    unsigned audienceRounds { 0 };
+    unsigned audienceRound { 0 };
     Random random;
     kernel::DatagramSocket socket;
     kernel::Registration timer;
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr Duration reachLifetime = std::chrono::seconds(1); // what is older says nothing of a way that comes and goes
+    constexpr Duration reachLifetime = std::chrono::milliseconds(1500); // what is older says nothing of a way that comes and goes
 
 }
 
@@ -65,8 +65,12 @@
     for (const auto& [peer, services] : servicesOf)
         peersOf[services].push_back(peer);
     this->homeAudiences.clear();
-    for (const auto& [services, others] : peersOf)
-        this->homeAudiences.push_back({ .peers = others, .services = services });
+    for (const auto& [services, others] : peersOf) {
+        std::size_t tellers = 1;
+        for (const auto& service : services)
+            tellers = std::max(tellers, this->choiceFor(service).homes.size() - 1);
+        this->homeAudiences.push_back({ .peers = others, .services = services, .tellers = tellers });
+    }
 }
 
 HomeRouter::Choice HomeRouter::compute(std::string_view service) const
