Homes follow the fleet step by step

Now each service keeps its best candidates; one that comes is compared with these, and only services that lose a candidate are ranked anew. The choice is taken at the tick, not at each look-up. Tests of HomeRouter (new): the followed choice equals one made anew over 60 draws; ten daemons that come cost less than one whole choice.

--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/catalog/upstream_entry.hpp"
 #include "amaranthhall/kernel/time.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -66,8 +67,8 @@
     /// @brief Names the services that have limits or upstreams, in order.
     [[nodiscard]] std::vector<std::string> serviceNames() const;
 
-    /// @brief Counts the services that have upstreams.
-    [[nodiscard]] std::size_t services() const noexcept { return this->byService.size(); }
+    /// @brief Counts the services that have limits, or those that have upstreams, if these are more.
+    [[nodiscard]] std::size_t services() const noexcept { return std::max(this->byService.size(), this->current ? this->current->services.size() : 0); }
 
     /// @brief Gives a number that changes with the limits of services.
     [[nodiscard]] std::uint64_t limitsVersion() const noexcept { return this->limitsChanges; }
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/relay/home_router.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace amaranthhall::relay {
@@ -30,24 +31,102 @@
     const auto now = this->basis();
     if (this->computedFrom == now)
         return false;
+    const auto changes = this->takeMembership();
     this->computedFrom = now;
-    this->listDaemons();
-    this->chosen.clear();
-    this->homedServices.clear();
-    for (const auto& service : this->catalog.serviceNames()) {
-        if (this->choiceFor(service).isHome)
-            this->homedServices.push_back(service);
-    }
+    for (auto& [service, choice] : this->chosen)
+        this->update(choice, service, changes);
+    this->listHomed();
     this->listAudiences();
     return true;
 }
 
-void HomeRouter::listDaemons()
+/// Makes the first choice, if there was none.
+void HomeRouter::ensureChosen()
+{
+    if (!this->computedFrom)
+        this->refresh();
+}
+
+/// Takes in which daemons have come, gone or changed since; one that has changed has gone and come.
+HomeRouter::Membership HomeRouter::takeMembership()
 {
-    this->daemons.clear();
-    this->daemons.push_back({ .vm = this->options.vm, .zone = this->options.zone, .cores = this->options.cores });
+    Membership changes;
+    const auto isAsBefore = [this](const Daemon& daemon) {
+        if (daemon.vm == this->options.vm)
+            return true;
+        const auto peer = this->peers.all().find(daemon.vm);
+        return peer != this->peers.all().end() && peer->second.profile.zone == daemon.zone && peer->second.profile.cores == daemon.cores;
+    };
+    for (auto place = this->daemons.begin(); place != this->daemons.end();) {
+        const auto next = std::next(place);
+        if (!isAsBefore(place->second))
+            changes.went.push_back(this->daemons.extract(place));
+        place = next;
+    }
+    const auto add = [&](const Daemon& daemon) {
+        const auto [place, isNew] = this->daemons.try_emplace(daemon.vm, daemon);
+        if (isNew)
+            changes.came.push_back(&place->second);
+    };
+    add({ .vm = this->options.vm, .zone = this->options.zone, .cores = this->options.cores });
     for (const auto& [vm, peer] : this->peers.all())
-        this->daemons.push_back({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
+        add({ .vm = vm, .zone = peer.profile.zone, .cores = peer.profile.cores });
+    this->listed.clear();
+    for (const auto& [vm, daemon] : this->daemons)
+        this->listed.push_back(&daemon);
+    this->fleet = sizeOf(this->listed);
+    return changes;
+}
+
+HomeCount HomeRouter::countFor(std::string_view service) const
+{
+    const auto configuration = this->catalog.configuration();
+    auto connections = static_cast<std::uint32_t>(this->listed.size());
+    if (configuration) {
+        const auto spec = configuration->services.find(service);
+        connections = spec == configuration->services.end() ? connections : spec->second.maximumConnections;
+    }
+    return countHomes(this->fleet, { .connections = connections, .services = this->catalog.services() });
+}
+
+void HomeRouter::computeWhole(Choice& choice, std::string_view service) const
+{
+    choice.count = this->countFor(service);
+    choice.ranking = rankDaemons(service, this->listed, choice.count);
+    this->pick(choice);
+}
+
+void HomeRouter::pick(Choice& choice) const
+{
+    choice.homes = pickHomes(choice.ranking, choice.count);
+    choice.isHome = std::find(choice.homes.begin(), choice.homes.end(), this->options.vm) != choice.homes.end();
+}
+
+/// Chooses the homes of a service anew, as far as daemons that came or went make a difference to it.
+void HomeRouter::update(Choice& choice, std::string_view service, const Membership& changes) const
+{
+    const auto isRanked = [&choice](const auto& gone) {
+        return std::any_of(choice.ranking.begin(), choice.ranking.end(), [&gone](const Candidate& candidate) { return candidate.daemon == &gone.mapped(); });
+    };
+    const bool lacksOne = std::any_of(changes.went.begin(), changes.went.end(), isRanked);
+    if (lacksOne || choice.count != this->countFor(service)) {
+        this->computeWhole(choice, service);
+        return;
+    }
+    bool isChanged = false;
+    for (const auto* daemon : changes.came)
+        isChanged = addDaemon(choice.ranking, service, *daemon, choice.count) || isChanged;
+    if (isChanged)
+        this->pick(choice);
+}
+
+void HomeRouter::listHomed()
+{
+    this->homedServices.clear();
+    for (const auto& service : this->catalog.serviceNames()) {
+        if (this->choiceFor(service).isHome)
+            this->homedServices.push_back(service);
+    }
 }
 
 void HomeRouter::listAudiences()
@@ -73,48 +152,37 @@
     }
 }
 
-HomeRouter::Choice HomeRouter::compute(std::string_view service) const
-{
-    const auto configuration = this->catalog.configuration();
-    auto connections = static_cast<std::uint32_t>(this->daemons.size());
-    if (configuration) {
-        const auto spec = configuration->services.find(service);
-        connections = spec == configuration->services.end() ? connections : spec->second.maximumConnections;
-    }
-    Choice choice { .homes = chooseHomes(service, this->daemons, { .connections = connections, .services = this->computedFrom ? this->computedFrom->services : 1 }) };
-    choice.isHome = std::find(choice.homes.begin(), choice.homes.end(), this->options.vm) != choice.homes.end();
-    return choice;
-}
-
 HomeRouter::Choice& HomeRouter::choiceFor(std::string_view service)
 {
     const auto found = this->chosen.find(service);
     if (found != this->chosen.end())
         return found->second;
-    return this->chosen[std::string(service)] = this->compute(service);
+    auto& choice = this->chosen[std::string(service)];
+    this->computeWhole(choice, service);
+    return choice;
 }
 
 const std::vector<std::string>& HomeRouter::homed()
 {
-    this->refresh();
+    this->ensureChosen();
     return this->homedServices;
 }
 
 const std::vector<gossip::GossipNode::Audience>& HomeRouter::audiences()
 {
-    this->refresh();
+    this->ensureChosen();
     return this->homeAudiences;
 }
 
 const std::vector<std::string>& HomeRouter::homes(std::string_view service)
 {
-    this->refresh();
+    this->ensureChosen();
     return this->choiceFor(service).homes;
 }
 
 bool HomeRouter::isHome(std::string_view service)
 {
-    this->refresh();
+    this->ensureChosen();
     return this->choiceFor(service).isHome;
 }
 
@@ -137,7 +205,7 @@
 
 std::unique_ptr<engine::RelayStream> HomeRouter::open(const engine::RelayWant& want)
 {
-    this->refresh();
+    this->ensureChosen();
     const auto& choice = this->choiceFor(want.service);
     const auto now = this->loop.now();
     std::vector<HomeState> states;
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -34,7 +34,7 @@
     void noteReach(std::string_view service, const std::string& vm, engine::LeaderReach reach) override;
 
     /**
-     * @brief Chooses the homes anew if daemons, services or their limits have changed since.
+     * @brief Chooses the homes anew if daemons, services or their limits have changed since. Between two calls the choice stays.
      * @return True if they had.
      */
     bool refresh();
@@ -67,7 +67,17 @@
         Time at;
     };
 
+    using Daemons = std::map<std::string, Daemon, std::less<>>;
+
+    /// Daemons that came and went since the last choice.
+    struct Membership {
+        std::vector<const Daemon*> came;
+        std::vector<Daemons::node_type> went; ///< Rankings point to them until they are updated.
+    };
+
     struct Choice {
+        HomeCount count;
+        Ranking ranking;
         std::vector<std::string> homes;
         bool isHome { false }; ///< This daemon is one of them.
         std::map<std::string, Reach> reaches; ///< By home.
@@ -76,8 +86,13 @@
     [[nodiscard]] Basis basis() const noexcept;
     [[nodiscard]] engine::LeaderReach reachOf(const Choice& choice, const std::string& vm, Time now) const;
     [[nodiscard]] Choice& choiceFor(std::string_view service);
-    [[nodiscard]] Choice compute(std::string_view service) const;
-    void listDaemons();
+    [[nodiscard]] HomeCount countFor(std::string_view service) const;
+    void computeWhole(Choice& choice, std::string_view service) const;
+    void pick(Choice& choice) const;
+    void update(Choice& choice, std::string_view service, const Membership& changes) const;
+    [[nodiscard]] Membership takeMembership();
+    void listHomed();
+    void ensureChosen();
     void listAudiences();
 
     kernel::Loop& loop;
@@ -86,7 +101,9 @@
     Options options;
     RelayClient client;
     std::optional<Basis> computedFrom;
-    std::vector<Daemon> daemons; ///< This one and its peers.
+    Daemons daemons; ///< This one and its peers, by VM.
+    std::vector<const Daemon*> listed; ///< All of them.
+    FleetSize fleet;
     std::map<std::string, Choice, std::less<>> chosen; ///< By service.
     std::vector<std::string> homedServices;
     std::vector<gossip::GossipNode::Audience> homeAudiences;
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -3,7 +3,9 @@
 #include "amaranthhall/hashing/rendezvous.hpp"
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <set>
 #include <tuple>
 
 namespace amaranthhall::relay {
@@ -18,21 +20,21 @@
     constexpr std::size_t mostHomes = 12; // all that start at once open their links in a fraction of a second
     constexpr std::size_t busyFrom = 4; // outstanding statements of one daemon; a way to another zone is then the shorter wait
 
-    struct Candidate {
-        const Daemon* daemon;
-        double score;
-    };
+    constexpr std::size_t rankedForEachHome = 4; // so that each zone has its part among them
+
+    bool isBetter(const Candidate& left, const Candidate& right)
+    {
+        return std::tie(left.score, left.daemon->vm) > std::tie(right.score, right.daemon->vm);
+    }
+
+    Candidate makeCandidate(std::string_view key, const Daemon& daemon)
+    {
+        return { .score = hashing::weightedScore(daemon.vm, key, daemon.cores), .daemon = &daemon };
+    }
 
-    std::vector<Candidate> rank(std::string_view service, std::span<const Daemon> daemons)
+    std::string keyOf(std::string_view service)
     {
-        const auto key = "home/" + std::string(service);
-        std::vector<Candidate> candidates;
-        for (const auto& daemon : daemons)
-            candidates.push_back({ .daemon = &daemon, .score = hashing::weightedScore(daemon.vm, key, daemon.cores) });
-        std::sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
-            return std::tie(left.score, left.daemon->vm) > std::tie(right.score, right.daemon->vm);
-        });
-        return candidates;
+        return "home/" + std::string(service);
     }
 
     /// Ranks a home by what is known of its way to the leader, 0 first.
@@ -46,52 +48,74 @@
         return home.reach == engine::LeaderReach::Denied ? 1 : 0;
     }
 
-    std::size_t countZones(std::span<const Daemon> daemons)
-    {
-        std::map<std::string_view, int> zones;
-        for (const auto& daemon : daemons)
-            ++zones[daemon.zone];
-        return zones.size();
-    }
+}
 
-    std::vector<std::string> names(std::span<const Daemon> daemons)
-    {
-        std::vector<std::string> all;
-        for (const auto& daemon : daemons)
-            all.push_back(daemon.vm);
-        return all;
-    }
+FleetSize sizeOf(std::span<const Daemon* const> daemons)
+{
+    std::set<std::string_view> zones;
+    for (const auto* daemon : daemons)
+        zones.insert(daemon->zone);
+    return { .daemons = daemons.size(), .zones = zones.size() };
+}
 
-    std::size_t countHomes(std::size_t daemons, const HomeLimits& limits)
-    {
-        const auto byConnections = std::clamp<std::size_t>(limits.connections / keptFree / linksOfAHome, fewestHomes, mostHomes);
-        const auto byServices = std::max(fewestOfMany, servicesOfADaemon * daemons / std::max<std::size_t>(1, limits.services));
-        return std::min(byConnections, byServices);
-    }
+HomeCount countHomes(const FleetSize& fleet, const HomeLimits& limits)
+{
+    const auto byConnections = std::clamp<std::size_t>(limits.connections / keptFree / linksOfAHome, fewestHomes, mostHomes);
+    const auto byServices = std::max(fewestOfMany, servicesOfADaemon * fleet.daemons / std::max<std::size_t>(1, limits.services));
+    return { .homes = std::min({ fleet.daemons, byConnections, byServices }), .zones = fleet.zones };
+}
 
+Ranking rankDaemons(std::string_view service, std::span<const Daemon* const> daemons, const HomeCount& count)
+{
+    const auto key = keyOf(service);
+    Ranking ranking;
+    ranking.reserve(daemons.size());
+    for (const auto* daemon : daemons)
+        ranking.push_back(makeCandidate(key, *daemon));
+    const auto kept = std::min(ranking.size(), count.homes * rankedForEachHome);
+    std::partial_sort(ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(kept), ranking.end(), isBetter);
+    return { ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(kept) };
 }
 
-std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, const HomeLimits& limits)
+bool addDaemon(Ranking& ranking, std::string_view service, const Daemon& daemon, const HomeCount& count)
 {
-    const auto count = countHomes(daemons.size(), limits);
-    if (daemons.size() <= count)
-        return names(daemons);
-    const auto zones = countZones(daemons);
-    const auto mostInZone = (count + zones - 1) / zones;
+    const auto kept = count.homes * rankedForEachHome;
+    const auto candidate = makeCandidate(keyOf(service), daemon);
+    const auto place = std::upper_bound(ranking.begin(), ranking.end(), candidate, isBetter);
+    if (place == ranking.end() && ranking.size() >= kept)
+        return false;
+    ranking.insert(place, candidate);
+    if (ranking.size() > kept)
+        ranking.pop_back();
+    return true;
+}
+
+std::vector<std::string> pickHomes(const Ranking& ranking, const HomeCount& count)
+{
+    const auto mostInZone = (count.homes + count.zones - 1) / std::max<std::size_t>(1, count.zones);
     std::vector<std::string> homes;
     std::vector<std::string> spare;
     std::map<std::string_view, std::size_t> inZone;
-    for (const auto& candidate : rank(service, daemons)) {
+    for (const auto& candidate : ranking) {
         const bool isFull = inZone[candidate.daemon->zone] >= mostInZone;
         if (!isFull)
             ++inZone[candidate.daemon->zone];
         (isFull ? spare : homes).push_back(candidate.daemon->vm);
     }
     homes.insert(homes.end(), spare.begin(), spare.end());
-    homes.resize(count);
+    homes.resize(std::min(homes.size(), count.homes));
     return homes;
 }
 
+std::vector<std::string> chooseHomes(std::string_view service, std::span<const Daemon> daemons, const HomeLimits& limits)
+{
+    std::vector<const Daemon*> all;
+    for (const auto& daemon : daemons)
+        all.push_back(&daemon);
+    const auto count = countHomes(sizeOf(all), limits);
+    return pickHomes(rankDaemons(service, all, count), count);
+}
+
 std::optional<std::size_t> chooseHome(std::span<const HomeState> homes, const Seeker& seeker)
 {
     const auto rankOf = [&](const HomeState& home) {
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -25,6 +25,47 @@
     std::size_t services { 1 }; ///< Of the whole fleet.
 };
 
+/// @brief How many homes a service has, and how they spread.
+struct HomeCount {
+    std::size_t homes { 0 };
+    std::size_t zones { 1 }; ///< That have daemons.
+
+    friend bool operator==(const HomeCount&, const HomeCount&) = default;
+};
+
+/// @brief What the number of homes depends on, of all daemons.
+struct FleetSize {
+    std::size_t daemons { 0 };
+    std::size_t zones { 0 };
+};
+
+/// @brief Measures a fleet.
+[[nodiscard]] FleetSize sizeOf(std::span<const Daemon* const> daemons);
+
+/// @brief Gives how many homes a service has.
+[[nodiscard]] HomeCount countHomes(const FleetSize& fleet, const HomeLimits& limits);
+
+/// @brief A daemon that may become a home of a service.
+struct Candidate {
+    double score { 0 }; ///< The higher, the sooner it is chosen.
+    const Daemon* daemon { nullptr };
+};
+
+/// @brief The best candidates of a service, the best one first.
+using Ranking = std::vector<Candidate>;
+
+/// @brief Ranks the daemons for a service; more than can become homes are left out.
+[[nodiscard]] Ranking rankDaemons(std::string_view service, std::span<const Daemon* const> daemons, const HomeCount& count);
+
+/**
+ * @brief Takes a daemon that has come into a ranking, as rankDaemons() would.
+ * @return True if it is one of the best.
+ */
+bool addDaemon(Ranking& ranking, std::string_view service, const Daemon& daemon, const HomeCount& count);
+
+/// @brief Names the homes: the best candidates, but no more of a zone than its part while others have any.
+[[nodiscard]] std::vector<std::string> pickHomes(const Ranking& ranking, const HomeCount& count);
+
 /**
  * @brief Chooses the daemons that hold the connections to the upstreams of a service.
  *
--- a/test/relay/test_home_router.cpp
+++ b/test/relay/test_home_router.cpp
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <ctime>
 #include <map>
+#include <random>
 
 using namespace amaranthhall;
 
@@ -36,9 +38,9 @@
     CHECK_TRUE(this->router.refresh());
     for (int number = 0; number < 60; ++number)
         this->hear("vm" + std::to_string(number), number);
-    this->known.put({ .id = "u", .service = "s" }, 1, this->loop.now());
+    this->known.put({ .id = "u", .service = "new" }, 1, this->loop.now());
     CHECK_TRUE(this->router.refresh());
-    this->known.put({ .id = "u", .service = "s", .draining = true }, 2, this->loop.now());
+    this->known.put({ .id = "u", .service = "new", .draining = true }, 2, this->loop.now());
     CHECK_FALSE(this->router.refresh());
     this->hear("new", 60);
     CHECK_TRUE(this->router.refresh());
@@ -69,3 +71,47 @@
     }
     CHECK(expected == told);
 }
+
+// Load: a fleet whose daemons come, go and change one by one. What was taken in step by step is the same as a choice made anew.
+TEST(HomeRouter, AChoiceThatFollowsTheFleetIsTheSameAsOneMadeAnew)
+{
+    std::mt19937 random(5);
+    for (int round = 0; round < 60; ++round) {
+        const auto number = static_cast<int>(random() % 80);
+        const auto vm = "vm" + std::to_string(number);
+        if (random() % 2 == 0)
+            this->peers.remove(vm);
+        else
+            this->hear(vm, number + static_cast<int>(random() % 3));
+        static_cast<void>(this->router.refresh());
+        relay::HomeRouter anew(this->loop, this->known, this->peers, { .vm = "me", .zone = "z0", .relayPort = 1 });
+        for (const auto& service : this->known.serviceNames())
+            CHECK(anew.homes(service) == this->router.homes(service));
+        CHECK(anew.homed() == this->router.homed());
+    }
+}
+
+// Load: a fleet of 300 VMs with 1,200 services; one daemon comes. The work is that of the services, not that of services and daemons.
+TEST(HomeRouter, ADaemonThatComesCostsLittle)
+{
+    catalog::Catalog large;
+    gossip::PeerBook fleet;
+    for (int number = 0; number < 1200; ++number)
+        large.put({ .id = "i" + std::to_string(number), .service = "s" + std::to_string(number) }, 1, this->loop.now());
+    const auto add = [&](int number) {
+        fleet.noteHeard("vm" + std::to_string(number), { .address = { .host = "10.0.0.1", .port = 1 }, .zone = "z" + std::to_string(number % 5) }, this->loop.now());
+    };
+    for (int number = 0; number < 300; ++number)
+        add(number);
+    relay::HomeRouter followed(this->loop, large, fleet, { .vm = "me", .zone = "z0", .relayPort = 1 });
+    const auto begin = std::clock();
+    CHECK_TRUE(followed.refresh());
+    const auto whole = std::clock() - begin;
+    const auto again = std::clock();
+    for (int number = 300; number < 310; ++number) {
+        add(number);
+        CHECK_TRUE(followed.refresh());
+    }
+    const auto ten = std::clock() - again;
+    CHECK(ten < whole);
+}
