An upstream that missed the last reign is no heir; reigns are confirmed, not the terms of last entries

On the other side of the cut a daemon takes the duty over, and the only upstream that answers is the old primary, with more entries than its successor had. It is ordered, and what was read and acknowledged in reign 2 is gone. It then leads reign 3 with a log that ends in term 1: the confirmation 'term 1' was dropped as older than 'term 2', and the check was repeated without a pause. Shown by logging the second field of the status answer: it is the reign that an upstream knows (old primary 1, others 2; after the second promotion 3 with a last entry of term 1), so it tells who has followed.

Change: status carries the reign; LeaderRecord confirms (upstream, reign, term of the last entry) and orders evidence by reign; the duty's row holds the newest reign, written once by the holder when its candidate leads, so that it survives the holder and crosses partitions; followersOf() leaves out who has not followed it. If nobody else answers for 30 s the history is given up, with an error line. Checks of a leader and of heirs come with pauses that grow. Samples beyond the first position of a new reign are dropped, as a promotion rolled them back.

Ruled out before (issue): a pause alone, and proof that only the ordering daemon holds.

--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -110,11 +110,20 @@
     /// @brief Tells whether this daemon itself has lately had an answer of a service's leader.
     [[nodiscard]] bool hasReached(std::string_view service, Time now);
 
-    /// @brief Tells whether a leader is known to show all that was acknowledged before its term.
-    [[nodiscard]] bool isConfirmed(std::string_view service, std::string_view upstream, group::Term term);
+    /**
+     * @brief Tells whether a leader is known to show all that was acknowledged before its reign.
+     * @param lastEntry Term of the last entry of its log.
+     */
+    [[nodiscard]] bool isConfirmed(std::string_view service, std::string_view upstream, group::Term lastEntry);
+
+    /// @brief Takes in that another daemon knows a leader to have caught up in its reign.
+    void confirmLeader(std::string_view service, const leadership::ConfirmedReign& confirmation);
+
+    /// @brief Takes in that a reign of a service has begun, whoever leads in it.
+    void noteReign(std::string_view service, group::Term reign) { this->serviceOf(service).leadership.noteReign(reign); }
 
-    /// @brief Takes in that another daemon knows a leader to have caught up in a term.
-    void confirmLeader(std::string_view service, std::string_view upstream, group::Term term);
+    /// @brief Gives the newest reign of a service that is known to have begun; 0 if none is.
+    [[nodiscard]] group::Term newestReign(std::string_view service) { return this->serviceOf(service).leadership.newestReign(); }
 
     /**
      * @brief Takes in that an upstream which was ordered to lead says that it does, while its registration may not have changed yet.
@@ -176,6 +185,7 @@
         std::optional<Time> reachedAt; ///< Last answer of a leader to this daemon.
         Ticket leaderCheck; ///< Set while the leader is asked whether it has caught up.
         kernel::Registration leaderCheckTimer;
+        unsigned leaderChecks { 0 }; ///< Questions to the leader since it was last confirmed.
         bool isChecking { false };
         bool isPumping { false };
     };
--- a/src/amaranthhall/engine/dispatcher_leader.cpp
+++ b/src/amaranthhall/engine/dispatcher_leader.cpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/engine/boot_clock.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -15,7 +16,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration leaderCheckLimit = 150ms;
-    constexpr Duration leaderCheckPause = 25ms;
+    constexpr retry::BackoffOptions leaderCheckPauses { .first = 25ms, .limit = 100ms };
     constexpr Duration recentProof = 900ms; // news of a leader that serves others come twice in this
     constexpr Duration longestChange = 4s; // a change of primary that takes longer is not waited for
     constexpr Duration longestNews = 500ms; // after a primary was superseded, news of its successor come sooner, or not at all
@@ -29,6 +30,8 @@
     const auto pool = leader ? this->pool(*leader) : nullptr;
     const bool isReachable = pool && pool->health().avoidUntil <= this->loop.now();
     const bool isConfirmed = pool && pool->logPoint() && service.leadership.isConfirmed(*leader, pool->logPoint()->term);
+    if (isConfirmed)
+        service.leaderChecks = 0;
     if (!isReachable || isConfirmed)
         return false;
     this->checkLeader(service, *leader);
@@ -92,25 +95,33 @@
 {
     service.leaderCheck = {};
     const bool hasCaughtUp = status && status->isPrimary && status->applied.position >= status->received.position;
-    if (hasCaughtUp)
-        service.leadership.confirm(upstream, status->applied.term);
-    if (status && !status->isPrimary)
+    // A primary that was replaced while it was cut off may still believe that it leads.
+    const bool isSuperseded = status && status->reign < service.leadership.newestReign();
+    if (hasCaughtUp && !isSuperseded)
+        service.leadership.confirm({ .upstream = upstream, .reign = status->reign, .lastEntry = status->applied.term });
+    if (status && (!status->isPrimary || isSuperseded))
         service.leadership.refute(upstream, this->loop.now());
-    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service.name }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 } });
-    service.leaderCheckTimer = this->loop.after(hasCaughtUp ? Duration::zero() : leaderCheckPause, [this, &service] {
+    if (status)
+        service.leadership.noteReign(status->reign);
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service.name }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 }, { "reign", status ? status->reign : 0 }, { "superseded", isSuperseded } });
+    // A first question that is answered with yes lets the queue go on at once; any that follows it waits.
+    const bool isSettled = hasCaughtUp && !isSuperseded && service.leaderChecks == 0;
+    const auto pause = isSettled ? Duration::zero() : retry::pauseAfter(leaderCheckPauses, service.leaderChecks);
+    ++service.leaderChecks;
+    service.leaderCheckTimer = this->loop.after(pause, [this, &service] {
         service.isChecking = false;
         this->pump(service);
     });
 }
 
-void Dispatcher::confirmLeader(std::string_view service, std::string_view upstream, group::Term term)
+void Dispatcher::confirmLeader(std::string_view service, const leadership::ConfirmedReign& confirmation)
 {
-    this->serviceOf(service).leadership.confirm(upstream, term);
+    this->serviceOf(service).leadership.confirm(confirmation);
 }
 
-bool Dispatcher::isConfirmed(std::string_view service, std::string_view upstream, group::Term term)
+bool Dispatcher::isConfirmed(std::string_view service, std::string_view upstream, group::Term lastEntry)
 {
-    return this->serviceOf(service).leadership.isConfirmed(upstream, term);
+    return this->serviceOf(service).leadership.isConfirmed(upstream, lastEntry);
 }
 
 void Dispatcher::noteProof(std::string_view service, leadership::LeaderProof proof, freshness::Micros at)
@@ -118,8 +129,9 @@
     auto& state = this->serviceOf(service);
     if (!state.leadership.isConfirmed(proof.upstream, proof.point.term))
         return;
+    if (state.leadership.prove(proof))
+        state.samples.dropBeyond(proof.point);
     state.samples.add({ .point = proof.point, .at = at });
-    state.leadership.prove(proof);
 }
 
 void Dispatcher::noteClaim(std::string_view name, std::string_view upstream, std::uint64_t version)
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/engine/session.hpp"
 
 #include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/retry/backoff.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -221,8 +222,9 @@
 /// Gives back a link whose upstream leads a term that it may not have caught up in.
 void Session::leaveUnconfirmed()
 {
+    constexpr retry::BackoffOptions pauses { .first = 5ms, .limit = 80ms };
     this->current.reset();
-    this->pauseTimer = this->context.loop.after(retryPause, [this] { this->attempt(); });
+    this->pauseTimer = this->context.loop.after(retry::pauseAfter(pauses, this->work->unconfirmed++), [this] { this->attempt(); });
 }
 
 void Session::noteProof(const Reply& reply)
--- a/src/amaranthhall/freshness/sample_window.cpp
+++ b/src/amaranthhall/freshness/sample_window.cpp
@@ -19,6 +19,11 @@
         this->samples.pop_front();
 }
 
+void SampleWindow::dropBeyond(const group::LogPoint& point)
+{
+    std::erase_if(this->samples, [&point](const Sample& sample) { return sample.point > point; });
+}
+
 std::optional<Sample> SampleWindow::newest() const noexcept
 {
     if (this->samples.empty())
--- a/src/amaranthhall/freshness/sample_window.hpp
+++ b/src/amaranthhall/freshness/sample_window.hpp
@@ -23,6 +23,9 @@
     /// @brief Takes in a sample; one that adds nothing is dropped.
     void add(const Sample& sample);
 
+    /// @brief Drops samples beyond a position, as a promotion has rolled back what they stand for.
+    void dropBeyond(const group::LogPoint& point);
+
     /// @brief Gives the newest sample.
     [[nodiscard]] std::optional<Sample> newest() const noexcept;
 
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -17,18 +17,18 @@
     using PackedAddress = std::tuple<std::string, std::uint16_t>;
     using PackedProfile = std::tuple<PackedAddress, std::string, std::int64_t>;
     using PackedVersions = std::tuple<store::Version, store::Version, store::Version>;
-    using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Position, freshness::Micros, bool>;
+    using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
-    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros, bool>;
+    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros, bool, group::Term>;
     using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
     using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
 
     PackedAddress packed(const kernel::Address& address) { return { address.host, address.port }; }
     PackedProfile packed(const VmProfile& profile) { return { packed(profile.address), profile.zone, std::lround(profile.cores * milli) }; }
     PackedVersions packed(const TableVersions& versions) { return { versions.configuration, versions.upstreams, versions.fleet }; }
-    PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.point.term, news.point.position, news.at, news.isReached }; }
+    PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.reign, news.point.term, news.point.position, news.at, news.isReached }; }
     PackedSuspicion packed(const SuspicionNews& news) { return { news.service, news.upstream, news.isRefusing }; }
-    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at, news.isLeading }; }
+    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at, news.isLeading, news.reign }; }
     PackedAge packed(const AgeNews& news) { return { news.vm, news.age.count() }; }
 
     template <typename Item>
@@ -60,8 +60,8 @@
 
     LeaderNews restore(PackedLeader&& from)
     {
-        auto& [service, upstream, term, position, at, isReached] = from;
-        return { .service = std::move(service), .upstream = std::move(upstream), .point = { .term = term, .position = position }, .at = at, .isReached = isReached };
+        auto& [service, upstream, reign, term, position, at, isReached] = from;
+        return { .service = std::move(service), .upstream = std::move(upstream), .reign = reign, .point = { .term = term, .position = position }, .at = at, .isReached = isReached };
     }
 
     SuspicionNews restore(PackedSuspicion&& from)
@@ -72,8 +72,8 @@
 
     OrderNews restore(PackedOrder&& from)
     {
-        auto& [service, candidate, fence, at, isLeading] = from;
-        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at, .isLeading = isLeading };
+        auto& [service, candidate, fence, at, isLeading, reign] = from;
+        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at, .isLeading = isLeading, .reign = reign };
     }
 
     AgeNews restore(PackedAge&& from)
--- a/src/amaranthhall/leadership/leader_record.cpp
+++ b/src/amaranthhall/leadership/leader_record.cpp
@@ -2,13 +2,17 @@
 
 namespace amaranthhall::leadership {
 
-void LeaderRecord::prove(const LeaderProof& fresh)
+bool LeaderRecord::prove(const LeaderProof& fresh)
 {
-    if (this->proof && fresh.point.term < this->proof->point.term)
-        return;
-    const bool isOlder = this->proof && fresh.point.term == this->proof->point.term && fresh.at < this->proof->at;
-    if (!isOlder)
-        this->proof = fresh;
+    if (!this->isConfirmed(fresh.upstream, fresh.point.term))
+        return false;
+    const auto reign = this->confirmation.reign;
+    const bool isNewReign = !this->proof || reign > this->proof->reign;
+    if (!isNewReign && (reign < this->proof->reign || fresh.at < this->proof->at))
+        return false;
+    this->proof = fresh;
+    this->proof->reign = reign;
+    return isNewReign;
 }
 
 void LeaderRecord::refute(std::string_view upstream, Time askedAt)
@@ -36,17 +40,21 @@
     return this->proof->upstream;
 }
 
-void LeaderRecord::confirm(std::string_view upstream, group::Term term)
+void LeaderRecord::confirm(const ConfirmedReign& fresh)
 {
-    if (term < this->confirmedTerm)
+    this->noteReign(fresh.reign);
+    if (fresh.reign < this->confirmation.reign)
         return;
-    this->confirmedUpstream = upstream;
-    this->confirmedTerm = term;
+    const bool isSame = fresh.reign == this->confirmation.reign && fresh.upstream == this->confirmation.upstream;
+    const auto lastEntry = isSame ? std::min(fresh.lastEntry, this->confirmation.lastEntry) : fresh.lastEntry;
+    this->confirmation = fresh;
+    this->confirmation.lastEntry = lastEntry;
 }
 
-bool LeaderRecord::isConfirmed(std::string_view upstream, group::Term term) const noexcept
+bool LeaderRecord::isConfirmed(std::string_view upstream, group::Term lastEntry) const noexcept
 {
-    return this->confirmedTerm == term && this->confirmedUpstream == upstream;
+    const auto& known = this->confirmation;
+    return known.upstream == upstream && known.lastEntry <= lastEntry && lastEntry <= known.reign;
 }
 
 bool LeaderRecord::isRefuted(std::string_view upstream, Time since) const noexcept
--- a/src/amaranthhall/leadership/leader_record.hpp
+++ b/src/amaranthhall/leadership/leader_record.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/time.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -18,6 +19,18 @@
     std::string upstream;
     group::LogPoint point;
     Time at; ///< When it was asked.
+    group::Term reign { 0 }; ///< Filled in by the record.
+};
+
+/**
+ * @brief An upstream that leads and shows all that it had received when it was promoted.
+ *
+ * Its log may still end in an entry of an earlier term: the first commit of a reign comes later than the promotion.
+ */
+struct ConfirmedReign {
+    std::string upstream;
+    group::Term reign { 0 };
+    group::Term lastEntry { 0 }; ///< Term of the last entry of its log.
 };
 
 /// @brief An upstream that registered itself as primary.
@@ -30,8 +43,11 @@
 /// @brief What is known of the primary of one service.
 class LeaderRecord {
 public:
-    /// @brief Takes in evidence; evidence of an older term than the newest is dropped.
-    void prove(const LeaderProof& proof);
+    /**
+     * @brief Takes in evidence of a confirmed leader; evidence of an older reign than the newest is dropped.
+     * @return True if it is the first evidence of a newer reign.
+     */
+    bool prove(const LeaderProof& proof);
 
     /// @brief Takes in that an upstream refused as one that does not lead, when asked at a moment.
     void refute(std::string_view upstream, Time askedAt);
@@ -47,11 +63,24 @@
      * @brief Takes in that a primary has applied all that it had received when it was promoted.
      *
      * Before, its reads lack commits that the earlier primary acknowledged, and its positions are no samples.
+     * Confirmations of an older reign than the newest are dropped.
      */
-    void confirm(std::string_view upstream, group::Term term);
+    void confirm(const ConfirmedReign& confirmation);
+
+    /**
+     * @brief Tells whether an upstream is known to have caught up in its reign.
+     * @param lastEntry Term of the last entry of its log, as an answer told.
+     */
+    [[nodiscard]] bool isConfirmed(std::string_view upstream, group::Term lastEntry) const noexcept;
+
+    /// @brief Gives the confirmed reign that is newest.
+    [[nodiscard]] const ConfirmedReign& confirmed() const noexcept { return this->confirmation; }
+
+    /// @brief Takes in that a reign has begun, whoever leads in it.
+    void noteReign(group::Term reign) noexcept { this->newest = std::max(this->newest, reign); }
 
-    /// @brief Tells whether an upstream is known to have caught up in a term.
-    [[nodiscard]] bool isConfirmed(std::string_view upstream, group::Term term) const noexcept;
+    /// @brief Gives the newest reign that is known to have begun; 0 if none is.
+    [[nodiscard]] group::Term newestReign() const noexcept { return this->newest; }
 
     /// @brief Gives the newest evidence.
     [[nodiscard]] const std::optional<LeaderProof>& newestProof() const noexcept { return this->proof; }
@@ -61,8 +90,8 @@
 
     std::optional<LeaderProof> proof;
     std::map<std::string, Time, std::less<>> refutedAt;
-    std::string confirmedUpstream;
-    group::Term confirmedTerm { 0 };
+    ConfirmedReign confirmation;
+    group::Term newest { 0 };
 };
 
 }
--- a/src/amaranthhall/retry/backoff.hpp
+++ b/src/amaranthhall/retry/backoff.hpp
@@ -13,14 +13,20 @@
     std::chrono::milliseconds limit { 1000 };
 };
 
+/// @brief Gives a pause that doubles with each retry, up to the limit.
+[[nodiscard]] inline std::chrono::milliseconds pauseAfter(const BackoffOptions& options, unsigned retries)
+{
+    constexpr unsigned maximumDoublings = 10;
+    return std::min(options.limit, options.first * (1U << std::min(retries, maximumDoublings)));
+}
+
 /**
  * @brief Draws the pause before an attempt: uniform up to a bound that doubles with each.
  * @param retries Number of retries before this one.
  */
 [[nodiscard]] inline std::chrono::milliseconds drawPause(const BackoffOptions& options, unsigned retries, Random& random)
 {
-    constexpr unsigned maximumDoublings = 10;
-    const auto bound = std::min(options.limit, options.first * (1U << std::min(retries, maximumDoublings)));
+    const auto bound = pauseAfter(options, retries);
     return std::chrono::milliseconds(std::uniform_int_distribution<std::chrono::milliseconds::rep>(0, bound.count())(random));
 }
 
--- a/src/amaranthhall/succession/judgement.cpp
+++ b/src/amaranthhall/succession/judgement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 
 namespace amaranthhall::succession {
@@ -69,6 +70,13 @@
     return isLongQuiet || isAgreedQuiet ? Cause::Silent : Cause::None;
 }
 
+std::vector<Heir> followersOf(group::Term reign, std::span<const Heir> heirs)
+{
+    std::vector<Heir> followers;
+    std::copy_if(heirs.begin(), heirs.end(), std::back_inserter(followers), [reign](const Heir& heir) { return heir.reign >= reign; });
+    return followers;
+}
+
 std::optional<std::string> chooseHeir(std::span<const Heir> heirs)
 {
     const auto rank = [](const Heir& heir) { return std::tuple(heir.point, heir.applied, heir.isNear); };
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/succession/succession_service.hpp"
 
 #include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
     constexpr Duration wakingTime = 600ms; // after which silence of others is no longer one's own
     constexpr Duration answerTime = 80ms; // for replicas to tell their positions
     constexpr Duration retryPause = 100ms;
+    constexpr Duration recordPause = 200ms; // between two writes of a reign into a duty's row
     constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
     constexpr Duration heirPause = 150ms; // between two questions to a candidate; a promotion takes several of them
     constexpr Duration dutyLease = 3200ms; // no other daemon takes the duty within it; over what an order needs to take effect
@@ -27,6 +29,8 @@
     constexpr Duration orderLife = 5s; // news of older orders are not told
     constexpr Duration refusalMemory = 3s;
     constexpr Duration suspicionLife = 1s; // of what a peer told
+    constexpr Duration supersededPatience = 30s; // for an upstream of the last reign to come back, before its commits are given up
+    constexpr retry::BackoffOptions fruitlessPauses { .first = 100ms, .limit = 800ms };
 
     std::string dutyKey(std::string_view service)
     {
@@ -38,11 +42,12 @@
         std::string vm;
         std::uint64_t incarnation { 0 };
         freshness::Micros takenAt { 0 }; ///< Store time.
+        group::Term reign { 0 }; ///< Newest reign of the service that is known to have begun.
     };
 
     std::string encodeHolder(const HolderRow& holder)
     {
-        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt } }.dump();
+        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt }, { "reign", holder.reign } }.dump();
     }
 
     std::optional<HolderRow> decodeHolder(const store::Row* row)
@@ -51,7 +56,7 @@
             return std::nullopt;
         try {
             const auto json = nlohmann::json::parse(row->value);
-            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>() };
+            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>(), .reign = json.value("reign", group::Term { 0 }) };
         } catch (const nlohmann::json::exception& exception) {
             logEvent(LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
             return std::nullopt;
@@ -86,6 +91,7 @@
         auto& duty = this->duties[service];
         this->watch(service, duty);
         this->askOrderedHeir(service, duty);
+        this->recordReign(service, duty);
     }
 }
 
@@ -111,6 +117,10 @@
         duty.cause = cause;
         duty.causeSince = now;
     }
+    if (cause == Cause::None) {
+        duty.supersededSince.reset();
+        duty.fruitlessAsks = 0;
+    }
     if (cause == Cause::None || !this->isTimeToAct(service, duty))
         return;
     const auto fence = this->heldFence(service);
@@ -213,10 +223,48 @@
     if (!duty.order || !status || !status->isPrimary)
         return;
     duty.order->isLeading = true;
+    duty.order->reign = status->reign;
+    this->parts.dispatcher.noteReign(service, status->reign);
     this->parts.dispatcher.noteClaim(service, duty.order->candidate, duty.order->fence);
     this->newsToTell();
 }
 
+/// Gives the newest reign that is known to have begun: here, or by who held the duty, perhaps on the other side of a partition.
+group::Term SuccessionService::newestReign(const std::string& service) const
+{
+    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    return std::max(this->parts.dispatcher.newestReign(service), holder ? holder->reign : 0);
+}
+
+/// Writes the newest reign into the row of a duty that this daemon holds, so that whoever takes it over knows of it.
+void SuccessionService::recordReign(const std::string& service, Duty& duty)
+{
+    const auto now = this->parts.loop.now();
+    const auto fence = this->heldFence(service);
+    const bool isPossible = fence && duty.stage == Stage::Watching && duty.recording == 0 && now >= duty.recordAgainAt;
+    if (!isPossible)
+        return;
+    const auto held = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const auto reign = this->parts.dispatcher.newestReign(service);
+    if (reign <= held->reign)
+        return;
+    duty.recording = reign;
+    auto changed = *held;
+    changed.reign = reign;
+    const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeHolder(changed) };
+    this->parts.store.commit({ .conditions = { { .key = put.key, .version = *fence } }, .puts = { put } }, [this, service, put, reign](store::StoreResult<store::Version> result) {
+        auto& duty = this->duties[service];
+        duty.recording = 0;
+        duty.recordAgainAt = this->parts.loop.now() + recordPause;
+        logEvent(LogLevel::Info, "succession.reign_recorded", { { "service", service }, { "reign", reign }, { "outcome", result ? "written" : store::nameOf(result.error()) } });
+        if (!result)
+            return;
+        auto row = put;
+        row.version = *result;
+        this->parts.fleet.merge({ row });
+    });
+}
+
 void SuccessionService::takeOver(const std::string& service)
 {
     auto& duty = this->duties[service];
@@ -225,7 +273,7 @@
     const auto* row = this->parts.fleet.find(key.key);
     const auto expected = row ? row->version : 0;
     const auto takenAt = this->parts.store.clock().earliest(engine::bootNow()).value_or(0);
-    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt }) };
+    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt, .reign = this->newestReign(service) }) };
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", expected } });
     this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
         auto& taken = this->duties[service];
@@ -261,8 +309,11 @@
         duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, heir](std::optional<engine::UpstreamStatus> status) {
             if (!status)
                 return;
+            logEvent(LogLevel::Info, "succession.heir_answered", { { "service", service }, { "upstream", heir.upstream }, { "primary", status->isPrimary }, { "reign", status->reign }, { "term", status->received.term }, { "position", status->received.position } });
+            this->parts.dispatcher.noteReign(service, status->reign);
             auto& heirs = this->duties[service].heirs;
             heirs.push_back(heir);
+            heirs.back().reign = status->reign;
             heirs.back().point = status->received;
             heirs.back().applied = status->applied.position;
         }));
@@ -281,8 +332,36 @@
         const auto pool = this->parts.dispatcher.pool(name);
         const bool mayLead = name != duty.suspect && !known->entry.draining;
         if (mayLead && pool && pool->logPoint() && !pool->health().failingSince)
-            duty.heirs.push_back({ .upstream = name, .point = *pool->logPoint() });
+            duty.heirs.push_back({ .upstream = name, .reign = pool->logPoint()->term, .point = *pool->logPoint() });
+    }
+}
+
+/// Gives the upstreams that may be ordered: those that have followed the last reign, as long as one of them may come back.
+std::vector<Heir> SuccessionService::eligibleHeirs(const std::string& service, Duty& duty)
+{
+    const auto now = this->parts.loop.now();
+    const auto reign = this->newestReign(service);
+    auto followers = followersOf(reign, duty.heirs);
+    if (!followers.empty() || duty.heirs.empty()) {
+        duty.supersededSince.reset();
+        return followers;
+    }
+    if (!duty.supersededSince) {
+        duty.supersededSince = now;
+        logEvent(LogLevel::Error, "succession.only_superseded", { { "service", service }, { "upstream", duty.suspect }, { "reign", reign }, { "answered", duty.heirs.size() } });
     }
+    if (now - *duty.supersededSince < supersededPatience)
+        return {};
+    logEvent(LogLevel::Error, "succession.history_given_up", { { "service", service }, { "upstream", duty.suspect }, { "reign", reign }, { "answered", duty.heirs.size() } });
+    return duty.heirs;
+}
+
+/// Waits before the upstreams are asked again, longer each time.
+void SuccessionService::onNoHeir(const std::string& service, Duty& duty)
+{
+    logEvent(LogLevel::Warning, "succession.no_heir", { { "service", service }, { "upstream", duty.suspect }, { "answered", duty.heirs.size() } });
+    duty.stage = Stage::Watching;
+    duty.pauseUntil = this->parts.loop.now() + retry::pauseAfter(fruitlessPauses, duty.fruitlessAsks++);
 }
 
 void SuccessionService::order(const std::string& service, store::Version fence)
@@ -290,13 +369,12 @@
     auto& duty = this->duties[service];
     if (duty.heirs.empty())
         this->addFallbackHeirs(service, duty);
-    const auto heir = chooseHeir(duty.heirs);
+    const auto heir = chooseHeir(this->eligibleHeirs(service, duty));
     if (!heir) {
-        logEvent(LogLevel::Warning, "succession.no_heir", { { "service", service }, { "upstream", duty.suspect } });
-        duty.stage = Stage::Watching;
-        duty.pauseUntil = this->parts.loop.now() + retryPause;
+        this->onNoHeir(service, duty);
         return;
     }
+    duty.fruitlessAsks = 0;
     duty.stage = Stage::Ordering;
     PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.vm, .fence = fence };
     logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", duty.suspect }, { "heir", *heir }, { "fence", fence }, { "asked", duty.heirs.size() }, { "cause", nameOf(duty.cause) } });
@@ -336,7 +414,7 @@
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - duty.order->at).count();
         if (const auto at = clock.earliest(engine::bootNow() - age))
-            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at, .isLeading = duty.order->isLeading });
+            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at, .isLeading = duty.order->isLeading, .reign = duty.order->reign });
     }
 }
 
@@ -347,6 +425,7 @@
     for (const auto& suspicion : digest.suspicions)
         this->peerSuspicions[{ suspicion.service, digest.vm }] = { .upstream = suspicion.upstream, .heardAt = now };
     for (const auto& told : digest.orders) {
+        this->parts.dispatcher.noteReign(told.service, told.reign);
         if (told.isLeading)
             this->parts.dispatcher.noteClaim(told.service, told.candidate, told.fence);
         auto& duty = this->duties[told.service];
@@ -356,10 +435,13 @@
         // A holder may order again under the fence that it has.
         const bool isKnown = duty.order && (duty.order->fence > told.fence || (duty.order->fence == told.fence && now - age <= duty.order->at + sameOrderSpan));
         if (isKnown) {
-            duty.order->isLeading = duty.order->isLeading || (told.isLeading && duty.order->fence == told.fence);
+            if (told.isLeading && duty.order->fence == told.fence) {
+                duty.order->isLeading = true;
+                duty.order->reign = told.reign;
+            }
             continue;
         }
-        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading };
+        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading, .reign = told.reign };
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", told.fence }, { "from", digest.vm } });
     }
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -69,6 +69,7 @@
         Time at;
         bool isOwn { false }; ///< This daemon gave it.
         bool isLeading { false }; ///< The candidate says that it leads.
+        group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
     };
 
     struct Duty {
@@ -84,6 +85,10 @@
         std::vector<engine::Dispatcher::Ticket> questions;
         std::map<std::string, Time> refusedHeirs; ///< Candidates that the platform refused, and when.
         bool needsFence { false }; ///< The fence held was refused.
+        unsigned fruitlessAsks { 0 }; ///< Times in a row that no upstream could be ordered.
+        std::optional<Time> supersededSince; ///< Since when only upstreams that missed the last reign have answered.
+        group::Term recording { 0 }; ///< Reign that is being written into the duty's row.
+        Time recordAgainAt;
         Time pauseUntil;
         kernel::Registration timer;
     };
@@ -103,6 +108,10 @@
     [[nodiscard]] std::string holderOf(const std::string& service) const;
     void askOrderedHeir(const std::string& service, Duty& duty);
     void onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
+    [[nodiscard]] group::Term newestReign(const std::string& service) const;
+    void recordReign(const std::string& service, Duty& duty);
+    [[nodiscard]] std::vector<Heir> eligibleHeirs(const std::string& service, Duty& duty);
+    void onNoHeir(const std::string& service, Duty& duty);
     void takeOver(const std::string& service);
     void askHeirs(const std::string& service, store::Version fence);
     void order(const std::string& service, store::Version fence);
--- a/test/engine/fake_links.cpp
+++ b/test/engine/fake_links.cpp
@@ -1,5 +1,6 @@
 #include "engine/fake_links.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace amaranthhall::engine::fakes {
@@ -19,7 +20,7 @@
             return reply;
         }
         if (text == "STATUS")
-            return { .rows = { upstream.isReplica ? "replica" : "primary", std::to_string(upstream.notApplied) }, .digest = "-", .state = state, .point = upstream.point };
+            return { .rows = { upstream.isReplica ? "replica" : "primary", std::to_string(upstream.notApplied), std::to_string(std::max(upstream.reign, upstream.point.term)) }, .digest = "-", .state = state, .point = upstream.point };
         return { .digest = "digest", .state = state, .point = upstream.point };
     }
 
@@ -130,6 +131,7 @@
         return std::nullopt;
     UpstreamStatus status { .isPrimary = reply.rows.front() == "primary", .received = *reply.point, .applied = *reply.point };
     status.received.position += std::stoull(reply.rows.at(1));
+    status.reign = std::stoull(reply.rows.at(2));
     return status;
 }
 
--- a/test/fleet/test_line_codec.cpp
+++ b/test/fleet/test_line_codec.cpp
@@ -122,7 +122,8 @@
 
 TEST(LineCodec, StatusRowsAreRead)
 {
-    const auto status = fleet::parseStatus("replica 3 3.1209 0 12 2 17");
+    const auto status = fleet::parseStatus("replica 4 3.1209 0 12 2 17");
+    LONGS_EQUAL(4, status->reign);
     CHECK_TRUE(status.has_value());
     CHECK_FALSE(status->isPrimary);
     CHECK(status->received == group::LogPoint({ .term = 3, .position = 1209 }));
--- a/test/freshness/test_sample_window.cpp
+++ b/test/freshness/test_sample_window.cpp
@@ -39,6 +39,14 @@
     CHECK(this->window.pointFor(0) == LogPoint({ .term = 2, .position = 95 }));
 }
 
+TEST(SampleWindow, WhatAPromotionRolledBackIsDropped)
+{
+    this->add(1, 90, 1 * second);
+    this->add(1, 100, 2 * second);
+    this->window.dropBeyond({ .term = 1, .position = 95 });
+    CHECK(this->window.newest()->point == LogPoint({ .term = 1, .position = 90 }));
+}
+
 TEST(SampleWindow, SamplesMayComeInAnyOrder)
 {
     this->add(1, 30, 3 * second);
--- a/test/leadership/test_leader_record.cpp
+++ b/test/leadership/test_leader_record.cpp
@@ -12,7 +12,13 @@
     leadership::LeaderRecord record;
     Time start { 100s };
 
-    void prove(const char* upstream, group::Term term, Duration after) { this->record.prove({ .upstream = upstream, .point = { .term = term, .position = 1 }, .at = this->start + after }); }
+    void prove(const char* upstream, group::Term reign, Duration after) { this->prove(upstream, reign, reign, after); }
+
+    void prove(const char* upstream, group::Term reign, group::Term lastEntry, Duration after)
+    {
+        this->record.confirm({ .upstream = upstream, .reign = reign, .lastEntry = lastEntry });
+        this->record.prove({ .upstream = upstream, .point = { .term = lastEntry, .position = 1 }, .at = this->start + after });
+    }
 
     [[nodiscard]] std::string leader(const std::vector<PrimaryClaim>& claims) const
     {
@@ -38,7 +44,7 @@
     CHECK_EQUAL(std::string("b"), this->leader({ { "a", 5, this->start }, { "b", 9, this->start + 2s } }));
 }
 
-TEST(LeaderRecord, EvidenceOfAnOlderTermIsDropped)
+TEST(LeaderRecord, EvidenceOfAnOlderReignIsDropped)
 {
     this->prove("b", 2, 1s);
     this->prove("a", 1, 3s);
@@ -53,3 +59,34 @@
     this->prove("a", 3, 3s);
     CHECK_EQUAL(std::string("a"), this->leader({ { "a", 5, this->start } }));
 }
+
+// A leader's log ends in an entry of an earlier term until its first commit.
+TEST(LeaderRecord, AReignIsConfirmedFromItsLastEntryOn)
+{
+    this->record.confirm({ .upstream = "b", .reign = 3, .lastEntry = 1 });
+    CHECK_TRUE(this->record.isConfirmed("b", 1));
+    CHECK_TRUE(this->record.isConfirmed("b", 3));
+    CHECK_FALSE(this->record.isConfirmed("b", 4));
+    CHECK_FALSE(this->record.isConfirmed("a", 1));
+}
+
+// Fault: an upstream that led before a promotion is promoted again, with a log that ends in its own earlier term.
+TEST(LeaderRecord, AnUpstreamThatLeadsAgainIsConfirmedThoughItsLogEndsInAnOlderTerm)
+{
+    this->prove("a", 1, 1s);
+    this->prove("b", 2, 2s);
+    CHECK_FALSE(this->record.isConfirmed("a", 1));
+    this->record.confirm({ .upstream = "a", .reign = 3, .lastEntry = 1 });
+    CHECK_TRUE(this->record.isConfirmed("a", 1));
+    CHECK_TRUE(this->record.prove({ .upstream = "a", .point = { .term = 1, .position = 5 }, .at = this->start + 3s }));
+    CHECK_EQUAL(std::string("a"), this->leader({}));
+}
+
+TEST(LeaderRecord, AnOlderReignIsNotConfirmedAnyMore)
+{
+    this->record.confirm({ .upstream = "b", .reign = 2, .lastEntry = 2 });
+    this->record.confirm({ .upstream = "a", .reign = 1, .lastEntry = 1 });
+    CHECK_TRUE(this->record.isConfirmed("b", 2));
+    CHECK_FALSE(this->record.isConfirmed("a", 1));
+    LONGS_EQUAL(2, this->record.newestReign());
+}
--- a/test/succession/test_judgement.cpp
+++ b/test/succession/test_judgement.cpp
@@ -92,6 +92,16 @@
     CHECK_FALSE(succession::chooseHeir({}).has_value());
 }
 
+// Fault: an upstream that was cut off while its successor led holds more entries than those that followed the successor.
+TEST(Judgement, AnUpstreamThatMissedTheLastReignIsNoHeir)
+{
+    const std::vector<Heir> heirs { { .upstream = "old", .reign = 1, .point = { 1, 133 } }, { .upstream = "new", .reign = 2, .point = { 1, 100 } } };
+    const auto followers = succession::followersOf(2, heirs);
+    LONGS_EQUAL(1, followers.size());
+    CHECK_EQUAL(std::string("new"), followers.front().upstream);
+    LONGS_EQUAL(2, succession::followersOf(1, heirs).size());
+}
+
 TEST(Judgement, OthersGiveTheHolderTimeAndFollowInOrder)
 {
     CHECK(succession::takeoverDelay(0, true) > succession::takeoverDelay(0, false));
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -3,6 +3,7 @@
 #include "engine/fake_links.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 using namespace amaranthhall;
@@ -22,14 +23,16 @@
 
     void read(const std::string&, const std::string&, const std::string&, RowsDone) override { }
     void follow(const std::string&, store::Version, std::chrono::milliseconds, RowsDone) override { }
-    void commit(const store::Transaction&, CommitDone done) override
+    void commit(const store::Transaction& transaction, CommitDone done) override
     {
         ++this->commits;
+        this->lastPut = transaction.puts.front();
         this->loop.post([this, done = std::move(done)] { done(++this->version); });
     }
     [[nodiscard]] const freshness::StoreClock& clock() const noexcept override { return this->storeClock; }
 
     int commits { 0 };
+    store::Row lastPut;
     store::Version version { 100 };
 
 private:
@@ -96,9 +99,9 @@
         this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, version, this->loop.now());
     }
 
-    void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age)
+    void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age, group::Term reign = 1)
     {
-        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age } };
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age }, { "reign", reign } };
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = 50 } });
     }
 
@@ -198,3 +201,60 @@
     this->service->take(digest, this->storage.clock());
     CHECK(this->dispatcher.leader("s") == std::optional<std::string>("b"));
 }
+
+// Fault, as traced on a day of partitions: on one side of a cut only the primary that was superseded answers, with more entries than
+// its successor had when it took over. The daemon that acts there knows of the successor's reign by the duty's row alone.
+TEST(SuccessionService, AnUpstreamThatMissedTheLastReignIsNotOrdered)
+{
+    this->links.upstreams["a"].isSilent = true;
+    this->links.upstreams["b"].point = { .term = 1, .position = 133 };
+    this->links.upstreams["p"].isSilent = true;
+    this->holdDuty("other", 7, longAgo, 2);
+    this->runFor(2500ms);
+    CHECK(this->promoter.orders.empty());
+    // Questions of any kind come with pauses that grow.
+    const auto& sent = this->links.upstreams["b"].sent;
+    CHECK(std::count(sent.begin(), sent.end(), "- STATUS") <= 6);
+    // One that has followed it comes back, with fewer entries.
+    this->links.upstreams["a"].isSilent = false;
+    this->links.upstreams["a"].reign = 2;
+    this->runFor(2500ms);
+    CHECK_FALSE(this->promoter.orders.empty());
+    CHECK_EQUAL(std::string("a"), this->promoter.orders[0].candidate);
+}
+
+TEST(SuccessionService, AmongThoseThatAnswerTheNewestReignCounts)
+{
+    this->links.upstreams["b"].point = { .term = 1, .position = 133 };
+    this->links.upstreams["a"].reign = 2;
+    this->holdDuty("me", 1, longAgo);
+    this->runFor(1200ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    CHECK_EQUAL(std::string("a"), this->promoter.orders[0].candidate);
+}
+
+// Who takes the duty over, on whatever side of a partition, learns of the reign from the duty's row.
+TEST(SuccessionService, TheHolderWritesTheReignOfItsCandidateIntoTheDutysRow)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->links.upstreams["a"].isReplica = true;
+    this->links.upstreams["b"].isReplica = true;
+    this->runFor(1200ms);
+    LONGS_EQUAL(0, this->storage.commits);
+    this->links.upstreams["b"].isReplica = false;
+    this->links.upstreams["b"].reign = 2;
+    this->runFor(400ms);
+    LONGS_EQUAL(1, this->storage.commits);
+    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("reign").get<int>());
+    this->runFor(600ms);
+    LONGS_EQUAL(1, this->storage.commits);
+}
+
+TEST(SuccessionService, WhoTakesTheDutyOverKeepsTheReignOfItsRow)
+{
+    this->holdDuty("other", 7, longAgo, 2);
+    this->links.upstreams["a"].reign = 2;
+    this->runFor(2000ms);
+    CHECK(this->storage.commits >= 1);
+    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("reign").get<int>());
+}
