--- a/src/amaranthhall/catalog/catalog.cpp
+++ b/src/amaranthhall/catalog/catalog.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/catalog/catalog.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -16,11 +17,52 @@
     return true;
 }
 
-void Catalog::put(UpstreamEntry entry, std::uint64_t version, Time now)
+/// Tells whether an entry is one of a copy of the store, and the upstream is known to have left or to be leaving since.
+bool Catalog::isWithdrawn(const UpstreamEntry& entry, const store::Version& version) const
+{
+    const auto found = this->known.find(entry.id);
+    if (found != this->known.end()) {
+        const auto& upstream = found->second;
+        const bool isOfCopy = version.era > upstream.version.era && upstream.entry.startedAt == entry.startedAt;
+        return isOfCopy && (upstream.missingSince || (upstream.entry.draining && !entry.draining));
+    }
+    const auto gone = this->departed.find(entry.id);
+    return gone != this->departed.end() && version.era > gone->second.era && gone->second.startedAt == entry.startedAt;
+}
+
+void Catalog::put(UpstreamEntry entry, const store::Version& version, Time now)
+{
+    const auto held = this->copied.find(entry.id);
+    const bool isSecond = held != this->copied.end() && version > held->second.version;
+    if (!isSecond && this->isWithdrawn(entry, version)) {
+        const auto id = entry.id;
+        this->copied.insert_or_assign(id, CopiedEntry { .entry = std::move(entry), .version = version, .since = now });
+        return;
+    }
+    if (isSecond)
+        this->copied.erase(held);
+    this->set(std::move(entry), version, now);
+}
+
+/// Takes in entries of a copy that have stood for long.
+void Catalog::takeStandingCopies(Time now)
+{
+    for (auto place = this->copied.begin(); place != this->copied.end();) {
+        const auto next = std::next(place);
+        if (now - place->second.since >= copyPatience) {
+            auto standing = this->copied.extract(place);
+            this->set(std::move(standing.mapped().entry), standing.mapped().version, now);
+        }
+        place = next;
+    }
+}
+
+void Catalog::set(UpstreamEntry entry, const store::Version& version, Time now)
 {
     auto& upstream = this->known[entry.id];
     if (version < upstream.version)
         return;
+    this->departed.erase(entry.id);
     const bool isNew = upstream.entry.id.empty() || upstream.entry.startedAt != entry.startedAt;
     if (isNew || upstream.entry.role != entry.role) {
         upstream.roleVersion = version;
@@ -75,18 +117,23 @@
     return { names.begin(), names.end() };
 }
 
-void Catalog::markMissing(std::string_view id, std::uint64_t version, Time now)
+void Catalog::markMissing(std::string_view id, const store::Version& version, Time since)
 {
+    const auto held = this->copied.find(id);
+    if (held != this->copied.end() && version > held->second.version)
+        this->copied.erase(held);
     const auto found = this->known.find(id);
     if (found == this->known.end() || version < found->second.version)
         return;
     found->second.version = version;
     if (!found->second.missingSince)
-        found->second.missingSince = now;
+        found->second.missingSince = since;
 }
 
 std::vector<std::string> Catalog::expire(Time now, std::optional<Time> storeSince)
 {
+    this->takeStandingCopies(now);
+    std::erase_if(this->departed, [now](const auto& item) { return now - item.second.at > departureMemory; });
     std::vector<std::string> dropped;
     if (!storeSince || now - *storeSince < missingGrace)
         return dropped;
@@ -96,6 +143,7 @@
     }
     for (const auto& id : dropped) {
         const auto found = this->known.find(id);
+        this->departed[id] = { .startedAt = found->second.entry.startedAt, .era = found->second.version.era, .at = now };
         this->unlink(found->second);
         this->known.erase(found);
     }
--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/catalog/configuration.hpp"
 #include "amaranthhall/catalog/upstream_entry.hpp"
 #include "amaranthhall/kernel/time.hpp"
+#include "amaranthhall/store/version.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -19,16 +20,27 @@
 /// @brief An upstream as the catalog knows it.
 struct KnownUpstream {
     UpstreamEntry entry;
-    std::uint64_t version { 0 }; ///< Version of the store at which the entry last changed.
-    std::uint64_t roleVersion { 0 }; ///< Version of the store at which the role last changed.
+    store::Version version; ///< Version of the store at which the entry last changed.
+    store::Version roleVersion; ///< Version of the store at which the role last changed.
     Time roleSeenAt; ///< When this daemon learned the role.
     std::optional<Time> drainingSince; ///< When this daemon learned that it leaves.
     std::optional<Time> missingSince; ///< Set while the entry is gone from the store, yet still used.
 };
 
-/// @brief The configuration in force and the registered upstreams.
+/**
+ * @brief The configuration in force and the registered upstreams.
+ *
+ * When the store comes back from a copy, an upstream that has left or is leaving may stand there as if it were not. It is not used again until its entry
+ * changes once more, or has stood for so long that the upstream must be alive.
+ */
 class Catalog {
 public:
+    /// @brief How long an entry of a copy must stand before an upstream that had left is used again; the store drops silent ones sooner.
+    static constexpr Duration copyPatience = std::chrono::seconds(5);
+
+    /// @brief How long it is remembered that an upstream has left; a copy is some seconds old.
+    static constexpr Duration departureMemory = std::chrono::seconds(60);
+
     /// @brief How long an entry that is gone from a reachable store is still used.
     static constexpr Duration missingGrace = std::chrono::milliseconds(2500);
 
@@ -45,10 +57,10 @@
      * @brief Takes in what an upstream registered.
      * @param version Version of the store at which the entry changed.
      */
-    void put(UpstreamEntry entry, std::uint64_t version, Time now);
+    void put(UpstreamEntry entry, const store::Version& version, Time now);
 
     /// @brief Takes in that an entry is gone from the store.
-    void markMissing(std::string_view id, std::uint64_t version, Time now);
+    void markMissing(std::string_view id, const store::Version& version, Time since);
 
     /**
      * @brief Drops entries that have been gone for longer than the grace.
@@ -74,12 +86,31 @@
     [[nodiscard]] std::uint64_t limitsVersion() const noexcept { return this->limitsChanges; }
 
 private:
+    /// An upstream that was dropped.
+    struct Departure {
+        std::uint64_t startedAt { 0 };
+        store::Era era { 0 };
+        Time at;
+    };
+
+    /// An entry that the store's copy brought back.
+    struct CopiedEntry {
+        UpstreamEntry entry;
+        store::Version version;
+        Time since;
+    };
+
+    [[nodiscard]] bool isWithdrawn(const UpstreamEntry& entry, const store::Version& version) const;
+    void set(UpstreamEntry entry, const store::Version& version, Time now);
+    void takeStandingCopies(Time now);
     void link(const KnownUpstream& upstream);
     void unlink(const KnownUpstream& upstream);
 
     std::shared_ptr<const Configuration> current;
     std::map<std::string, KnownUpstream, std::less<>> known;
     std::map<std::string, std::vector<const KnownUpstream*>, std::less<>> byService; ///< Into `known`.
+    std::map<std::string, Departure, std::less<>> departed; ///< By id.
+    std::map<std::string, CopiedEntry, std::less<>> copied; ///< By id.
     std::uint64_t limitsChanges { 0 };
 };
 
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -129,7 +129,7 @@
      * @brief Takes in that an upstream which was ordered to lead says that it does, while its registration may not have changed yet.
      * @param version Version of the store that was known when it was ordered.
      */
-    void noteClaim(std::string_view service, std::string_view upstream, std::uint64_t version);
+    void noteClaim(std::string_view service, std::string_view upstream, store::Version version);
 
     /// @brief Takes in that an upstream refused as one that does not lead.
     void noteNotLeader(std::string_view service, std::string_view upstream, Time askedAt);
@@ -166,7 +166,7 @@
 
     struct OrderedClaim {
         std::string upstream;
-        std::uint64_t version { 0 };
+        store::Version version;
         Time seenAt;
     };
 
--- a/src/amaranthhall/engine/dispatcher_leader.cpp
+++ b/src/amaranthhall/engine/dispatcher_leader.cpp
@@ -134,7 +134,7 @@
     state.samples.add({ .point = proof.point, .at = at });
 }
 
-void Dispatcher::noteClaim(std::string_view name, std::string_view upstream, std::uint64_t version)
+void Dispatcher::noteClaim(std::string_view name, std::string_view upstream, store::Version version)
 {
     auto& service = this->serviceOf(name);
     if (service.claim && service.claim->upstream == upstream && service.claim->version >= version)
@@ -145,7 +145,7 @@
             version = std::max(version, known->roleVersion);
     }
     service.claim = OrderedClaim { .upstream = std::string(upstream), .version = version, .seenAt = this->loop.now() };
-    telemetry::logEvent(telemetry::LogLevel::Info, "leader.claims", { { "service", name }, { "upstream", upstream }, { "version", version } });
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.claims", { { "service", name }, { "upstream", upstream }, { "version", store::formatVersion(version) } });
     this->schedulePump(service);
 }
 
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -32,6 +32,7 @@
     constexpr Duration neighbourTime = 150ms; // for neighbours to hand on what they have
     constexpr Duration neighbourSpread = 100ms; // those that were told nothing don't ask the store all at once
     constexpr Duration longestSeek = 500ms;
+    constexpr Duration registrationTime = 2500ms; // for upstreams to register again after the store came back from a copy
     constexpr std::string_view fleetTable = "amaranthhall";
     constexpr std::string_view daemonPrefix = "daemon/";
 
@@ -79,6 +80,7 @@
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
     , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
+    , storeEra(this->metrics.gauge("amaranthhall_store_era", "Times that the store came back from a copy"))
     , relayedStreams(this->metrics.gauge("amaranthhall_relayed_streams", "Statements and transactions that run here for other daemons"))
     , ticker(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
@@ -222,16 +224,18 @@
 void Gateway::onUpstreamRow(const store::Row& row)
 {
     if (row.isRemoved) {
-        logEvent(LogLevel::Info, "upstream.missing", { { "upstream", row.key.key }, { "version", row.version } });
-        this->catalog.markMissing(row.key.key, row.version, this->loop.now());
+        logEvent(LogLevel::Info, "upstream.missing", { { "upstream", row.key.key }, { "version", store::formatVersion(row.version) } });
+        // Upstreams write their entries again after the store came back from a copy.
+        const auto grace = this->upstreamWatch.isTakingNewEra() ? registrationTime : Duration::zero();
+        this->catalog.markMissing(row.key.key, row.version, this->loop.now() + grace);
         return;
     }
     auto entry = this->ports.rows.readUpstream(row.key.key, row.value);
     if (!entry) {
-        logEvent(LogLevel::Warning, "upstream.entry_skipped", { { "upstream", row.key.key }, { "version", row.version }, { "problem", entry.error() } });
+        logEvent(LogLevel::Warning, "upstream.entry_skipped", { { "upstream", row.key.key }, { "version", store::formatVersion(row.version) }, { "problem", entry.error() } });
         return;
     }
-    logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", row.version } });
+    logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", store::formatVersion(row.version) } });
     this->catalog.put(*std::move(entry), row.version, this->loop.now());
 }
 
@@ -241,12 +245,12 @@
         return;
     auto configuration = this->ports.rows.readConfiguration(row.value);
     if (!configuration) {
-        logEvent(LogLevel::Error, "configuration.skipped", { { "version", row.version }, { "problem", configuration.error() } });
+        logEvent(LogLevel::Error, "configuration.skipped", { { "version", store::formatVersion(row.version) }, { "problem", configuration.error() } });
         return;
     }
     const auto version = configuration->version;
     const auto isNewer = this->catalog.apply(*std::move(configuration));
-    logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", row.version } });
+    logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", store::formatVersion(row.version) } });
     this->gossip.tellUrgently();
 }
 
@@ -258,12 +262,16 @@
     if (vm == this->settings.vm)
         return;
     const auto profile = gossip::decodeProfile(row.value);
-    if (row.isRemoved)
+    // A daemon that the store's copy lacks is alive all the same, and registers again.
+    const bool isLostByCopy = row.isRemoved && this->fleetWatch.isTakingNewEra() && this->gossip.peers().isLive(vm, this->loop.now());
+    if (isLostByCopy)
+        logEvent(LogLevel::Info, "peer.lost_by_copy", { { "vm", vm } });
+    else if (row.isRemoved)
         this->gossip.peers().remove(vm);
     else if (profile)
         this->gossip.peers().add(vm, *profile, this->loop.now());
     else
-        logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", row.version } });
+        logEvent(LogLevel::Warning, "peer.entry_skipped", { { "vm", vm }, { "version", store::formatVersion(row.version) } });
 }
 
 void Gateway::onCatalogSettled()
@@ -287,7 +295,7 @@
         return;
     const auto& rows = this->fleetWatch.rows();
     const auto found = rows.find(this->registrationKey().key);
-    const bool isMissing = found == rows.end() && this->registeredVersion == 0;
+    const bool isMissing = found == rows.end() && this->registeredVersion == store::Version {};
     const bool isOther = found != rows.end() && (found->second.isRemoved || found->second.value != gossip::encodeProfile(this->profile()));
     if (isMissing || (isOther && found->second.version > this->registeredVersion))
         this->registerDaemon();
@@ -404,8 +412,11 @@
     if (homesChanged || fleetIsNew || !gone.empty())
         this->dispatcher.onCatalogChanged();
     const bool follows = gossip::rankFor(followTask, this->settings.vm, this->gossip.peers().live(this->loop.now())) < mostFollowers;
-    for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch })
+    for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch }) {
         watch->setFollowing(follows);
+        watch->noteEra(this->ports.store.era());
+    }
+    this->storeEra.Set(this->ports.store.era());
 }
 
 void Gateway::drain(engine::CallerServer& callers, std::function<void()> done)
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -99,6 +99,7 @@
     prometheus::Gauge& livePeers;
     prometheus::Gauge& knownUpstreams;
     prometheus::Gauge& configurationVersion;
+    prometheus::Gauge& storeEra;
     prometheus::Gauge& relayedStreams;
     kernel::Registration ticker;
     kernel::Registration seekEnd;
@@ -106,7 +107,7 @@
     kernel::Registration drainTimer;
     unsigned registrationFailures { 0 };
     bool isRegistering { false }; ///< A registration is under way or waits for its next try.
-    store::Version registeredVersion { 0 }; ///< Of this process's registration.
+    store::Version registeredVersion; ///< Of this process's registration.
     Time startedAt;
     bool knewFleet { false }; ///< At the last tick.
     Time drainingSince;
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/gossip/digest.hpp"
 
+#include "amaranthhall/gossip/packed_version.hpp"
 #include "amaranthhall/packing/packing.hpp"
 
 #include <algorithm>
@@ -16,19 +17,19 @@
 
     using PackedAddress = std::tuple<std::string, std::uint16_t>;
     using PackedProfile = std::tuple<PackedAddress, std::string, std::int64_t>;
-    using PackedVersions = std::tuple<store::Version, store::Version, store::Version>;
+    using PackedVersions = std::tuple<PackedVersion, PackedVersion, PackedVersion>;
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
-    using PackedOrder = std::tuple<std::string, std::string, store::Version, freshness::Micros, bool, group::Term>;
+    using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
     using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
     using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
 
     PackedAddress packed(const kernel::Address& address) { return { address.host, address.port }; }
     PackedProfile packed(const VmProfile& profile) { return { packed(profile.address), profile.zone, std::lround(profile.cores * milli) }; }
-    PackedVersions packed(const TableVersions& versions) { return { versions.configuration, versions.upstreams, versions.fleet }; }
+    PackedVersions packed(const TableVersions& versions) { return { packVersion(versions.configuration), packVersion(versions.upstreams), packVersion(versions.fleet) }; }
     PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.reign, news.point.term, news.point.position, news.at, news.isReached }; }
     PackedSuspicion packed(const SuspicionNews& news) { return { news.service, news.upstream, news.isRefusing }; }
-    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, news.fence, news.at, news.isLeading, news.reign }; }
+    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, packVersion(news.fence), news.at, news.isLeading, news.reign }; }
     PackedAge packed(const AgeNews& news) { return { news.vm, news.age.count() }; }
 
     template <typename Item>
@@ -55,7 +56,7 @@
     TableVersions restore(PackedVersions&& from)
     {
         const auto& [configuration, upstreams, fleet] = from;
-        return { .configuration = configuration, .upstreams = upstreams, .fleet = fleet };
+        return { .configuration = restoreVersion(configuration), .upstreams = restoreVersion(upstreams), .fleet = restoreVersion(fleet) };
     }
 
     LeaderNews restore(PackedLeader&& from)
@@ -73,7 +74,7 @@
     OrderNews restore(PackedOrder&& from)
     {
         auto& [service, candidate, fence, at, isLeading, reign] = from;
-        return { .service = std::move(service), .candidate = std::move(candidate), .fence = fence, .at = at, .isLeading = isLeading, .reign = reign };
+        return { .service = std::move(service), .candidate = std::move(candidate), .fence = restoreVersion(fence), .at = at, .isLeading = isLeading, .reign = reign };
     }
 
     AgeNews restore(PackedAge&& from)
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -36,7 +36,7 @@
 struct OrderNews {
     std::string service;
     std::string candidate;
-    store::Version fence { 0 };
+    store::Version fence;
     freshness::Micros at { 0 };
     bool isLeading { false }; ///< The candidate says that it leads.
     group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
@@ -44,9 +44,9 @@
 
 /// @brief Newest versions of the store's tables that a daemon knows.
 struct TableVersions {
-    store::Version configuration { 0 };
-    store::Version upstreams { 0 };
-    store::Version fleet { 0 };
+    store::Version configuration;
+    store::Version upstreams;
+    store::Version fleet;
 };
 
 /// @brief How long ago a daemon was heard of.
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -1,11 +1,11 @@
 #include "amaranthhall/gossip/row_exchange.hpp"
 
 #include "amaranthhall/gossip/compression.hpp"
+#include "amaranthhall/gossip/packed_version.hpp"
 #include "amaranthhall/packing/packing.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <tuple>
 #include <utility>
 
@@ -14,14 +14,14 @@
 namespace {
 
     using namespace std::chrono_literals;
-    using PackedRow = std::tuple<std::string, std::string, std::string, std::string, store::Version, bool>;
+    using PackedRow = std::tuple<std::string, std::string, std::string, std::string, PackedVersion, bool>;
 
     constexpr auto fetchTimeout = 2500ms; // a peer on a slow link may answer many at once
     constexpr std::size_t mostBytes = 16U << 20U; // of rows that a peer hands on, restored
 
     store::Version newestOf(const std::vector<store::Row>& rows)
     {
-        store::Version newest = 0;
+        store::Version newest;
         for (const auto& row : rows)
             newest = std::max(newest, row.version);
         return newest;
@@ -34,7 +34,7 @@
     std::vector<PackedRow> packed;
     packed.reserve(rows.size());
     for (const auto& row : rows)
-        packed.emplace_back(row.key.table, row.key.part, row.key.key, row.value, row.version, row.isRemoved);
+        packed.emplace_back(row.key.table, row.key.part, row.key.key, row.value, packVersion(row.version), row.isRemoved);
     return compress(packing::pack(packed));
 }
 
@@ -49,7 +49,7 @@
     std::vector<store::Row> rows;
     rows.reserve(packed->size());
     for (auto& [table, part, key, value, version, isRemoved] : *packed)
-        rows.push_back({ .key = { .table = std::move(table), .part = std::move(part), .key = std::move(key) }, .value = std::move(value), .version = version, .isRemoved = isRemoved });
+        rows.push_back({ .key = { .table = std::move(table), .part = std::move(part), .key = std::move(key) }, .value = std::move(value), .version = restoreVersion(version), .isRemoved = isRemoved });
     return rows;
 }
 
@@ -59,9 +59,7 @@
     , client(loop)
 {
     this->server.route("/rows", [this](const http::Request& request, const http::Reply& reply) {
-        const auto text = http::findQuery(request.query, "after");
-        store::Version after = 0;
-        std::from_chars(text.data(), text.data() + text.size(), after);
+        const auto after = store::parseVersion(http::findQuery(request.query, "after"));
         reply({ .body = this->encodedRows(http::findQuery(request.query, "table"), after) });
     });
 }
@@ -78,7 +76,7 @@
 
 void RowExchange::fetch(const kernel::Address& peer, const std::string& table, store::Version after, Fetched fetched)
 {
-    const http::Request request { .path = "/rows", .query = "table=" + http::encodeQuery(table) + "&after=" + std::to_string(after) };
+    const http::Request request { .path = "/rows", .query = "table=" + http::encodeQuery(table) + "&after=" + store::formatVersion(after) };
     this->client.send(peer, request, fetchTimeout, [fetched = std::move(fetched), peer](const http::HttpResult& result) {
         if (result && result->status == 200) {
             fetched(decodeRows(result->body));
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -29,8 +29,8 @@
 private:
     /// @brief The last answer about a table; after a change many peers ask for the same rows.
     struct Encoded {
-        store::Version after { 0 };
-        store::Version newest { 0 };
+        store::Version after;
+        store::Version newest;
         std::string body;
     };
 
--- a/src/amaranthhall/leadership/leader_record.hpp
+++ b/src/amaranthhall/leadership/leader_record.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/freshness/sample_window.hpp"
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/time.hpp"
+#include "amaranthhall/store/version.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -36,7 +37,7 @@
 /// @brief An upstream that registered itself as primary.
 struct PrimaryClaim {
     std::string_view upstream;
-    std::uint64_t version { 0 }; ///< Of the store, when it took the role.
+    store::Version version; ///< Of the store, when it took the role.
     Time seenAt; ///< When this daemon learned of the claim.
 };
 
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -217,7 +217,11 @@
 
 void SoakRun::injectStoreFault()
 {
-    const auto kind = this->random() % 6;
+    const auto kind = this->random() % 8;
+    if (kind >= 6) {
+        this->injectStoreCopy();
+        return;
+    }
     if (kind == 4) {
         this->record("store forgets its history");
         this->store.forgetHistory();
@@ -233,6 +237,33 @@
     this->later(std::chrono::milliseconds(500 + this->random() % 2000), [this] { this->store.setFault(StoreFault::None); });
 }
 
+/// Has the store away for a moment and back from a copy; now and then twice, with a change of configuration or beside another fault.
+void SoakRun::injectStoreCopy()
+{
+    const Duration away = std::chrono::milliseconds(200 + this->random() % 800);
+    const Duration age = std::chrono::milliseconds(500 + this->random() % 5000);
+    const Duration rewriteAfter = std::chrono::milliseconds(100 + this->random() % 1500);
+    this->record("store comes back from a copy");
+    this->store.setFault(StoreFault::Unavailable);
+    this->later(away, [this, age, rewriteAfter] {
+        this->store.restoreCopy(age, rewriteAfter);
+        this->store.setFault(StoreFault::None);
+    });
+    switch (this->random() % 4) {
+    case 0:
+        this->later(away + rewriteAfter / 2, [this, age, rewriteAfter] { this->store.restoreCopy(age / 2, rewriteAfter); });
+        return;
+    case 1:
+        this->writeConfiguration();
+        return;
+    case 2:
+        this->injectUpstreamFault();
+        return;
+    default:
+        this->injectDaemonFault();
+    }
+}
+
 void SoakRun::injectUpstreamFault()
 {
     const auto g = this->random() % this->groups.size();
@@ -391,6 +422,8 @@
     this->context.isStopping = true;
     this->waitFor(1s);
     SoakResult result { .violations = this->context.violations, .faults = this->faults, .answered = this->context.answered, .failed = this->context.failed };
+    for (const auto& broken : this->store.violations())
+        result.violations.push_back(broken);
     result.calmShare = calmAnswered + calmFailed > 0 ? calmAnswered / (calmAnswered + calmFailed) : 0;
     for (std::size_t g = 0; g < groupCount; ++g) {
         const auto service = serviceName(g);
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -64,6 +64,7 @@
     void injectFault();
     void injectDaemonFault();
     void injectStoreFault();
+    void injectStoreCopy();
     void injectUpstreamFault();
     void supersede(std::size_t g, Duration span);
     void injectNetworkFault();
--- a/src/amaranthhall/store/store.hpp
+++ b/src/amaranthhall/store/store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/freshness/store_clock.hpp"
+#include "amaranthhall/store/version.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -11,9 +12,6 @@
 
 namespace amaranthhall::store {
 
-/// @brief Number that the store raises with each transaction.
-using Version = std::uint64_t;
-
 /// @brief Names a row.
 struct RowKey {
     std::string table;
@@ -27,21 +25,21 @@
 struct Row {
     RowKey key;
     std::string value;
-    Version version { 0 };
+    Version version;
     bool isRemoved { false };
 };
 
 /// @brief Rows of a table as of a moment, or what has changed since a version.
 struct Rows {
     std::vector<Row> rows;
-    Version version { 0 }; ///< Newest version that the rows account for.
+    Version version; ///< Newest version that the rows account for.
     bool hasMore { false };
 };
 
-/// @brief A row that must still have a version; 0 means that it must not exist.
+/// @brief A row that must still have a version; the number 0 means that it must not exist.
 struct Condition {
     RowKey key;
-    Version version { 0 };
+    Version version;
 };
 
 /// @brief Changes that are all made, or none.
@@ -88,6 +86,9 @@
     /// @brief Makes changes; gives the version that they got.
     virtual void commit(const Transaction& transaction, CommitDone done) = 0;
 
+    /// @brief Gives the newest era that an answer told, successful or not.
+    [[nodiscard]] virtual Era era() const noexcept = 0;
+
     /// @brief Gives the bounds of the store's clock, as the answers told it.
     [[nodiscard]] virtual const freshness::StoreClock& clock() const noexcept = 0;
 };
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -64,13 +64,20 @@
         this->fail(result.error());
         return;
     }
+    if (result->version.era < this->settledEra) {
+        this->fail(StoreError::HistoryGone);
+        return;
+    }
     this->succeed();
     if (!this->listingVersion)
         this->listingVersion = result->version;
-    for (const auto& row : result->rows) {
-        this->listing[row.key.key] = row.version;
-        this->take(row);
+    if (result->version.era != this->listingVersion->era) {
+        this->list({});
+        return;
     }
+    for (const auto& row : result->rows)
+        this->listing[row.key.key] = row.version;
+    this->takeAll(result->rows);
     if (result->hasMore && !result->rows.empty()) {
         // The range begins with its first key, so the next page begins just after the last one.
         this->list(result->rows.back().key.key + '\0');
@@ -87,11 +94,11 @@
         if (!row.isRemoved && !this->listing.contains(key) && row.version <= *this->listingVersion)
             gone.push_back({ .key = row.key, .version = *this->listingVersion, .isRemoved = true });
     }
-    for (const auto& row : gone)
-        this->take(row);
+    this->takeAll(gone);
     this->listed = true;
     this->isCatchingUp = false;
     this->followed = *this->listingVersion;
+    this->settledEra = this->followed.era;
     this->callbacks.settled();
 }
 
@@ -102,15 +109,27 @@
     auto& place = this->known[row.key.key];
     if (row.version <= place.version)
         return;
+    const bool isSame = place.version.number > 0 && place.version.era < row.version.era && place.isRemoved == row.isRemoved && place.value == row.value;
     place = row;
     this->newest = std::max(this->newest, row.version);
-    this->callbacks.changed(row);
+    if (!isSame)
+        this->callbacks.changed(row);
+}
+
+void TableWatch::takeAll(const std::vector<Row>& rows)
+{
+    for (const auto& row : rows) {
+        this->takesNewEra = row.version.era > this->settledEra;
+        this->take(row);
+    }
+    this->takesNewEra = false;
 }
 
 void TableWatch::merge(const std::vector<Row>& rows)
 {
+    this->takeAll(rows);
     for (const auto& row : rows)
-        this->take(row);
+        this->settledEra = std::max(this->settledEra, row.version.era);
     this->callbacks.settled();
 }
 
@@ -154,9 +173,16 @@
         this->fail(result.error());
         return;
     }
+    if (result->version.era < this->followed.era) {
+        this->fail(StoreError::HistoryGone);
+        return;
+    }
     this->succeed();
-    for (const auto& row : result->rows)
-        this->take(row);
+    if (result->version.era > this->followed.era) {
+        this->listNewEra(result->version.era);
+        return;
+    }
+    this->takeAll(result->rows);
     this->followed = std::max(this->followed, result->version);
     this->isCatchingUp = false;
     if (!result->rows.empty())
@@ -167,6 +193,20 @@
         this->timer = this->loop.after(this->options.pauseAfterChange, [this] { this->follow(); });
 }
 
+/// Lists the table anew, as the store came back from a copy and what has changed since is not in its feed.
+void TableWatch::listNewEra(Era era)
+{
+    telemetry::logEvent(telemetry::LogLevel::Warning, "store.new_era", { { "table", this->options.table }, { "era", era }, { "known", formatVersion(this->newest) } });
+    this->list({});
+}
+
+void TableWatch::noteEra(Era era)
+{
+    const bool isBehind = this->isFollowing && this->listed && era > this->followed.era;
+    if (isBehind && this->failures == 0 && !this->isCatchingUp)
+        this->listNewEra(era);
+}
+
 void TableWatch::refresh()
 {
     if (this->failures == 0 && !this->isCatchingUp)
@@ -188,14 +228,18 @@
     // A large answer takes longer than the pause between two hints; asked for anew each time, it would never arrive.
     if (!isBehind || this->failures > 0 || this->isCatchingUp || this->loop.now() - this->askedAt < patience)
         return;
-    telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", this->followed }, { "newest", newestElsewhere } });
+    if (newestElsewhere.era > this->followed.era) {
+        this->listNewEra(newestElsewhere.era);
+        return;
+    }
+    telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_behind", { { "table", this->options.table }, { "version", formatVersion(this->followed) }, { "newest", formatVersion(newestElsewhere) } });
     this->askForChanges(std::chrono::milliseconds::zero());
 }
 
 void TableWatch::fail(StoreError error)
 {
     if (this->reachedAt || this->failures == 0) {
-        telemetry::logEvent(telemetry::LogLevel::Warning, "store.lost", { { "table", this->options.table }, { "error", nameOf(error) }, { "version", this->followed } });
+        telemetry::logEvent(telemetry::LogLevel::Warning, "store.lost", { { "table", this->options.table }, { "error", nameOf(error) }, { "version", formatVersion(this->followed) } });
         this->reachedAt.reset();
         this->callbacks.reached(false);
     }
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -16,6 +16,9 @@
  *
  * The rows of one part of the table are kept. After a lost history or a failure of the listing it lists anew. A row that a listing lacks, and an earlier one or
  * the feed had, is told as removed.
+ *
+ * An answer of a newer era means that the store came back from a copy: the table is listed anew, and what was known stays in use until the listing is whole.
+ * Rows that the copy has unchanged are not told again.
  */
 class TableWatch {
 public:
@@ -63,14 +66,20 @@
     /// @brief Gives all rows by key, removed ones among them.
     [[nodiscard]] const std::map<std::string, Row>& rows() const noexcept { return this->known; }
 
-    /// @brief Gives the newest version of a row that was seen; 0 before the first.
+    /// @brief Gives the newest version of a row that was seen; the lowest before the first.
     [[nodiscard]] Version newestRow() const noexcept { return this->newest; }
 
     /// @brief Tells since when the store has answered without a failure; nothing while it does not.
     [[nodiscard]] std::optional<Time> reachableSince() const noexcept { return this->reachedAt; }
 
     /// @brief Tells whether rows are known, by a listing or from other daemons.
-    [[nodiscard]] bool hasRows() const noexcept { return this->listed || this->newest > 0; }
+    [[nodiscard]] bool hasRows() const noexcept { return this->listed || this->newest > Version {}; }
+
+    /// @brief Tells whether the row that is just being told is one of a newer era than the rows known before.
+    [[nodiscard]] bool isTakingNewEra() const noexcept { return this->takesNewEra; }
+
+    /// @brief Lists the table anew if its rows are of an earlier era than the given one.
+    void noteEra(Era era);
 
     /// @brief Tells whether a listing was taken in.
     [[nodiscard]] bool isListed() const noexcept { return this->listed; }
@@ -82,7 +91,9 @@
     void askForChanges(std::chrono::milliseconds wait);
     void onChanges(const StoreResult<Rows>& result);
     void take(const Row& row);
+    void takeAll(const std::vector<Row>& rows);
     void finishListing();
+    void listNewEra(Era era);
     void fail(StoreError error);
     void succeed();
 
@@ -93,8 +104,8 @@
     Random random;
     std::map<std::string, Row> known; ///< By key; removed rows stay, so that an older copy does not bring them back.
     std::map<std::string, Version> listing; ///< Of the listing under way.
-    Version newest { 0 };
-    Version followed { 0 };
+    Version newest;
+    Version followed;
     std::optional<Version> listingVersion;
     bool isFollowing;
     bool listed { false };
@@ -102,6 +113,8 @@
     std::optional<Time> reachedAt;
     std::uint64_t round { 0 }; ///< Answers of an earlier round are dropped.
     Time askedAt;
+    Era settledEra { 0 }; ///< Of the last answer that was taken in whole.
+    bool takesNewEra { false };
     bool isCatchingUp { false }; ///< A listing, or a call for changes that exist already, is under way.
     kernel::Registration timer;
 };
--- a/src/amaranthhall/succession/promoter.hpp
+++ b/src/amaranthhall/succession/promoter.hpp
@@ -14,9 +14,20 @@
     std::string service;
     std::string candidate;
     std::string holder; ///< Name of the daemon that holds the duty.
-    store::Version fence { 0 }; ///< Orders with a lower one than the platform has seen are refused.
+    std::uint64_t fence { 0 }; ///< Orders with a lower one than the platform has seen are refused.
 };
 
+/**
+ * @brief Gives the fence of who holds a duty by a version of its row.
+ *
+ * It rises across eras and stays below 2^53, so that every JSON parser keeps it exact.
+ */
+[[nodiscard]] constexpr std::uint64_t fenceOf(const store::Version& version) noexcept
+{
+    constexpr unsigned numberBits = 40;
+    return (static_cast<std::uint64_t>(version.era) << numberBits) | version.number;
+}
+
 /// @brief How an order ended.
 enum class OrderOutcome : std::uint8_t {
     Accepted,
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -42,12 +42,13 @@
         std::string vm;
         std::uint64_t incarnation { 0 };
         freshness::Micros takenAt { 0 }; ///< Store time.
+        store::Era era { 0 }; ///< In which it was written; a copy of the store may bring it into a later one.
         group::Term reign { 0 }; ///< Newest reign of the service that is known to have begun.
     };
 
     std::string encodeHolder(const HolderRow& holder)
     {
-        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt }, { "reign", holder.reign } }.dump();
+        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt }, { "era", holder.era }, { "reign", holder.reign } }.dump();
     }
 
     std::optional<HolderRow> decodeHolder(const store::Row* row)
@@ -56,7 +57,7 @@
             return std::nullopt;
         try {
             const auto json = nlohmann::json::parse(row->value);
-            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>(), .reign = json.value("reign", group::Term { 0 }) };
+            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>(), .era = json.value("era", store::Era { 0 }), .reign = json.value("reign", group::Term { 0 }) };
         } catch (const nlohmann::json::exception& exception) {
             logEvent(LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
             return std::nullopt;
@@ -69,6 +70,7 @@
     : parts(usedParts)
     , options(std::move(usedOptions))
     , newsToTell(std::move(usedNews))
+    , startedAt(usedParts.loop.now())
     , tickedAt(usedParts.loop.now())
     , wokenAt(usedParts.loop.now())
     , ticker(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
@@ -82,6 +84,7 @@
         logEvent(LogLevel::Warning, "daemon.woken");
         this->wokenAt = now;
     }
+    this->watchEra(now);
     const auto& served = this->parts.served();
     for (auto& [service, duty] : this->duties) {
         if (!std::binary_search(served.begin(), served.end(), service))
@@ -89,12 +92,50 @@
     }
     for (const auto& service : served) {
         auto& duty = this->duties[service];
+        this->noteHolder(service, duty);
+        this->holdAgain(service, duty);
         this->watch(service, duty);
         this->askOrderedHeir(service, duty);
         this->recordReign(service, duty);
     }
 }
 
+/// Takes in that the store came back from a copy.
+void SuccessionService::watchEra(Time now)
+{
+    const auto era = std::max(this->parts.store.era(), this->parts.fleet.newestRow().era);
+    if (era == this->knownEra)
+        return;
+    this->knownEra = era;
+    this->eraSince = now;
+    logEvent(LogLevel::Warning, "succession.new_era", { { "era", era } });
+}
+
+/// Remembers who holds a duty, unless its row is of an earlier era or was brought into this one by a copy.
+void SuccessionService::noteHolder(const std::string& service, Duty& duty) const
+{
+    const auto* row = this->parts.fleet.find(dutyKey(service));
+    const auto holder = decodeHolder(row);
+    if (!holder || row->version.era != this->knownEra || holder->era != this->knownEra)
+        return;
+    const bool isOwn = holder->vm == this->options.vm && holder->incarnation == this->options.incarnation;
+    duty.holder = isOwn ? Holder::Own : Holder::Other;
+}
+
+/// Writes the row of a duty again that this daemon held when the store came back from a copy.
+void SuccessionService::holdAgain(const std::string& service, Duty& duty)
+{
+    const auto now = this->parts.loop.now();
+    const bool isIdle = duty.stage == Stage::Watching && duty.recording == 0 && now >= duty.pauseUntil;
+    if (!this->eraSince || duty.holder != Holder::Own || !isIdle || this->heldFence(service))
+        return;
+    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const bool isTakenSince = holder && holder->era == this->knownEra;
+    if (isTakenSince)
+        return;
+    this->writeHolder(service, [](const auto&) {});
+}
+
 /// Gives the other daemons of a service's group that are alive.
 std::vector<std::string> SuccessionService::liveOthers(const std::string& service) const
 {
@@ -189,7 +230,17 @@
     const auto* row = this->parts.fleet.find(dutyKey(service));
     const auto holder = decodeHolder(row);
     const bool isOwn = holder && holder->vm == this->options.vm && holder->incarnation == this->options.incarnation;
-    return isOwn ? std::optional(row->version) : std::nullopt;
+    const bool isOfEra = isOwn && holder->era == this->knownEra && row->version.era == this->knownEra;
+    return isOfEra ? std::optional(row->version) : std::nullopt;
+}
+
+/// Tells whether another daemon may have held a duty when the store came back from a copy, and not have written its row again yet.
+bool SuccessionService::mayBeHeldSinceCopy(const Duty& duty, Time now) const
+{
+    if (!this->eraSince || now - *this->eraSince >= dutyLease)
+        return false;
+    const bool isNew = *this->eraSince - this->startedAt < dutyLease;
+    return duty.holder == Holder::Other || (duty.holder == Holder::None && isNew);
 }
 
 /// Tells whether another daemon took the duty or ordered so lately that it may still be at it.
@@ -197,7 +248,10 @@
 {
     if (this->heldFence(service))
         return false;
-    if (duty.order && this->parts.loop.now() - duty.order->at < dutyLease)
+    const auto now = this->parts.loop.now();
+    if (duty.order && now - duty.order->at < dutyLease)
+        return true;
+    if (this->mayBeHeldSinceCopy(duty, now))
         return true;
     const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
     const auto latest = this->parts.store.clock().latest(engine::bootNow());
@@ -251,13 +305,13 @@
     duty.recording = reign;
     auto changed = *held;
     changed.reign = reign;
-    const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeHolder(changed) };
+    const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeHolder(changed), .version = *fence };
     this->parts.store.commit({ .conditions = { { .key = put.key, .version = *fence } }, .puts = { put } }, [this, service, put, reign](store::StoreResult<store::Version> result) {
         auto& duty = this->duties[service];
         duty.recording = 0;
         duty.recordAgainAt = this->parts.loop.now() + recordPause;
         logEvent(LogLevel::Info, "succession.reign_recorded", { { "service", service }, { "reign", reign }, { "outcome", result ? "written" : store::nameOf(result.error()) } });
-        if (!result)
+        if (!result || result->era != put.version.era)
             return;
         auto row = put;
         row.version = *result;
@@ -266,20 +320,33 @@
 }
 
 void SuccessionService::takeOver(const std::string& service)
+{
+    this->writeHolder(service, [this, service](const store::Version& fence) { this->askHeirs(service, fence); });
+}
+
+/// Names this daemon as the holder of a duty, unless its row has changed since it was known.
+void SuccessionService::writeHolder(const std::string& service, std::function<void(const store::Version& fence)> written)
 {
     auto& duty = this->duties[service];
-    duty.stage = Stage::TakingOver;
     const store::RowKey key { .table = this->options.table, .key = dutyKey(service) };
     const auto* row = this->parts.fleet.find(key.key);
-    const auto expected = row ? row->version : 0;
+    if (row && row->version.era != this->knownEra) {
+        // Its number may have been given out again to another row.
+        duty.pauseUntil = this->parts.loop.now() + retryPause;
+        return;
+    }
+    duty.stage = Stage::TakingOver;
+    const auto expected = row ? row->version : store::Version {};
     const auto takenAt = this->parts.store.clock().earliest(engine::bootNow()).value_or(0);
-    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt, .reign = this->newestReign(service) }) };
-    logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", expected } });
-    this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
+    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt, .era = this->knownEra, .reign = this->newestReign(service) }) };
+    logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
+    this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put, era = this->knownEra, written = std::move(written)](store::StoreResult<store::Version> result) {
         auto& taken = this->duties[service];
         taken.stage = Stage::Watching;
-        if (!result) {
-            logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", store::nameOf(result.error()) } });
+        // A write that was made in a later era was made under a condition that says nothing there.
+        const bool isOfOtherEra = result && result->era != era;
+        if (!result || isOfOtherEra) {
+            logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", isOfOtherEra ? "made in another era" : store::nameOf(result.error()) } });
             taken.pauseUntil = this->parts.loop.now() + retryPause;
             return;
         }
@@ -287,8 +354,8 @@
         auto row = put;
         row.version = *result;
         this->parts.fleet.merge({ row });
-        logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", *result } });
-        this->askHeirs(service, *result);
+        logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", fenceOf(*result) } });
+        written(*result);
     });
 }
 
@@ -303,7 +370,8 @@
         const auto& id = known->entry.id;
         const auto refused = duty.refusedHeirs.find(id);
         const bool wasRefused = refused != duty.refusedHeirs.end() && now - refused->second < refusalMemory;
-        if (id == duty.suspect || known->entry.draining || known->missingSince || wasRefused)
+        const bool isMissing = known->missingSince && *known->missingSince <= now;
+        if (id == duty.suspect || known->entry.draining || isMissing || wasRefused)
             continue;
         const Heir heir { .upstream = id, .isNear = known->entry.zone == this->options.zone };
         duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, heir](std::optional<engine::UpstreamStatus> status) {
@@ -367,6 +435,11 @@
 void SuccessionService::order(const std::string& service, store::Version fence)
 {
     auto& duty = this->duties[service];
+    if (fence.era != this->knownEra) {
+        logEvent(LogLevel::Warning, "succession.fence_outdated", { { "service", service }, { "fence", fenceOf(fence) } });
+        duty.stage = Stage::Watching;
+        return;
+    }
     if (duty.heirs.empty())
         this->addFallbackHeirs(service, duty);
     const auto heir = chooseHeir(this->eligibleHeirs(service, duty));
@@ -376,12 +449,12 @@
     }
     duty.fruitlessAsks = 0;
     duty.stage = Stage::Ordering;
-    PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.vm, .fence = fence };
-    logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", duty.suspect }, { "heir", *heir }, { "fence", fence }, { "asked", duty.heirs.size() }, { "cause", nameOf(duty.cause) } });
-    this->parts.promoter.promote(sent, [this, service, sent](OrderOutcome outcome) { this->onOrdered(service, sent, outcome); });
+    PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.vm, .fence = fenceOf(fence) };
+    logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", duty.suspect }, { "heir", *heir }, { "fence", sent.fence }, { "asked", duty.heirs.size() }, { "cause", nameOf(duty.cause) } });
+    this->parts.promoter.promote(sent, [this, service, sent, fence](OrderOutcome outcome) { this->onOrdered(service, sent, fence, outcome); });
 }
 
-void SuccessionService::onOrdered(const std::string& service, const PromotionOrder& sent, OrderOutcome outcome)
+void SuccessionService::onOrdered(const std::string& service, const PromotionOrder& sent, const store::Version& fence, OrderOutcome outcome)
 {
     auto& duty = this->duties[service];
     const auto now = this->parts.loop.now();
@@ -389,7 +462,7 @@
     logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", sent.candidate }, { "fence", sent.fence }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case OrderOutcome::Accepted:
-        duty.order = KnownOrder { .candidate = sent.candidate, .fence = sent.fence, .at = now, .isOwn = true };
+        duty.order = KnownOrder { .candidate = sent.candidate, .fence = fence, .at = now, .isOwn = true };
         this->newsToTell();
         return;
     case OrderOutcome::Refused:
@@ -442,7 +515,7 @@
             continue;
         }
         duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading, .reign = told.reign };
-        logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", told.fence }, { "from", digest.vm } });
+        logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", fenceOf(told.fence) }, { "from", digest.vm } });
     }
 }
 
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -23,6 +23,9 @@
  *
  * For each service one daemon holds the duty: it is named by a row of the store, and the row's version is the fence
  * of its orders. Another daemon takes the duty over by a conditional write when the holder does not act.
+ *
+ * When the store came back from a copy, the row may be an old one or be gone. A holder holds a duty in the era only in which it wrote the row: it writes it
+ * again, and gets a new fence. Others leave a duty that they saw held alone for as long as after its taking.
  */
 class SuccessionService {
 public:
@@ -65,14 +68,22 @@
 
     struct KnownOrder {
         std::string candidate;
-        store::Version fence { 0 };
+        store::Version fence;
         Time at;
         bool isOwn { false }; ///< This daemon gave it.
         bool isLeading { false }; ///< The candidate says that it leads.
         group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
     };
 
+    /// Who held a duty when its row was last known for certain.
+    enum class Holder : std::uint8_t {
+        None,
+        Own,
+        Other,
+    };
+
     struct Duty {
+        Holder holder { Holder::None }; ///< Of the era before, while a new one is taken up.
         Stage stage { Stage::Watching };
         std::optional<Suspicion> suspicion;
         std::string suspect;
@@ -100,11 +111,16 @@
 
     [[nodiscard]] std::vector<std::string> liveOthers(const std::string& service) const;
     void tick();
+    void watchEra(Time now);
+    void noteHolder(const std::string& service, Duty& duty) const;
+    void holdAgain(const std::string& service, Duty& duty);
+    void writeHolder(const std::string& service, std::function<void(const store::Version& fence)> written);
     void watch(const std::string& service, Duty& duty);
     [[nodiscard]] Situation situationOf(const std::string& service, const std::string& leader, Duty& duty) const;
     [[nodiscard]] bool isTimeToAct(const std::string& service, const Duty& duty) const;
     [[nodiscard]] std::optional<store::Version> heldFence(const std::string& service) const;
     [[nodiscard]] bool isHeldByAnother(const std::string& service, const Duty& duty) const;
+    [[nodiscard]] bool mayBeHeldSinceCopy(const Duty& duty, Time now) const;
     [[nodiscard]] std::string holderOf(const std::string& service) const;
     void askOrderedHeir(const std::string& service, Duty& duty);
     void onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
@@ -115,7 +131,7 @@
     void takeOver(const std::string& service);
     void askHeirs(const std::string& service, store::Version fence);
     void order(const std::string& service, store::Version fence);
-    void onOrdered(const std::string& service, const PromotionOrder& sent, OrderOutcome outcome);
+    void onOrdered(const std::string& service, const PromotionOrder& sent, const store::Version& fence, OrderOutcome outcome);
     void addFallbackHeirs(const std::string& service, Duty& duty) const;
 
     Parts parts;
@@ -123,8 +139,11 @@
     std::function<void()> newsToTell;
     std::map<std::string, Duty> duties;
     std::map<std::pair<std::string, std::string>, PeerSuspicion> peerSuspicions; ///< By service and VM.
+    Time startedAt;
     Time tickedAt;
     Time wokenAt;
+    store::Era knownEra { 0 };
+    std::optional<Time> eraSince; ///< When this daemon learned of the present era of the store; nothing in the first one.
     kernel::Registration ticker;
 };
 
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -106,8 +106,8 @@
     void setup() override
     {
         this->known.apply(configuration());
-        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 1, this->loop.now());
-        this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Replica, .slots = 2 }, 2, this->loop.now());
+        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, { .number = 1 }, this->loop.now());
+        this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Replica, .slots = 2 }, { .number = 2 }, this->loop.now());
         this->dispatcher = std::make_unique<engine::Dispatcher>(this->loop, this->links, this->known, engine::Dispatcher::Options { .zone = "z", .upstreamDrainLimit = 100ms, .sharers = [](auto) { return std::optional<std::size_t>(1); } });
         this->dispatcher->onCatalogChanged();
         this->context = std::make_unique<engine::SessionContext>(engine::SessionContext { .loop = this->loop, .catalog = this->known, .dispatcher = *this->dispatcher, .log = this->log, .budget = {} });
@@ -233,7 +233,7 @@
 {
     this->open("strict");
     this->links.upstreams["p"].replies["WRITE"] = { Reply { .code = ReplyCode::ReadOnly } };
-    this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 3, this->loop.now() + 1ms);
+    this->known.put({ .id = "r", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, { .number = 3 }, this->loop.now() + 1ms);
     this->runFor(2ms);
     CHECK(this->write().succeeded());
 }
@@ -359,7 +359,7 @@
     this->dispatcher->noteProof("s", { .upstream = "r", .point = { .term = 2, .position = 12 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["p"].sent.clear();
     this->links.upstreams["p"].reign = 3;
-    this->dispatcher->noteClaim("s", "p", 50);
+    this->dispatcher->noteClaim("s", "p", { .number = 50 });
     this->runFor(20ms);
     CHECK(this->write().succeeded());
     CHECK(this->read().succeeded());
@@ -387,7 +387,7 @@
 TEST(EngineSession, ALeavingLeaderServesUntilTheLimitAndNoLonger)
 {
     this->open("strict");
-    this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .draining = true, .slots = 2 }, 4, this->loop.now());
+    this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .draining = true, .slots = 2 }, { .number = 4 }, this->loop.now());
     CHECK(this->write().succeeded());
     this->runFor(120ms);
     CHECK_FALSE(this->write().succeeded());
--- a/test/gossip/test_row_exchange.cpp
+++ b/test/gossip/test_row_exchange.cpp
@@ -26,7 +26,7 @@
 
 store::Row configurationRow(std::size_t routes)
 {
-    return { .key = { .table = "op", .key = "config" }, .value = manyRoutes(routes), .version = 9 };
+    return { .key = { .table = "op", .key = "config" }, .value = manyRoutes(routes), .version = { .era = 1, .number = 9 } };
 }
 
 }
@@ -49,13 +49,13 @@
 
 TEST(RowExchange, RowsArriveAsTheyWere)
 {
-    const std::vector<store::Row> sent { configurationRow(3), { .key = { .table = "op", .part = "p", .key = "gone" }, .version = 4, .isRemoved = true } };
+    const std::vector<store::Row> sent { configurationRow(3), { .key = { .table = "op", .part = "p", .key = "gone" }, .version = { .number = 4 }, .isRemoved = true } };
     const auto got = gossip::decodeRows(gossip::encodeRows(sent));
     CHECK_TRUE(got.has_value());
     LONGS_EQUAL(2, got->size());
     CHECK(got->at(0).key == sent[0].key);
     CHECK_EQUAL(sent[0].value, got->at(0).value);
-    LONGS_EQUAL(9, got->at(0).version);
+    CHECK(got->at(0).version == sent[0].version);
     CHECK_TRUE(got->at(1).isRemoved);
 }
 
@@ -90,7 +90,7 @@
         return table == "op" && after < rows[0].version ? rows : std::vector<store::Row>();
     });
     gossip::RowExchange client(this->loop, { .host = "127.0.0.1", .port = 0 }, [](const auto&, auto) { return std::vector<store::Row>(); });
-    const auto fetch = [&](store::Version after) {
+    const auto fetch = [&](const store::Version& after) {
         std::vector<store::Row> fetched;
         bool isOver = false;
         client.fetch({ .host = "127.0.0.1", .port = server.port() }, "op", after, [&](const auto& got) {
@@ -101,9 +101,11 @@
         this->runUntil(isOver);
         return fetched;
     };
-    LONGS_EQUAL(9, fetch(3).at(0).version);
-    LONGS_EQUAL(0, fetch(9).size());
+    LONGS_EQUAL(9, fetch({ .era = 1, .number = 3 }).at(0).version.number);
+    // A higher number of an earlier era is older.
+    LONGS_EQUAL(1, fetch({ .number = 40 }).size());
+    LONGS_EQUAL(0, fetch({ .era = 1, .number = 9 }).size());
     // The rows have changed since the first answer.
-    rows[0].version = 12;
-    LONGS_EQUAL(12, fetch(3).at(0).version);
+    rows[0].version.number = 12;
+    LONGS_EQUAL(12, fetch({ .era = 1, .number = 3 }).at(0).version.number);
 }
--- a/test/leadership/test_leader_record.cpp
+++ b/test/leadership/test_leader_record.cpp
@@ -29,35 +29,35 @@
 TEST(LeaderRecord, WithoutEvidenceTheNewestClaimCounts)
 {
     CHECK_EQUAL(std::string("none"), this->leader({}));
-    CHECK_EQUAL(std::string("b"), this->leader({ { "a", 5, this->start }, { "b", 9, this->start } }));
+    CHECK_EQUAL(std::string("b"), this->leader({ { "a", { .number = 5 }, this->start }, { "b", { .number = 9 }, this->start } }));
 }
 
 TEST(LeaderRecord, EvidenceGoesBeforeAnOlderClaim)
 {
     this->prove("b", 2, 1s);
-    CHECK_EQUAL(std::string("b"), this->leader({ { "a", 5, this->start } }));
+    CHECK_EQUAL(std::string("b"), this->leader({ { "a", { .number = 5 }, this->start } }));
 }
 
 TEST(LeaderRecord, AClaimAfterTheEvidenceTellsOfAPromotion)
 {
     this->prove("a", 1, 1s);
-    CHECK_EQUAL(std::string("b"), this->leader({ { "a", 5, this->start }, { "b", 9, this->start + 2s } }));
+    CHECK_EQUAL(std::string("b"), this->leader({ { "a", { .number = 5 }, this->start }, { "b", { .number = 9 }, this->start + 2s } }));
 }
 
 TEST(LeaderRecord, EvidenceOfAnOlderReignIsDropped)
 {
     this->prove("b", 2, 1s);
     this->prove("a", 1, 3s);
-    CHECK_EQUAL(std::string("b"), this->leader({ { "a", 5, this->start } }));
+    CHECK_EQUAL(std::string("b"), this->leader({ { "a", { .number = 5 }, this->start } }));
 }
 
 TEST(LeaderRecord, OneThatRefusedIsNoLeaderUntilNewEvidence)
 {
     this->prove("a", 1, 1s);
     this->record.refute("a", this->start + 2s);
-    CHECK_EQUAL(std::string("none"), this->leader({ { "a", 5, this->start } }));
+    CHECK_EQUAL(std::string("none"), this->leader({ { "a", { .number = 5 }, this->start } }));
     this->prove("a", 3, 3s);
-    CHECK_EQUAL(std::string("a"), this->leader({ { "a", 5, this->start } }));
+    CHECK_EQUAL(std::string("a"), this->leader({ { "a", { .number = 5 }, this->start } }));
 }
 
 // A leader's log ends in an entry of an earlier term until its first commit.
--- a/test/relay/test_home_router.cpp
+++ b/test/relay/test_home_router.cpp
@@ -20,7 +20,7 @@
         this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 36 } }, { "t", { .name = "t", .maximumConnections = 36 } } } });
         // Enough services that this daemon is a home of some.
         for (int number = 0; number < 40; ++number)
-            this->known.put({ .id = "i" + std::to_string(number), .service = "s" + std::to_string(number) }, 1, this->loop.now());
+            this->known.put({ .id = "i" + std::to_string(number), .service = "s" + std::to_string(number) }, { .number = 1 }, this->loop.now());
         for (int number = 0; number < 60; ++number)
             this->hear("vm" + std::to_string(number), number);
     }
@@ -38,9 +38,9 @@
     CHECK_TRUE(this->router.refresh());
     for (int number = 0; number < 60; ++number)
         this->hear("vm" + std::to_string(number), number);
-    this->known.put({ .id = "u", .service = "new" }, 1, this->loop.now());
+    this->known.put({ .id = "u", .service = "new" }, { .number = 1 }, this->loop.now());
     CHECK_TRUE(this->router.refresh());
-    this->known.put({ .id = "u", .service = "new", .draining = true }, 2, this->loop.now());
+    this->known.put({ .id = "u", .service = "new", .draining = true }, { .number = 2 }, this->loop.now());
     CHECK_FALSE(this->router.refresh());
     this->hear("new", 60);
     CHECK_TRUE(this->router.refresh());
@@ -97,7 +97,7 @@
     catalog::Catalog large;
     gossip::PeerBook fleet;
     for (int number = 0; number < 1200; ++number)
-        large.put({ .id = "i" + std::to_string(number), .service = "s" + std::to_string(number) }, 1, this->loop.now());
+        large.put({ .id = "i" + std::to_string(number), .service = "s" + std::to_string(number) }, { .number = 1 }, this->loop.now());
     const auto add = [&](int number) {
         fleet.noteHeard("vm" + std::to_string(number), { .address = { .host = "10.0.0.1", .port = 1 }, .zone = "z" + std::to_string(number % 5) }, this->loop.now());
     };
--- a/test/relay/test_relay.cpp
+++ b/test/relay/test_relay.cpp
@@ -25,7 +25,7 @@
     void setup() override
     {
         this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
-        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 1, this->loop.now());
+        this->known.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, { .number = 1 }, this->loop.now());
         this->dispatcher.onCatalogChanged();
     }
 
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -28,6 +28,7 @@
         this->pending.push_back(std::move(done));
     }
     void commit(const store::Transaction&, CommitDone) override { }
+    [[nodiscard]] store::Era era() const noexcept override { return this->newestEra; }
     [[nodiscard]] const freshness::StoreClock& clock() const noexcept override { return this->storeClock; }
 
     void answer(store::StoreResult<Rows> result)
@@ -39,7 +40,8 @@
 
     std::deque<RowsDone> pending;
     std::string lastFrom;
-    store::Version lastAfter { 0 };
+    store::Version lastAfter;
+    store::Era newestEra { 0 };
     std::chrono::milliseconds lastWait { 0 };
     int reads { 0 };
     int follows { 0 };
@@ -48,9 +50,9 @@
     freshness::StoreClock storeClock;
 };
 
-Row row(const char* key, store::Version version, bool isRemoved = false)
+Row row(const char* key, std::uint64_t number, bool isRemoved = false)
 {
-    return { .key = { .table = "t", .key = key }, .value = "v" + std::to_string(version), .version = version, .isRemoved = isRemoved };
+    return { .key = { .table = "t", .key = key }, .value = "v" + std::to_string(number), .version = { .number = number }, .isRemoved = isRemoved };
 }
 
 }
@@ -61,7 +63,7 @@
     WaitingStore storage;
     std::vector<std::string> events;
     store::TableWatch watch { this->loop, this->storage, { .table = "t" }, {
-                                                                               .changed = [this](const Row& changed) { this->events.push_back((changed.isRemoved ? "-" : "+") + changed.key.key + "@" + std::to_string(changed.version)); },
+                                                                               .changed = [this](const Row& changed) { this->events.push_back((changed.isRemoved ? "-" : "+") + changed.key.key + "@" + std::to_string(changed.version.number)); },
                                                                                .settled = [] {},
                                                                                .reached = [this](bool isReachable) { this->events.emplace_back(isReachable ? "reached" : "lost"); },
                                                                            } };
@@ -72,10 +74,10 @@
         this->loop.run();
     }
 
-    void list(std::vector<Row> rows, store::Version version)
+    void list(std::vector<Row> rows, std::uint64_t number)
     {
         this->watch.start();
-        this->storage.answer(Rows { .rows = std::move(rows), .version = version });
+        this->storage.answer(Rows { .rows = std::move(rows), .version = { .number = number } });
         this->events.clear();
     }
 };
@@ -83,20 +85,20 @@
 TEST(TableWatch, AListingComesPageByPage)
 {
     this->watch.start();
-    this->storage.answer(Rows { .rows = { row("a", 1) }, .version = 5, .hasMore = true });
+    this->storage.answer(Rows { .rows = { row("a", 1) }, .version = { .number = 5 }, .hasMore = true });
     CHECK_EQUAL(std::string("a\0", 2), this->storage.lastFrom);
-    this->storage.answer(Rows { .rows = { row("b", 2) }, .version = 6 });
+    this->storage.answer(Rows { .rows = { row("b", 2) }, .version = { .number = 6 } });
     CHECK(this->events == std::vector<std::string>({ "reached", "+a@1", "+b@2" }));
     // Changes since the first page are asked for again.
-    LONGS_EQUAL(5, this->storage.lastAfter);
+    LONGS_EQUAL(5, this->storage.lastAfter.number);
 }
 
 TEST(TableWatch, ChangesFollowAndOldCopiesAreDropped)
 {
     this->list({ row("a", 4) }, 5);
-    this->storage.answer(Rows { .rows = { row("a", 3), row("b", 7) }, .version = 7 });
+    this->storage.answer(Rows { .rows = { row("a", 3), row("b", 7) }, .version = { .number = 7 } });
     CHECK(this->events == std::vector<std::string>({ "+b@7" }));
-    LONGS_EQUAL(7, this->storage.lastAfter);
+    LONGS_EQUAL(7, this->storage.lastAfter.number);
 }
 
 TEST(TableWatch, ALostHistoryIsListedAnewAndShowsWhatIsGone)
@@ -105,7 +107,7 @@
     this->storage.answer(tl::unexpected(StoreError::HistoryGone));
     this->runFor(300ms);
     LONGS_EQUAL(2, this->storage.reads);
-    this->storage.answer(Rows { .rows = { row("b", 2) }, .version = 9 });
+    this->storage.answer(Rows { .rows = { row("b", 2) }, .version = { .number = 9 } });
     CHECK(this->events == std::vector<std::string>({ "lost", "reached", "-a@9" }));
 }
 
@@ -114,7 +116,7 @@
     this->list({ row("a", 8) }, 9);
     this->storage.answer(tl::unexpected(StoreError::HistoryGone));
     this->runFor(300ms);
-    this->storage.answer(Rows { .rows = { row("a", 2) }, .version = 3 });
+    this->storage.answer(Rows { .rows = { row("a", 2) }, .version = { .number = 3 } });
     CHECK(this->events == std::vector<std::string>({ "lost", "reached" }));
 }
 
@@ -125,15 +127,15 @@
     this->runFor(300ms);
     LONGS_EQUAL(1, this->storage.reads);
     LONGS_EQUAL(2, this->storage.follows);
-    LONGS_EQUAL(5, this->storage.lastAfter);
+    LONGS_EQUAL(5, this->storage.lastAfter.number);
 }
 
 TEST(TableWatch, RowsOfAPeerAreTakenInAndHandedOn)
 {
     this->watch.merge({ row("a", 3), row("b", 4, true) });
     CHECK(this->events == std::vector<std::string>({ "+a@3", "-b@4" }));
-    LONGS_EQUAL(4, this->watch.newestRow());
-    LONGS_EQUAL(1, this->watch.rowsAfter(3).size());
+    LONGS_EQUAL(4, this->watch.newestRow().number);
+    LONGS_EQUAL(1, this->watch.rowsAfter({ .number = 3 }).size());
     this->watch.merge({ row("b", 2) });
     CHECK(this->watch.find("b") == nullptr);
 }
@@ -141,12 +143,12 @@
 TEST(TableWatch, AHintOfANewerVersionAsksAnewOnceTheFeedIsLate)
 {
     this->list({ row("a", 1) }, 5);
-    this->watch.hint(6);
+    this->watch.hint({ .number = 6 });
     LONGS_EQUAL(1, this->storage.follows);
     this->runFor(350ms);
-    this->watch.hint(6);
+    this->watch.hint({ .number = 6 });
     LONGS_EQUAL(2, this->storage.follows);
-    this->watch.hint(5);
+    this->watch.hint({ .number = 5 });
     LONGS_EQUAL(2, this->storage.follows);
 }
 
@@ -154,17 +156,17 @@
 {
     this->list({ row("a", 1) }, 5);
     this->runFor(350ms);
-    this->watch.hint(6);
+    this->watch.hint({ .number = 6 });
     LONGS_EQUAL(2, this->storage.follows);
     LONGS_EQUAL(0, this->storage.lastWait.count());
     this->runFor(700ms);
-    this->watch.hint(6);
+    this->watch.hint({ .number = 6 });
     LONGS_EQUAL(2, this->storage.follows);
     this->storage.pending.pop_front();
-    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = { .number = 6 } });
     CHECK(this->events == std::vector<std::string>({ "+a@6" }));
     this->runFor(350ms);
-    this->watch.hint(7);
+    this->watch.hint({ .number = 7 });
     LONGS_EQUAL(4, this->storage.follows);
 }
 
@@ -176,7 +178,7 @@
     this->watch.refresh();
     LONGS_EQUAL(2, this->storage.reads);
     this->storage.pending.pop_front();
-    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = { .number = 6 } });
     this->watch.refresh();
     LONGS_EQUAL(3, this->storage.reads);
 }
@@ -185,14 +187,14 @@
 {
     store::TableWatch slow(this->loop, this->storage, { .table = "t", .pauseAfterChange = 50ms }, { .changed = [](const Row&) {}, .settled = [] {}, .reached = [](bool) {} });
     slow.start();
-    this->storage.answer(Rows { .rows = {}, .version = 5 });
-    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = 6 });
+    this->storage.answer(Rows { .rows = {}, .version = { .number = 5 } });
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = { .number = 6 } });
     LONGS_EQUAL(1, this->storage.follows);
-    slow.hint(7);
+    slow.hint({ .number = 7 });
     LONGS_EQUAL(1, this->storage.follows);
     this->runFor(100ms);
     LONGS_EQUAL(2, this->storage.follows);
-    LONGS_EQUAL(6, this->storage.lastAfter);
+    LONGS_EQUAL(6, this->storage.lastAfter.number);
 }
 
 // Load: a fleet that starts all at once; few daemons ask the store, and hand on what they are told.
@@ -216,6 +218,82 @@
     patient.start();
     this->runFor(40ms);
     LONGS_EQUAL(1, this->storage.reads);
-    this->storage.answer(Rows { .rows = { row("a", 3) }, .version = 3 });
+    this->storage.answer(Rows { .rows = { row("a", 3) }, .version = { .number = 3 } });
     LONGS_EQUAL(0, this->storage.follows);
 }
+
+// The store came back from a copy: numbers go back and are given out again, in a new era.
+TEST_GROUP_BASE(TableWatchOfACopy, TEST_GROUP_CppUTestGroupTableWatch)
+{
+    static Row ofCopy(const char* key, std::uint64_t number, const char* value)
+    {
+        return { .key = { .table = "t", .key = key }, .value = value, .version = { .era = 1, .number = number } };
+    }
+
+    static Rows answerOfCopy(std::vector<Row> rows, std::uint64_t number)
+    {
+        return { .rows = std::move(rows), .version = { .era = 1, .number = number } };
+    }
+};
+
+TEST(TableWatchOfACopy, TheTableIsListedAnewAndLowerNumbersAreTaken)
+{
+    this->list({ row("a", 40), row("b", 20), row("c", 41) }, 42);
+    // What the feed tells is not enough: numbers were given out again.
+    this->storage.answer(answerOfCopy({ ofCopy("d", 43, "new") }, 43));
+    LONGS_EQUAL(2, this->storage.reads);
+    CHECK(this->watch.find("a") != nullptr);
+    this->storage.answer(answerOfCopy({ ofCopy("a", 30, "older"), ofCopy("b", 20, "v20"), ofCopy("d", 43, "new") }, 43));
+    // A row that is as before is not told again; one that the copy lacks is gone.
+    CHECK(this->events == std::vector<std::string>({ "+a@30", "+d@43", "-c@43" }));
+    LONGS_EQUAL(43, this->storage.lastAfter.number);
+    LONGS_EQUAL(1, this->storage.lastAfter.era);
+    CHECK(this->watch.newestRow() == store::Version({ .era = 1, .number = 43 }));
+}
+
+TEST(TableWatchOfACopy, ALateAnswerOfTheEarlierEraIsDropped)
+{
+    this->list({ row("a", 40) }, 42);
+    this->storage.answer(answerOfCopy({}, 30));
+    this->storage.answer(answerOfCopy({ ofCopy("a", 30, "older") }, 30));
+    this->events.clear();
+    this->storage.answer(Rows { .rows = { row("a", 50) }, .version = { .number = 50 } });
+    CHECK(this->events == std::vector<std::string>({ "lost" }));
+    CHECK_EQUAL(std::string("older"), this->watch.find("a")->value);
+}
+
+TEST(TableWatchOfACopy, PagesOfTwoErasAreNotMixed)
+{
+    this->watch.start();
+    this->storage.answer(Rows { .rows = { row("a", 40) }, .version = { .number = 42 }, .hasMore = true });
+    this->storage.answer(answerOfCopy({ ofCopy("b", 20, "b") }, 30));
+    LONGS_EQUAL(3, this->storage.reads);
+    CHECK_EQUAL(std::string(), this->storage.lastFrom);
+}
+
+TEST(TableWatchOfACopy, ADaemonThatMeetsOnlyPeersTakesTheirNewerEra)
+{
+    this->watch.merge({ row("a", 40) });
+    this->events.clear();
+    this->watch.merge({ ofCopy("a", 12, "older") });
+    CHECK(this->events == std::vector<std::string>({ "+a@12" }));
+    // Another one that has not noticed yet hands on the rows of before.
+    this->watch.merge({ row("a", 41) });
+    CHECK_EQUAL(std::string("older"), this->watch.find("a")->value);
+    LONGS_EQUAL(0, this->watch.rowsAfter({ .era = 1, .number = 12 }).size());
+    LONGS_EQUAL(1, this->watch.rowsAfter({ .number = 99 }).size());
+}
+
+TEST(TableWatchOfACopy, AHintOfANewerEraListsAnew)
+{
+    this->list({ row("a", 40) }, 42);
+    this->runFor(350ms);
+    this->watch.hint({ .era = 1, .number = 12 });
+    LONGS_EQUAL(2, this->storage.reads);
+    this->storage.pending.pop_front();
+    this->storage.answer(answerOfCopy({ ofCopy("a", 12, "older") }, 12));
+    this->watch.noteEra(1);
+    LONGS_EQUAL(2, this->storage.reads);
+    this->watch.noteEra(2);
+    LONGS_EQUAL(2, this->storage.reads - 1);
+}
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -27,13 +27,18 @@
     {
         ++this->commits;
         this->lastPut = transaction.puts.front();
-        this->loop.post([this, done = std::move(done)] { done(++this->version); });
+        this->lastCondition = transaction.conditions.front().version;
+        const store::Version made { .era = this->newestEra, .number = ++this->version };
+        this->loop.post([made, done = std::move(done)] { done(made); });
     }
+    [[nodiscard]] store::Era era() const noexcept override { return this->newestEra; }
     [[nodiscard]] const freshness::StoreClock& clock() const noexcept override { return this->storeClock; }
 
     int commits { 0 };
     store::Row lastPut;
-    store::Version version { 100 };
+    store::Version lastCondition;
+    store::Era newestEra { 0 };
+    std::uint64_t version { 100 };
 
 private:
     kernel::Loop& loop;
@@ -94,21 +99,21 @@
         this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .vm = "me", .zone = "z", .incarnation = 1, .table = "t" }, [] {});
     }
 
-    void put(const char* id, catalog::Role role, bool draining, std::uint64_t version)
+    void put(const char* id, catalog::Role role, bool draining, std::uint64_t number)
     {
-        this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, version, this->loop.now());
+        this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, { .number = number }, this->loop.now());
     }
 
     void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age, group::Term reign = 1)
     {
         const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age }, { "reign", reign } };
-        this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = 50 } });
+        this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .number = 50 } } });
     }
 
     void hearOrder(freshness::Micros age) const
     {
         gossip::Digest digest { .vm = "other" };
-        digest.orders.push_back({ .service = "s", .candidate = "b", .fence = 50, .at = engine::bootNow() - age });
+        digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = engine::bootNow() - age });
         this->service->take(digest, this->storage.clock());
     }
 
@@ -190,14 +195,14 @@
     this->service->fill(digest, this->storage.clock());
     CHECK_TRUE(digest.orders.at(0).isLeading);
     // A registration that came later counts more.
-    this->known.put({ .id = "a", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, 200, this->loop.now());
+    this->known.put({ .id = "a", .service = "s", .role = catalog::Role::Primary, .slots = 2 }, { .number = 200 }, this->loop.now());
     CHECK(this->dispatcher.leader("s") == std::optional<std::string>("a"));
 }
 
 TEST(SuccessionService, ADaemonThatIsToldOfALeadingCandidateUsesIt)
 {
     gossip::Digest digest { .vm = "other" };
-    digest.orders.push_back({ .service = "s", .candidate = "b", .fence = 50, .at = engine::bootNow(), .isLeading = true });
+    digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = engine::bootNow(), .isLeading = true });
     this->service->take(digest, this->storage.clock());
     CHECK(this->dispatcher.leader("s") == std::optional<std::string>("b"));
 }
@@ -258,3 +263,92 @@
     CHECK(this->storage.commits >= 1);
     LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("reign").get<int>());
 }
+
+// The store comes back from a copy: its rows may be old, its numbers are given out again.
+TEST_GROUP_BASE(SuccessionOverACopy, TEST_GROUP_CppUTestGroupSuccessionService)
+{
+    void takeRowOfCopy(const char* vm, std::uint64_t incarnation, std::uint64_t number, store::Era writtenIn)
+    {
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - longAgo }, { "era", writtenIn }, { "reign", 1 } };
+        this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .era = this->storage.newestEra, .number = number } } });
+    }
+
+    /// The primary answers, so that nobody has a reason to act.
+    void keepPrimary()
+    {
+        this->dispatcher.confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+        this->proofs = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, engine::bootNow()); });
+    }
+
+    kernel::Registration proofs;
+};
+
+TEST(SuccessionOverACopy, AFenceRisesAcrossEras)
+{
+    CHECK(succession::fenceOf({ .era = 1, .number = 3 }) > succession::fenceOf({ .number = 1'000'000'000 }));
+    CHECK(succession::fenceOf({ .era = 8000, .number = 1 }) < (std::uint64_t { 1 } << 53U));
+}
+
+TEST(SuccessionOverACopy, AHolderWritesItsRowAgainAndOrdersUnderANewFence)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->runFor(100ms);
+    this->storage.newestEra = 1;
+    this->storage.version = 30;
+    this->takeRowOfCopy("me", 1, 30, 0);
+    this->runFor(300ms);
+    LONGS_EQUAL(1, this->storage.commits);
+    CHECK(this->storage.lastCondition == store::Version({ .era = 1, .number = 30 }));
+    this->runFor(1500ms);
+    LONGS_EQUAL(1, this->promoter.orders.size());
+    LONGS_EQUAL(succession::fenceOf({ .era = 1, .number = 31 }), this->promoter.orders[0].fence);
+}
+
+TEST(SuccessionOverACopy, ADutyThatWasSeenHeldIsLeftAloneThoughTheCopyNamesAnOlderHolder)
+{
+    this->holdDuty("other", 7, longAgo);
+    this->runFor(100ms);
+    this->storage.newestEra = 1;
+    // As the copy has it, this daemon is the holder.
+    this->takeRowOfCopy("me", 1, 30, 0);
+    this->runFor(2500ms);
+    CHECK(this->promoter.orders.empty());
+    LONGS_EQUAL(0, this->storage.commits);
+    this->runFor(2000ms);
+    CHECK_FALSE(this->promoter.orders.empty());
+    CHECK(this->promoter.orders[0].fence >= succession::fenceOf({ .era = 1, .number = 1 }));
+}
+
+TEST(SuccessionOverACopy, NoRowIsWrittenUnderAConditionOfTheEarlierEra)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->keepPrimary();
+    this->runFor(100ms);
+    // The daemon learns of the era before it has listed the table anew.
+    this->storage.newestEra = 1;
+    this->runFor(500ms);
+    LONGS_EQUAL(0, this->storage.commits);
+    this->takeRowOfCopy("me", 1, 30, 0);
+    this->runFor(300ms);
+    LONGS_EQUAL(1, this->storage.commits);
+}
+
+TEST(SuccessionOverACopy, ADaemonThatIsCutOffFromTheStoreDoesNotOrderUnderAFenceOfTheEarlierEra)
+{
+    this->holdDuty("me", 1, longAgo);
+    this->runFor(100ms);
+    // It hears of the new era by the rows of a peer only.
+    this->fleet.merge({ { .key = { .table = "t", .key = "daemon/other" }, .value = "x", .version = { .era = 1, .number = 12 } } });
+    this->runFor(2000ms);
+    CHECK(this->promoter.orders.empty());
+}
+
+TEST(SuccessionOverACopy, AWriteThatWasUnderWayDuringTheReturnCountsAsNotMade)
+{
+    this->holdDuty("other", 7, longAgo);
+    const auto drill = this->loop.every(5ms, [this] { this->storage.newestEra = this->storage.commits > 0 ? 1 : 0; });
+    this->storage.newestEra = 0;
+    this->runFor(1500ms);
+    for (const auto& order : this->promoter.orders)
+        CHECK(order.fence >= succession::fenceOf({ .era = 1 }));
+}
