--- a/src/amaranthhall/relay/relay_client.cpp
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/kernel/byte_stream.hpp"
 #include "amaranthhall/relay/frame.hpp"
+#include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -16,11 +17,18 @@
     using engine::RelayedReply;
 
     constexpr Duration connectTimeout = 300ms; // within a zone or between two it takes about 2 ms
-    constexpr Duration avoidance = 1s; // after a failure or a stall
+    constexpr retry::BackoffOptions avoidances { .first = 1s, .limit = 4s }; // after stalls in a row
+    constexpr retry::BackoffOptions reconnectPauses { .first = 200ms, .limit = 1s };
+    constexpr Duration wantedSpan = 10s; // a daemon that nobody looked for within it is not connected to again
 
 }
 
-/// @brief The connection to one daemon.
+/**
+ * @brief The connection to one daemon.
+ *
+ * A way that failed, or on which a daemon that owes answers fell silent, is tried again by a connection of its own, so that no caller's statement has to
+ * find out whether it is back. Until then the daemon is avoided.
+ */
 class RelayConnection : public std::enable_shared_from_this<RelayConnection> {
 public:
     RelayConnection(kernel::Loop& usedLoop, std::string usedVm, kernel::Address usedAddress)
@@ -32,6 +40,7 @@
 
     [[nodiscard]] std::uint64_t begin()
     {
+        this->wantedAt = this->loop.now();
         this->connect();
         return ++this->lastStream;
     }
@@ -50,11 +59,16 @@
         this->waiting.erase(stream);
         if (this->stream || this->isConnecting)
             this->write(EndFrame { .stream = stream });
+        if (this->isStalled && this->waiting.empty())
+            this->giveUpStalled();
     }
 
     void noteStall()
     {
-        this->avoidUntil = this->loop.now() + avoidance;
+        if (std::exchange(this->isStalled, true))
+            return;
+        this->avoidUntil = this->loop.now() + retry::pauseAfter(avoidances, this->stalls);
+        ++this->stalls;
     }
 
     [[nodiscard]] Duration silence(Time now) const noexcept
@@ -67,16 +81,43 @@
 
     /// @brief Gives the statements and transactions that have not ended, such as rest between two statements among them.
     [[nodiscard]] std::size_t outstanding() const noexcept { return this->streams; }
-    [[nodiscard]] bool isAvoided(Time now) const noexcept { return this->avoidUntil > now; }
+
+    /// @brief Tells whether the way to the daemon is not known to work; takes in that somebody looks for it.
+    [[nodiscard]] bool isAvoided(Time now) noexcept
+    {
+        this->wantedAt = now;
+        return this->isDown || this->isStalled || this->avoidUntil > now;
+    }
 
     std::string vm;
     kernel::Address address;
 
 private:
+    /// Closes a connection on which nothing is expected any more, on a later turn, as a stream of it may be calling.
+    void giveUpStalled()
+    {
+        this->loop.post([living = this->weak_from_this()] {
+            const auto self = living.lock();
+            if (self && self->isStalled && self->waiting.empty())
+                self->fail();
+        });
+    }
+
+    void reconnectLater()
+    {
+        this->reconnect = this->loop.after(retry::pauseAfter(reconnectPauses, this->reconnects++), [this] {
+            if (this->loop.now() - this->wantedAt < wantedSpan)
+                this->connect();
+            else
+                this->isDown = false;
+        });
+    }
+
     void connect()
     {
         if (this->stream || this->isConnecting)
             return;
+        this->reconnect.reset();
         this->socket = kernel::connectTo(this->address);
         this->isConnecting = true;
         this->pending.clear();
@@ -96,6 +137,8 @@
         }
         this->timer.reset();
         this->isConnecting = false;
+        this->isDown = false;
+        this->reconnects = 0;
         kernel::ByteStream::Callbacks callbacks {
             .received = [this](auto bytes) { this->receive(bytes); },
             .closed = [this, living = this->weak_from_this(), number = ++this->connectionNumber] {
@@ -119,6 +162,8 @@
     void receive(std::string_view bytes)
     {
         this->heardAt = this->loop.now();
+        this->isStalled = false;
+        this->stalls = 0;
         this->reader.append(bytes);
         const auto self = this->shared_from_this();
         while (auto frame = this->reader.next()) {
@@ -140,7 +185,8 @@
     {
         telemetry::logEvent(telemetry::LogLevel::Info, "relay.lost", { { "vm", this->vm }, { "outstanding", this->waiting.size() } });
         ++this->connectionNumber;
-        this->noteStall();
+        this->isStalled = false;
+        this->isDown = true;
         this->timer.reset();
         this->watch.reset();
         this->socket.close();
@@ -150,12 +196,14 @@
         const auto self = this->shared_from_this();
         for (auto& [number, done] : std::exchange(this->waiting, {}))
             done(RelayedReply { .reply = { .lost = true } });
+        this->reconnectLater();
     }
 
     kernel::Loop& loop;
     kernel::Socket socket;
     kernel::Registration watch;
     kernel::Registration timer;
+    kernel::Registration reconnect;
     std::unique_ptr<kernel::ByteStream> stream;
     std::string pending; ///< Frames that wait for the connection.
     FrameReader reader;
@@ -165,7 +213,12 @@
     std::uint64_t connectionNumber { 0 };
     Time heardAt;
     Time avoidUntil;
+    Time wantedAt;
+    unsigned stalls { 0 }; ///< Since the daemon was last heard.
+    unsigned reconnects { 0 }; ///< Since a connection was last made.
     bool isConnecting { false };
+    bool isDown { false }; ///< The last connection failed.
+    bool isStalled { false }; ///< It owes answers and has fallen silent.
 };
 
 namespace {
@@ -226,7 +279,7 @@
     return found == this->connections.end() ? 0 : found->second->outstanding();
 }
 
-bool RelayClient::isAvoided(const std::string& vm, Time now) const noexcept
+bool RelayClient::isAvoided(const std::string& vm, Time now) noexcept
 {
     const auto found = this->connections.find(vm);
     return found != this->connections.end() && found->second->isAvoided(now);
--- a/src/amaranthhall/relay/relay_client.hpp
+++ b/src/amaranthhall/relay/relay_client.hpp
@@ -26,8 +26,8 @@
     /// @brief Gives the number of statements and open transactions of this daemon that another one runs.
     [[nodiscard]] std::size_t outstanding(const std::string& vm) const noexcept;
 
-    /// @brief Tells whether a daemon has failed or fallen silent lately.
-    [[nodiscard]] bool isAvoided(const std::string& vm, Time now) const noexcept;
+    /// @brief Tells whether a daemon has failed or fallen silent lately, and is not known to be back.
+    [[nodiscard]] bool isAvoided(const std::string& vm, Time now) noexcept;
 
 private:
     kernel::Loop& loop;
--- a/test/relay/test_relay.cpp
+++ b/test/relay/test_relay.cpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/relay/relay_client.hpp"
 #include "amaranthhall/relay/relay_server.hpp"
 #include "engine/fake_links.hpp"
+#include "amaranthhall/kernel/socket.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -73,3 +74,39 @@
     stream.reset();
     LONGS_EQUAL(0, this->client.outstanding("home"));
 }
+
+// Load: homes behind a partition. A caller's statement that had to find out whether one is back would wait for nothing.
+TEST(Relay, AWayThatFailedIsTriedAgainWithoutAStatement)
+{
+    auto listener = kernel::listenOn({ .host = "127.0.0.1" });
+    const kernel::Address away { .host = "127.0.0.1", .port = kernel::boundPort(listener) };
+    listener.close();
+    bool isLost = false;
+    auto stream = this->client.open("home", away);
+    stream->send(write(), [&](const engine::RelayedReply& reply) { isLost = reply.reply.lost; });
+    this->runFor(1300ms);
+    CHECK_TRUE(isLost);
+    CHECK_TRUE(this->client.isAvoided("home", this->loop.now()));
+    const auto back = kernel::listenOn(away);
+    this->runFor(1300ms);
+    CHECK_FALSE(this->client.isAvoided("home", this->loop.now()));
+}
+
+// Fault: a home that is frozen or cut off after its connection was made.
+TEST(Relay, AHomeThatFellSilentIsConnectedToAnew)
+{
+    const auto listener = kernel::listenOn({ .host = "127.0.0.1" });
+    auto stream = this->client.open("home", { .host = "127.0.0.1", .port = kernel::boundPort(listener) });
+    stream->send(write(), [](const auto&) {});
+    this->runFor(20ms);
+    const auto first = kernel::acceptFrom(listener);
+    stream->noteStall();
+    stream.reset();
+    CHECK_TRUE(this->client.isAvoided("home", this->loop.now()));
+    this->runFor(500ms);
+    CHECK_TRUE(static_cast<bool>(kernel::acceptFrom(listener)));
+    // The way is open, and yet the home has not been heard: it is left alone for longer after each such silence.
+    CHECK_TRUE(this->client.isAvoided("home", this->loop.now()));
+    this->runFor(600ms);
+    CHECK_FALSE(this->client.isAvoided("home", this->loop.now()));
+}
