A number of a relay frame that names no value breaks its connection, not the daemon

Change: the decoder refuses such a frame, and its connection ends. Test: RelayFrame ANumberThatNamesNothingBreaksTheConnectionOnly, seen to fail before.

--- a/src/amaranthhall/relay/frame.cpp
+++ b/src/amaranthhall/relay/frame.cpp
@@ -38,6 +38,13 @@
         return static_cast<std::uint8_t>(value);
     }
 
+    /// Tells whether a number names one of an enumeration's values, by its last one.
+    template <typename Enum>
+    bool isOneOf(std::uint8_t value, Enum last) noexcept
+    {
+        return value <= number(last);
+    }
+
     Point packPoint(const std::optional<group::LogPoint>& point)
     {
         return point ? Point({ point->term, point->position }) : std::nullopt;
@@ -106,6 +113,8 @@
             return std::nullopt;
         auto& [stream, request, route, settings, prepared, lastCommit, timeLeft] = *packed;
         auto& [id, kind, text, name, value, writes] = request;
+        if (!isOneOf(kind, engine::RequestKind::Malformed) || !isOneOf(std::get<2>(route), catalog::Consistency::ReadYourWrites))
+            return std::nullopt;
         StatementFrame frame { .stream = stream };
         frame.request.request = { .id = std::move(id), .kind = static_cast<engine::RequestKind>(kind), .text = std::move(text), .name = std::move(name), .value = std::move(value), .writes = writes };
         frame.request.route = restoreRoute(std::move(route));
@@ -124,6 +133,8 @@
             return std::nullopt;
         auto& [stream, reply, lastCommit] = *packed;
         auto& [rows, digest, code, detail, state, isLocal] = reply;
+        if (!isOneOf(code, engine::ReplyCode::Other) || !isOneOf(state, engine::TransactionState::Failed))
+            return std::nullopt;
         AnswerFrame frame { .stream = stream };
         frame.reply.reply = { .rows = std::move(rows), .digest = std::move(digest), .code = static_cast<engine::ReplyCode>(code), .detail = std::move(detail), .state = static_cast<engine::TransactionState>(state), .isLocal = isLocal };
         frame.reply.lastCommit = restorePoint(lastCommit);
--- a/test/relay/test_frame.cpp
+++ b/test/relay/test_frame.cpp
@@ -67,3 +67,36 @@
     CHECK_FALSE(this->reader.next().has_value());
     CHECK_TRUE(this->reader.isBroken());
 }
+
+namespace {
+
+/// Puts a number in place of a one-byte one of a frame's body.
+std::string withNumber(std::string bytes, unsigned char from, unsigned char to)
+{
+    const auto place = bytes.rfind(static_cast<char>(from));
+    CHECK(place != std::string::npos);
+    bytes[place] = static_cast<char>(to);
+    return bytes;
+}
+
+}
+
+// One malformed message must not take the daemon down: numbers stand for places in tables.
+TEST(RelayFrame, ANumberThatNamesNothingBreaksTheConnectionOnly)
+{
+    relay::AnswerFrame answer { .stream = 3 };
+    answer.reply.reply = { .code = engine::ReplyCode::TooLarge };
+    std::string bytes;
+    relay::appendFrame(bytes, answer);
+    this->reader.append(withNumber(bytes, static_cast<unsigned char>(engine::ReplyCode::TooLarge), 99));
+    CHECK_FALSE(this->reader.next().has_value());
+    CHECK_TRUE(this->reader.isBroken());
+    relay::StatementFrame statement { .stream = 9 };
+    statement.request.request.kind = engine::RequestKind::Malformed;
+    bytes.clear();
+    relay::appendFrame(bytes, statement);
+    relay::FrameReader second;
+    second.append(withNumber(bytes, static_cast<unsigned char>(engine::RequestKind::Malformed), 77));
+    CHECK_FALSE(second.next().has_value());
+    CHECK_TRUE(second.isBroken());
+}
