--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -164,9 +164,8 @@
 succession::SuccessionService::Options Gateway::successionOptions() const
 {
     return {
-        .vm = this->settings.vm,
+        .self = { .vm = this->settings.vm, .incarnation = drawNumber() },
         .zone = this->settings.zone,
-        .incarnation = drawNumber(),
         .table = std::string(fleetTable),
     };
 }
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -5,7 +5,6 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace amaranthhall::succession {
@@ -24,7 +23,6 @@
     constexpr Duration recordPause = 200ms; // between two writes of a reign into a duty's row
     constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
     constexpr Duration heirPause = 150ms; // between two questions to a candidate; a promotion takes several of them
-    constexpr Duration dutyLease = 3200ms; // no other daemon takes the duty within it; over what an order needs to take effect
     constexpr Duration sameOrderSpan = 500ms; // news of one order differ by the bounds of the store's clock
     constexpr Duration orderLife = 5s; // news of older orders are not told
     constexpr Duration refusalMemory = 3s;
@@ -32,47 +30,15 @@
     constexpr Duration supersededPatience = 30s; // for an upstream of the last reign to come back, before its commits are given up
     constexpr retry::BackoffOptions fruitlessPauses { .first = 100ms, .limit = 800ms };
 
-    std::string dutyKey(std::string_view service)
-    {
-        return "duty/" + std::string(service);
-    }
-
-    /// Who holds a duty, as its row tells.
-    struct HolderRow {
-        std::string vm;
-        std::uint64_t incarnation { 0 };
-        freshness::Micros takenAt { 0 }; ///< Store time.
-        store::Era era { 0 }; ///< In which it was written; a copy of the store may bring it into a later one.
-        group::Term reign { 0 }; ///< Newest reign of the service that is known to have begun.
-    };
-
-    std::string encodeHolder(const HolderRow& holder)
-    {
-        return nlohmann::json { { "holder", holder.vm }, { "incarnation", holder.incarnation }, { "taken_at", holder.takenAt }, { "era", holder.era }, { "reign", holder.reign } }.dump();
-    }
-
-    std::optional<HolderRow> decodeHolder(const store::Row* row)
-    {
-        if (!row)
-            return std::nullopt;
-        try {
-            const auto json = nlohmann::json::parse(row->value);
-            return HolderRow { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>(), .takenAt = json.at("taken_at").get<freshness::Micros>(), .era = json.value("era", store::Era { 0 }), .reign = json.value("reign", group::Term { 0 }) };
-        } catch (const nlohmann::json::exception& exception) {
-            logEvent(LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
-            return std::nullopt;
-        }
-    }
-
 }
 
 SuccessionService::SuccessionService(Parts usedParts, Options usedOptions, std::function<void()> usedNews)
     : parts(usedParts)
     , options(std::move(usedOptions))
     , newsToTell(std::move(usedNews))
-    , startedAt(usedParts.loop.now())
     , tickedAt(usedParts.loop.now())
     , wokenAt(usedParts.loop.now())
+    , eraNews { .startedAt = usedParts.loop.now() }
     , ticker(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
 {
 }
@@ -107,19 +73,15 @@
     if (era == this->knownEra)
         return;
     this->knownEra = era;
-    this->eraSince = now;
+    this->eraNews.since = now;
     logEvent(LogLevel::Warning, "succession.new_era", { { "era", era } });
 }
 
-/// Remembers who holds a duty, unless its row is of an earlier era or was brought into this one by a copy.
+/// Remembers who holds a duty, unless its row does not tell.
 void SuccessionService::noteHolder(const std::string& service, Duty& duty) const
 {
     const auto* row = this->parts.fleet.find(dutyKey(service));
-    const auto holder = decodeHolder(row);
-    if (!holder || row->version.era != this->knownEra || holder->era != this->knownEra)
-        return;
-    const bool isOwn = holder->vm == this->options.vm && holder->incarnation == this->options.incarnation;
-    duty.holder = isOwn ? Holder::Own : Holder::Other;
+    duty.holder = holderOf(row, this->options.self, this->knownEra).value_or(duty.holder);
 }
 
 /// Writes the row of a duty again that this daemon held when the store came back from a copy.
@@ -127,13 +89,8 @@
 {
     const auto now = this->parts.loop.now();
     const bool isIdle = duty.stage == Stage::Watching && duty.recording == 0 && now >= duty.pauseUntil;
-    if (!this->eraSince || duty.holder != Holder::Own || !isIdle || this->heldFence(service))
-        return;
-    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
-    const bool isTakenSince = holder && holder->era == this->knownEra;
-    if (isTakenSince)
-        return;
-    this->writeHolder(service, [](const auto&) {});
+    if (this->eraNews.since && duty.holder == Holder::Own && isIdle && !this->heldFence(service))
+        this->writeHolder(service, [](const auto&) {});
 }
 
 /// Gives the other daemons of a service's group that are alive.
@@ -141,7 +98,7 @@
 {
     const auto now = this->parts.loop.now();
     auto others = this->parts.group(service);
-    std::erase_if(others, [&](const auto& vm) { return vm == this->options.vm || !this->parts.peers.isLive(vm, now); });
+    std::erase_if(others, [&](const auto& vm) { return vm == this->options.self.vm || !this->parts.peers.isLive(vm, now); });
     return others;
 }
 
@@ -212,35 +169,22 @@
         return false;
     if (this->isHeldByAnother(service, duty))
         return false;
-    const auto holder = this->holderOf(service);
-    if (holder == this->options.vm)
+    const auto holder = this->holderName(service);
+    if (holder == this->options.self.vm)
         return true;
-    const auto rank = gossip::rankFor(dutyKey(service), this->options.vm, this->liveOthers(service));
+    const auto rank = gossip::rankFor(dutyKey(service), this->options.self.vm, this->liveOthers(service));
     return now - duty.causeSince >= takeoverDelay(rank, this->parts.peers.isLive(holder, now));
 }
 
-std::string SuccessionService::holderOf(const std::string& service) const
+std::string SuccessionService::holderName(const std::string& service) const
 {
-    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
-    return holder ? holder->vm : std::string();
+    const auto duty = decodeDuty(this->parts.fleet.find(dutyKey(service)));
+    return duty ? duty->holder.vm : std::string();
 }
 
 std::optional<store::Version> SuccessionService::heldFence(const std::string& service) const
 {
-    const auto* row = this->parts.fleet.find(dutyKey(service));
-    const auto holder = decodeHolder(row);
-    const bool isOwn = holder && holder->vm == this->options.vm && holder->incarnation == this->options.incarnation;
-    const bool isOfEra = isOwn && holder->era == this->knownEra && row->version.era == this->knownEra;
-    return isOfEra ? std::optional(row->version) : std::nullopt;
-}
-
-/// Tells whether another daemon may have held a duty when the store came back from a copy, and not have written its row again yet.
-bool SuccessionService::mayBeHeldSinceCopy(const Duty& duty, Time now) const
-{
-    if (!this->eraSince || now - *this->eraSince >= dutyLease)
-        return false;
-    const bool isNew = *this->eraSince - this->startedAt < dutyLease;
-    return duty.holder == Holder::Other || (duty.holder == Holder::None && isNew);
+    return heldVersion(this->parts.fleet.find(dutyKey(service)), this->options.self, this->knownEra);
 }
 
 /// Tells whether another daemon took the duty or ordered so lately that it may still be at it.
@@ -251,9 +195,9 @@
     const auto now = this->parts.loop.now();
     if (duty.order && now - duty.order->at < dutyLease)
         return true;
-    if (this->mayBeHeldSinceCopy(duty, now))
+    if (mayBeHeldSinceCopy(this->eraNews, duty.holder, now))
         return true;
-    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const auto holder = decodeDuty(this->parts.fleet.find(dutyKey(service)));
     const auto latest = this->parts.store.clock().latest(engine::bootNow());
     if (!holder || !latest)
         return false;
@@ -286,7 +230,7 @@
 /// Gives the newest reign that is known to have begun: here, or by who held the duty, perhaps on the other side of a partition.
 group::Term SuccessionService::newestReign(const std::string& service) const
 {
-    const auto holder = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const auto holder = decodeDuty(this->parts.fleet.find(dutyKey(service)));
     return std::max(this->parts.dispatcher.newestReign(service), holder ? holder->reign : 0);
 }
 
@@ -298,14 +242,14 @@
     const bool isPossible = fence && duty.stage == Stage::Watching && duty.recording == 0 && now >= duty.recordAgainAt;
     if (!isPossible)
         return;
-    const auto held = decodeHolder(this->parts.fleet.find(dutyKey(service)));
+    const auto held = decodeDuty(this->parts.fleet.find(dutyKey(service)));
     const auto reign = this->parts.dispatcher.newestReign(service);
     if (reign <= held->reign)
         return;
     duty.recording = reign;
     auto changed = *held;
     changed.reign = reign;
-    const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeHolder(changed), .version = *fence };
+    const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeDuty(changed), .version = *fence };
     this->parts.store.commit({ .conditions = { { .key = put.key, .version = *fence } }, .puts = { put } }, [this, service, put, reign](store::StoreResult<store::Version> result) {
         auto& duty = this->duties[service];
         duty.recording = 0;
@@ -330,15 +274,14 @@
     auto& duty = this->duties[service];
     const store::RowKey key { .table = this->options.table, .key = dutyKey(service) };
     const auto* row = this->parts.fleet.find(key.key);
-    if (row && row->version.era != this->knownEra) {
-        // Its number may have been given out again to another row.
+    if (!isConditionCertain(row, this->knownEra)) {
         duty.pauseUntil = this->parts.loop.now() + retryPause;
         return;
     }
     duty.stage = Stage::TakingOver;
     const auto expected = row ? row->version : store::Version {};
     const auto takenAt = this->parts.store.clock().earliest(engine::bootNow()).value_or(0);
-    store::Row put { .key = key, .value = encodeHolder({ .vm = this->options.vm, .incarnation = this->options.incarnation, .takenAt = takenAt, .era = this->knownEra, .reign = this->newestReign(service) }) };
+    store::Row put { .key = key, .value = encodeDuty({ .holder = this->options.self, .takenAt = takenAt, .era = this->knownEra, .reign = this->newestReign(service) }) };
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
     this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put, era = this->knownEra, written = std::move(written)](store::StoreResult<store::Version> result) {
         auto& taken = this->duties[service];
@@ -425,7 +368,7 @@
 }
 
 /// Waits before the upstreams are asked again, longer each time.
-void SuccessionService::onNoHeir(const std::string& service, Duty& duty)
+void SuccessionService::onNoHeir(const std::string& service, Duty& duty) const
 {
     logEvent(LogLevel::Warning, "succession.no_heir", { { "service", service }, { "upstream", duty.suspect }, { "answered", duty.heirs.size() } });
     duty.stage = Stage::Watching;
@@ -449,7 +392,7 @@
     }
     duty.fruitlessAsks = 0;
     duty.stage = Stage::Ordering;
-    PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.vm, .fence = fenceOf(fence) };
+    PromotionOrder sent { .service = service, .candidate = *heir, .holder = this->options.self.vm, .fence = fenceOf(fence) };
     logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", duty.suspect }, { "heir", *heir }, { "fence", sent.fence }, { "asked", duty.heirs.size() }, { "cause", nameOf(duty.cause) } });
     this->parts.promoter.promote(sent, [this, service, sent, fence](OrderOutcome outcome) { this->onOrdered(service, sent, fence, outcome); });
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -7,6 +7,7 @@
 #include "amaranthhall/gossip/peer_book.hpp"
 #include "amaranthhall/store/store.hpp"
 #include "amaranthhall/store/table_watch.hpp"
+#include "amaranthhall/succession/duty.hpp"
 #include "amaranthhall/succession/judgement.hpp"
 #include "amaranthhall/succession/promoter.hpp"
 
@@ -44,9 +45,8 @@
 
     /// @brief How a service is built.
     struct Options {
-        std::string vm;
+        DaemonIdentity self;
         std::string zone;
-        std::uint64_t incarnation { 0 }; ///< Tells a restart under the same name.
         std::string table; ///< Of the rows of the duties.
     };
 
@@ -75,13 +75,6 @@
         group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
     };
 
-    /// Who held a duty when its row was last known for certain.
-    enum class Holder : std::uint8_t {
-        None,
-        Own,
-        Other,
-    };
-
     struct Duty {
         Holder holder { Holder::None }; ///< Of the era before, while a new one is taken up.
         Stage stage { Stage::Watching };
@@ -120,14 +113,13 @@
     [[nodiscard]] bool isTimeToAct(const std::string& service, const Duty& duty) const;
     [[nodiscard]] std::optional<store::Version> heldFence(const std::string& service) const;
     [[nodiscard]] bool isHeldByAnother(const std::string& service, const Duty& duty) const;
-    [[nodiscard]] bool mayBeHeldSinceCopy(const Duty& duty, Time now) const;
-    [[nodiscard]] std::string holderOf(const std::string& service) const;
+    [[nodiscard]] std::string holderName(const std::string& service) const;
     void askOrderedHeir(const std::string& service, Duty& duty);
     void onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
     [[nodiscard]] group::Term newestReign(const std::string& service) const;
     void recordReign(const std::string& service, Duty& duty);
     [[nodiscard]] std::vector<Heir> eligibleHeirs(const std::string& service, Duty& duty);
-    void onNoHeir(const std::string& service, Duty& duty);
+    void onNoHeir(const std::string& service, Duty& duty) const;
     void takeOver(const std::string& service);
     void askHeirs(const std::string& service, store::Version fence);
     void order(const std::string& service, store::Version fence);
@@ -139,11 +131,10 @@
     std::function<void()> newsToTell;
     std::map<std::string, Duty> duties;
     std::map<std::pair<std::string, std::string>, PeerSuspicion> peerSuspicions; ///< By service and VM.
-    Time startedAt;
     Time tickedAt;
     Time wokenAt;
     store::Era knownEra { 0 };
-    std::optional<Time> eraSince; ///< When this daemon learned of the present era of the store; nothing in the first one.
+    EraNews eraNews;
     kernel::Registration ticker;
 };
 
--- a/test/catalog/test_catalog.cpp
+++ b/test/catalog/test_catalog.cpp
@@ -102,13 +102,12 @@
 }
 
 // The store came back from a copy: its numbers start anew, in a new era.
-TEST_GROUP_BASE(CatalogOfACopy, TEST_GROUP_CppUTestGroupCatalog)
-{
-    void putOfCopy(std::uint64_t number, bool draining = false, std::uint64_t startedAt = 0)
-    {
+TEST_GROUP_BASE(CatalogOfACopy, TEST_GROUP_CppUTestGroupCatalog) {
+    void putOfCopy(std::uint64_t number, bool draining = false, std::uint64_t startedAt = 0) {
         this->known.put({ .id = "a", .service = "s", .draining = draining, .startedAt = startedAt }, { .era = 1, .number = number }, this->now);
-    }
-};
+}
+}
+;
 
 TEST(CatalogOfACopy, ALowerNumberOfANewerEraCounts)
 {
--- a/test/gossip/test_fleet_model.cpp
+++ b/test/gossip/test_fleet_model.cpp
@@ -67,7 +67,7 @@
 
     void tell(std::size_t self)
     {
-        gossip::Digest digest { .vm = nameOf(self), .profile = profileOf(self), .versions = { .configuration = 70'000, .upstreams = 70'001, .fleet = 70'002 } };
+        gossip::Digest digest { .vm = nameOf(self), .profile = profileOf(self), .versions = { .configuration = { .number = 70'000 }, .upstreams = { .number = 70'001 }, .fleet = { .number = 70'002 } } };
         const auto count = std::clamp<std::size_t>(this->books[self].size() / 4, 16, 64);
         for (const auto& [vm, age] : this->books[self].drawAges(count, this->now, this->random))
             digest.ages.push_back({ .vm = vm, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
--- a/test/relay/test_relay.cpp
+++ b/test/relay/test_relay.cpp
@@ -1,9 +1,9 @@
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/kernel/socket.hpp"
 #include "amaranthhall/relay/relay_client.hpp"
 #include "amaranthhall/relay/relay_server.hpp"
 #include "engine/fake_links.hpp"
-#include "amaranthhall/kernel/socket.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -223,18 +223,17 @@
 }
 
 // The store came back from a copy: numbers go back and are given out again, in a new era.
-TEST_GROUP_BASE(TableWatchOfACopy, TEST_GROUP_CppUTestGroupTableWatch)
-{
-    static Row ofCopy(const char* key, std::uint64_t number, const char* value)
-    {
+TEST_GROUP_BASE(TableWatchOfACopy, TEST_GROUP_CppUTestGroupTableWatch) {
+    static Row ofCopy(const char* key, std::uint64_t number, const char* value) {
         return { .key = { .table = "t", .key = key }, .value = value, .version = { .era = 1, .number = number } };
-    }
+}
 
-    static Rows answerOfCopy(std::vector<Row> rows, std::uint64_t number)
-    {
-        return { .rows = std::move(rows), .version = { .era = 1, .number = number } };
-    }
-};
+static Rows answerOfCopy(std::vector<Row> rows, std::uint64_t number)
+{
+    return { .rows = std::move(rows), .version = { .era = 1, .number = number } };
+}
+}
+;
 
 TEST(TableWatchOfACopy, TheTableIsListedAnewAndLowerNumbersAreTaken)
 {
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -96,7 +96,7 @@
             .group = [this](const auto&) -> const std::vector<std::string>& { return this->daemons; },
             .served = [this]() -> const std::vector<std::string>& { return this->services; },
         };
-        this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .vm = "me", .zone = "z", .incarnation = 1, .table = "t" }, [] {});
+        this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .self = { .vm = "me", .incarnation = 1 }, .zone = "z", .table = "t" }, [] {});
     }
 
     void put(const char* id, catalog::Role role, bool draining, std::uint64_t number)
