Terms, not reigns: the field's word in code, rows and logs

A pure rename: 'term' is what the glossary and the logs of databases call it. 'last entry' tells the other one, as the two differ until a leader's first commit. An unused accessor went.

--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -111,19 +111,19 @@
     [[nodiscard]] bool hasReached(std::string_view service, Time now);
 
     /**
-     * @brief Tells whether a leader is known to show all that was acknowledged before its reign.
+     * @brief Tells whether a leader is known to show all that was acknowledged before its term.
      * @param lastEntry Term of the last entry of its log.
      */
     [[nodiscard]] bool isConfirmed(std::string_view service, std::string_view upstream, group::Term lastEntry);
 
-    /// @brief Takes in that another daemon knows a leader to have caught up in its reign.
-    void confirmLeader(std::string_view service, const leadership::ConfirmedReign& confirmation);
+    /// @brief Takes in that another daemon knows a leader to have caught up in its term.
+    void confirmLeader(std::string_view service, const leadership::ConfirmedTerm& confirmation);
 
-    /// @brief Takes in that a reign of a service has begun, whoever leads in it.
-    void noteReign(std::string_view service, group::Term reign) { this->serviceOf(service).leadership.noteReign(reign); }
+    /// @brief Takes in that a term of a service has begun, whoever leads in it.
+    void noteTerm(std::string_view service, group::Term term) { this->serviceOf(service).leadership.noteTerm(term); }
 
-    /// @brief Gives the newest reign of a service that is known to have begun; 0 if none is.
-    [[nodiscard]] group::Term newestReign(std::string_view service) { return this->serviceOf(service).leadership.newestReign(); }
+    /// @brief Gives the newest term of a service that is known to have begun; 0 if none is.
+    [[nodiscard]] group::Term newestTerm(std::string_view service) { return this->serviceOf(service).leadership.newestTerm(); }
 
     /**
      * @brief Takes in that an upstream which was ordered to lead says that it does, while its registration may not have changed yet.
--- a/src/amaranthhall/engine/dispatcher_leader.cpp
+++ b/src/amaranthhall/engine/dispatcher_leader.cpp
@@ -96,14 +96,14 @@
     service.leaderCheck = {};
     const bool hasCaughtUp = status && status->isPrimary && status->applied.position >= status->received.position;
     // A primary that was replaced while it was cut off may still believe that it leads.
-    const bool isSuperseded = status && status->reign < service.leadership.newestReign();
+    const bool isSuperseded = status && status->term < service.leadership.newestTerm();
     if (hasCaughtUp && !isSuperseded)
-        service.leadership.confirm({ .upstream = upstream, .reign = status->reign, .lastEntry = status->applied.term });
+        service.leadership.confirm({ .upstream = upstream, .term = status->term, .lastEntry = status->applied.term });
     if (status && (!status->isPrimary || isSuperseded))
         service.leadership.refute(upstream, this->loop.now());
     if (status)
-        service.leadership.noteReign(status->reign);
-    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service.name }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 }, { "reign", status ? status->reign : 0 }, { "superseded", isSuperseded } });
+        service.leadership.noteTerm(status->term);
+    telemetry::logEvent(telemetry::LogLevel::Info, "leader.checked", { { "service", service.name }, { "upstream", upstream }, { "answered", status.has_value() }, { "caught_up", hasCaughtUp }, { "applied", status ? status->applied.position : 0 }, { "received", status ? status->received.position : 0 }, { "term", status ? status->term : 0 }, { "superseded", isSuperseded } });
     // A first question that is answered with yes lets the queue go on at once; any that follows it waits.
     const bool isSettled = hasCaughtUp && !isSuperseded && service.leaderChecks == 0;
     const auto pause = isSettled ? Duration::zero() : retry::pauseAfter(leaderCheckPauses, service.leaderChecks);
@@ -114,7 +114,7 @@
     });
 }
 
-void Dispatcher::confirmLeader(std::string_view service, const leadership::ConfirmedReign& confirmation)
+void Dispatcher::confirmLeader(std::string_view service, const leadership::ConfirmedTerm& confirmation)
 {
     this->serviceOf(service).leadership.confirm(confirmation);
 }
--- a/src/amaranthhall/engine/link.hpp
+++ b/src/amaranthhall/engine/link.hpp
@@ -58,7 +58,7 @@
 /// @brief What an upstream tells of itself when asked.
 struct UpstreamStatus {
     bool isPrimary { false };
-    group::Term reign { 0 }; ///< Newest reign that it knows; its log may still end in an entry of an earlier one.
+    group::Term term { 0 }; ///< Newest term that it knows; its log may still end in an entry of an earlier one.
     group::LogPoint received; ///< End of its log.
     group::LogPoint applied; ///< What its reads show; a replica that was promoted may still lag behind what it has received.
 };
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -90,7 +90,7 @@
         freshness::Micros sentBoot { 0 };
         bool isSent { false }; ///< The statement itself may have reached an upstream.
         unsigned retries { 0 };
-        unsigned unconfirmed { 0 }; ///< Attempts that met a leader which may not have caught up in its reign.
+        unsigned unconfirmed { 0 }; ///< Attempts that met a leader which may not have caught up in its term.
         std::vector<std::string> tried;
         std::vector<std::string> triedHomes; ///< Daemons to which the way broke, or that refused.
         std::string upstream; ///< Of the last attempt.
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -342,7 +342,7 @@
         if (!sample || !proof || now - sample->at > newsSpan)
             continue;
         if (const auto at = clock.earliest(sample->at))
-            digest.leaders.push_back({ .service = service, .upstream = proof->upstream, .reign = proof->reign, .point = sample->point, .at = *at, .isReached = this->dispatcher.hasReached(service, this->loop.now()) });
+            digest.leaders.push_back({ .service = service, .upstream = proof->upstream, .term = proof->term, .point = sample->point, .at = *at, .isReached = this->dispatcher.hasReached(service, this->loop.now()) });
     }
     this->succession.fill(digest, clock);
 }
@@ -357,7 +357,7 @@
             continue;
         const auto age = std::chrono::microseconds(std::max<freshness::Micros>(0, now - *at));
         // A daemon tells of leaders that it knows to have caught up only.
-        this->dispatcher.confirmLeader(news.service, { .upstream = news.upstream, .reign = news.reign, .lastEntry = news.point.term });
+        this->dispatcher.confirmLeader(news.service, { .upstream = news.upstream, .term = news.term, .lastEntry = news.point.term });
         if (news.isReached)
             this->homes.noteReach(news.service, digest.vm, engine::LeaderReach::Proven);
         this->dispatcher.noteProof(news.service, { .upstream = news.upstream, .point = news.point, .at = this->loop.now() - age }, *at);
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -27,9 +27,9 @@
     PackedAddress packed(const kernel::Address& address) { return { address.host, address.port }; }
     PackedProfile packed(const VmProfile& profile) { return { packed(profile.address), profile.zone, std::lround(profile.cores * milli) }; }
     PackedVersions packed(const TableVersions& versions) { return { packVersion(versions.configuration), packVersion(versions.upstreams), packVersion(versions.fleet) }; }
-    PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.reign, news.point.term, news.point.position, news.at, news.isReached }; }
+    PackedLeader packed(const LeaderNews& news) { return { news.service, news.upstream, news.term, news.point.term, news.point.position, news.at, news.isReached }; }
     PackedSuspicion packed(const SuspicionNews& news) { return { news.service, news.upstream, news.isRefusing }; }
-    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, packVersion(news.fence), news.at, news.isLeading, news.reign }; }
+    PackedOrder packed(const OrderNews& news) { return { news.service, news.candidate, packVersion(news.fence), news.at, news.isLeading, news.term }; }
     PackedAge packed(const AgeNews& news) { return { news.vm, news.age.count() }; }
 
     template <typename Item>
@@ -61,8 +61,8 @@
 
     LeaderNews restore(PackedLeader&& from)
     {
-        auto& [service, upstream, reign, term, position, at, isReached] = from;
-        return { .service = std::move(service), .upstream = std::move(upstream), .reign = reign, .point = { .term = term, .position = position }, .at = at, .isReached = isReached };
+        auto& [service, upstream, term, lastTerm, position, at, isReached] = from;
+        return { .service = std::move(service), .upstream = std::move(upstream), .term = term, .point = { .term = lastTerm, .position = position }, .at = at, .isReached = isReached };
     }
 
     SuspicionNews restore(PackedSuspicion&& from)
@@ -73,8 +73,8 @@
 
     OrderNews restore(PackedOrder&& from)
     {
-        auto& [service, candidate, fence, at, isLeading, reign] = from;
-        return { .service = std::move(service), .candidate = std::move(candidate), .fence = restoreVersion(fence), .at = at, .isLeading = isLeading, .reign = reign };
+        auto& [service, candidate, fence, at, isLeading, term] = from;
+        return { .service = std::move(service), .candidate = std::move(candidate), .fence = restoreVersion(fence), .at = at, .isLeading = isLeading, .term = term };
     }
 
     AgeNews restore(PackedAge&& from)
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -19,7 +19,7 @@
 struct LeaderNews {
     std::string service;
     std::string upstream;
-    group::Term reign { 0 }; ///< In which it leads; its log may end in an entry of an earlier one.
+    group::Term term { 0 }; ///< In which it leads; its log may end in an entry of an earlier term.
     group::LogPoint point;
     freshness::Micros at { 0 };
     bool isReached { false }; ///< The sender itself has lately had an answer of that upstream.
@@ -39,7 +39,7 @@
     store::Version fence;
     freshness::Micros at { 0 };
     bool isLeading { false }; ///< The candidate says that it leads.
-    group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
+    group::Term term { 0 }; ///< In which it leads; 0 while it does not.
 };
 
 /// @brief Newest versions of the store's tables that a daemon knows.
--- a/src/amaranthhall/leadership/leader_record.cpp
+++ b/src/amaranthhall/leadership/leader_record.cpp
@@ -6,13 +6,13 @@
 {
     if (!this->isConfirmed(fresh.upstream, fresh.point.term))
         return false;
-    const auto reign = this->confirmation.reign;
-    const bool isNewReign = !this->proof || reign > this->proof->reign;
-    if (!isNewReign && (reign < this->proof->reign || fresh.at < this->proof->at))
+    const auto term = this->confirmation.term;
+    const bool isNewTerm = !this->proof || term > this->proof->term;
+    if (!isNewTerm && (term < this->proof->term || fresh.at < this->proof->at))
         return false;
     this->proof = fresh;
-    this->proof->reign = reign;
-    return isNewReign;
+    this->proof->term = term;
+    return isNewTerm;
 }
 
 void LeaderRecord::refute(std::string_view upstream, Time askedAt)
@@ -40,12 +40,12 @@
     return this->proof->upstream;
 }
 
-void LeaderRecord::confirm(const ConfirmedReign& fresh)
+void LeaderRecord::confirm(const ConfirmedTerm& fresh)
 {
-    this->noteReign(fresh.reign);
-    if (fresh.reign < this->confirmation.reign)
+    this->noteTerm(fresh.term);
+    if (fresh.term < this->confirmation.term)
         return;
-    const bool isSame = fresh.reign == this->confirmation.reign && fresh.upstream == this->confirmation.upstream;
+    const bool isSame = fresh.term == this->confirmation.term && fresh.upstream == this->confirmation.upstream;
     const auto lastEntry = isSame ? std::min(fresh.lastEntry, this->confirmation.lastEntry) : fresh.lastEntry;
     this->confirmation = fresh;
     this->confirmation.lastEntry = lastEntry;
@@ -54,7 +54,7 @@
 bool LeaderRecord::isConfirmed(std::string_view upstream, group::Term lastEntry) const noexcept
 {
     const auto& known = this->confirmation;
-    return known.upstream == upstream && known.lastEntry <= lastEntry && lastEntry <= known.reign;
+    return known.upstream == upstream && known.lastEntry <= lastEntry && lastEntry <= known.term;
 }
 
 bool LeaderRecord::isRefuted(std::string_view upstream, Time since) const noexcept
--- a/src/amaranthhall/leadership/leader_record.hpp
+++ b/src/amaranthhall/leadership/leader_record.hpp
@@ -20,17 +20,17 @@
     std::string upstream;
     group::LogPoint point;
     Time at; ///< When it was asked.
-    group::Term reign { 0 }; ///< Filled in by the record.
+    group::Term term { 0 }; ///< Filled in by the record.
 };
 
 /**
  * @brief An upstream that leads and shows all that it had received when it was promoted.
  *
- * Its log may still end in an entry of an earlier term: the first commit of a reign comes later than the promotion.
+ * Its log may still end in an entry of an earlier term: the first commit of a term comes later than the promotion.
  */
-struct ConfirmedReign {
+struct ConfirmedTerm {
     std::string upstream;
-    group::Term reign { 0 };
+    group::Term term { 0 };
     group::Term lastEntry { 0 }; ///< Term of the last entry of its log.
 };
 
@@ -45,8 +45,8 @@
 class LeaderRecord {
 public:
     /**
-     * @brief Takes in evidence of a confirmed leader; evidence of an older reign than the newest is dropped.
-     * @return True if it is the first evidence of a newer reign.
+     * @brief Takes in evidence of a confirmed leader; evidence of an older term than the newest is dropped.
+     * @return True if it is the first evidence of a newer term.
      */
     bool prove(const LeaderProof& proof);
 
@@ -64,24 +64,21 @@
      * @brief Takes in that a primary has applied all that it had received when it was promoted.
      *
      * Before, its reads lack commits that the earlier primary acknowledged, and its positions are no samples.
-     * Confirmations of an older reign than the newest are dropped.
+     * Confirmations of an older term than the newest are dropped.
      */
-    void confirm(const ConfirmedReign& confirmation);
+    void confirm(const ConfirmedTerm& confirmation);
 
     /**
-     * @brief Tells whether an upstream is known to have caught up in its reign.
+     * @brief Tells whether an upstream is known to have caught up in its term.
      * @param lastEntry Term of the last entry of its log, as an answer told.
      */
     [[nodiscard]] bool isConfirmed(std::string_view upstream, group::Term lastEntry) const noexcept;
 
-    /// @brief Gives the confirmed reign that is newest.
-    [[nodiscard]] const ConfirmedReign& confirmed() const noexcept { return this->confirmation; }
+    /// @brief Takes in that a term has begun, whoever leads in it.
+    void noteTerm(group::Term term) noexcept { this->newest = std::max(this->newest, term); }
 
-    /// @brief Takes in that a reign has begun, whoever leads in it.
-    void noteReign(group::Term reign) noexcept { this->newest = std::max(this->newest, reign); }
-
-    /// @brief Gives the newest reign that is known to have begun; 0 if none is.
-    [[nodiscard]] group::Term newestReign() const noexcept { return this->newest; }
+    /// @brief Gives the newest term that is known to have begun; 0 if none is.
+    [[nodiscard]] group::Term newestTerm() const noexcept { return this->newest; }
 
     /// @brief Gives the newest evidence.
     [[nodiscard]] const std::optional<LeaderProof>& newestProof() const noexcept { return this->proof; }
@@ -91,7 +88,7 @@
 
     std::optional<LeaderProof> proof;
     std::map<std::string, Time, std::less<>> refutedAt;
-    ConfirmedReign confirmation;
+    ConfirmedTerm confirmation;
     group::Term newest { 0 };
 };
 
--- a/src/amaranthhall/succession/duty.cpp
+++ b/src/amaranthhall/succession/duty.cpp
@@ -18,7 +18,7 @@
         { "incarnation", duty.holder.incarnation },
         { "taken_at", duty.takenAt },
         { "era", duty.era },
-        { "reign", duty.reign },
+        { "term", duty.term },
     }
         .dump();
 }
@@ -33,7 +33,7 @@
             .holder = { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>() },
             .takenAt = json.at("taken_at").get<freshness::Micros>(),
             .era = json.value("era", store::Era { 0 }),
-            .reign = json.value("reign", group::Term { 0 }),
+            .term = json.value("term", group::Term { 0 }),
         };
     } catch (const nlohmann::json::exception& exception) {
         telemetry::logEvent(telemetry::LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
--- a/src/amaranthhall/succession/duty.hpp
+++ b/src/amaranthhall/succession/duty.hpp
@@ -20,12 +20,12 @@
     friend bool operator==(const DaemonIdentity&, const DaemonIdentity&) = default;
 };
 
-/// @brief What the row of a duty says: who may order promotions of a service, and what is known of its reigns.
+/// @brief What the row of a duty says: who may order promotions of a service, and what is known of its terms.
 struct DutyRow {
     DaemonIdentity holder;
     freshness::Micros takenAt { 0 }; ///< Store time.
     store::Era era { 0 }; ///< In which it was written; a copy of the store may bring it into a later one.
-    group::Term reign { 0 }; ///< Newest reign of the service that is known to have begun.
+    group::Term term { 0 }; ///< Newest term of the service that is known to have begun.
 };
 
 /// @brief Gives the key of the row of a service's duty.
--- a/src/amaranthhall/succession/judgement.cpp
+++ b/src/amaranthhall/succession/judgement.cpp
@@ -70,10 +70,10 @@
     return isLongQuiet || isAgreedQuiet ? Cause::Silent : Cause::None;
 }
 
-std::vector<Heir> followersOf(group::Term reign, std::span<const Heir> heirs)
+std::vector<Heir> followersOf(group::Term term, std::span<const Heir> heirs)
 {
     std::vector<Heir> followers;
-    std::copy_if(heirs.begin(), heirs.end(), std::back_inserter(followers), [reign](const Heir& heir) { return heir.reign >= reign; });
+    std::copy_if(heirs.begin(), heirs.end(), std::back_inserter(followers), [term](const Heir& heir) { return heir.term >= term; });
     return followers;
 }
 
--- a/src/amaranthhall/succession/judgement.hpp
+++ b/src/amaranthhall/succession/judgement.hpp
@@ -64,19 +64,19 @@
 /// @brief An upstream that could lead, as it answered when asked.
 struct Heir {
     std::string upstream;
-    group::Term reign { 0 }; ///< Newest reign that it has followed.
+    group::Term term { 0 }; ///< Newest term that it has followed.
     group::LogPoint point; ///< What it has received.
     group::Position applied { 0 }; ///< What its reads show; the rest has to be applied before it serves.
     bool isNear { false }; ///< In the zone of the old primary.
 };
 
 /**
- * @brief Leaves only the upstreams that have followed a reign.
+ * @brief Leaves only the upstreams that have followed a term.
  *
- * A log says nothing of commits that it missed: one that did not follow the last reign may hold more entries than its
+ * A log says nothing of commits that it missed: one that did not follow the last term may hold more entries than its
  * successor and still lack what that successor acknowledged.
  */
-[[nodiscard]] std::vector<Heir> followersOf(group::Term reign, std::span<const Heir> heirs);
+[[nodiscard]] std::vector<Heir> followersOf(group::Term term, std::span<const Heir> heirs);
 
 /// @brief Chooses the upstream that has received most; nothing if there is none.
 [[nodiscard]] std::optional<std::string> chooseHeir(std::span<const Heir> heirs);
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -20,14 +20,14 @@
     constexpr Duration wakingTime = 600ms; // after which silence of others is no longer one's own
     constexpr Duration answerTime = 80ms; // for replicas to tell their positions
     constexpr Duration retryPause = 100ms;
-    constexpr Duration recordPause = 200ms; // between two writes of a reign into a duty's row
+    constexpr Duration recordPause = 200ms; // between two writes of a term into a duty's row
     constexpr Duration orderPatience = 2500ms; // for an accepted order to take effect
     constexpr Duration heirPause = 150ms; // between two questions to a candidate; a promotion takes several of them
     constexpr Duration sameOrderSpan = 500ms; // news of one order differ by the bounds of the store's clock
     constexpr Duration orderLife = 5s; // news of older orders are not told
     constexpr Duration refusalMemory = 3s;
     constexpr Duration suspicionLife = 1s; // of what a peer told
-    constexpr Duration supersededPatience = 30s; // for an upstream of the last reign to come back, before its commits are given up
+    constexpr Duration supersededPatience = 30s; // for an upstream of the last term to come back, before its commits are given up
     constexpr retry::BackoffOptions fruitlessPauses { .first = 100ms, .limit = 800ms };
 
 }
@@ -62,7 +62,7 @@
         this->holdAgain(service, duty);
         this->watch(service, duty);
         this->askOrderedHeir(service, duty);
-        this->recordReign(service, duty);
+        this->recordTerm(service, duty);
     }
 }
 
@@ -221,21 +221,21 @@
     if (!duty.order || !status || !status->isPrimary)
         return;
     duty.order->isLeading = true;
-    duty.order->reign = status->reign;
-    this->parts.dispatcher.noteReign(service, status->reign);
+    duty.order->term = status->term;
+    this->parts.dispatcher.noteTerm(service, status->term);
     this->parts.dispatcher.noteClaim(service, duty.order->candidate, duty.order->fence);
     this->newsToTell();
 }
 
-/// Gives the newest reign that is known to have begun: here, or by who held the duty, perhaps on the other side of a partition.
-group::Term SuccessionService::newestReign(const std::string& service) const
+/// Gives the newest term that is known to have begun: here, or by who held the duty, perhaps on the other side of a partition.
+group::Term SuccessionService::newestTerm(const std::string& service) const
 {
     const auto holder = decodeDuty(this->parts.fleet.find(dutyKey(service)));
-    return std::max(this->parts.dispatcher.newestReign(service), holder ? holder->reign : 0);
+    return std::max(this->parts.dispatcher.newestTerm(service), holder ? holder->term : 0);
 }
 
-/// Writes the newest reign into the row of a duty that this daemon holds, so that whoever takes it over knows of it.
-void SuccessionService::recordReign(const std::string& service, Duty& duty)
+/// Writes the newest term into the row of a duty that this daemon holds, so that whoever takes it over knows of it.
+void SuccessionService::recordTerm(const std::string& service, Duty& duty)
 {
     const auto now = this->parts.loop.now();
     const auto fence = this->heldFence(service);
@@ -243,18 +243,18 @@
     if (!isPossible)
         return;
     const auto held = decodeDuty(this->parts.fleet.find(dutyKey(service)));
-    const auto reign = this->parts.dispatcher.newestReign(service);
-    if (reign <= held->reign)
+    const auto term = this->parts.dispatcher.newestTerm(service);
+    if (term <= held->term)
         return;
-    duty.recording = reign;
+    duty.recording = term;
     auto changed = *held;
-    changed.reign = reign;
+    changed.term = term;
     const store::Row put { .key = { .table = this->options.table, .key = dutyKey(service) }, .value = encodeDuty(changed), .version = *fence };
-    this->parts.store.commit({ .conditions = { { .key = put.key, .version = *fence } }, .puts = { put } }, [this, service, put, reign](store::StoreResult<store::Version> result) {
+    this->parts.store.commit({ .conditions = { { .key = put.key, .version = *fence } }, .puts = { put } }, [this, service, put, term](store::StoreResult<store::Version> result) {
         auto& duty = this->duties[service];
         duty.recording = 0;
         duty.recordAgainAt = this->parts.loop.now() + recordPause;
-        logEvent(LogLevel::Info, "succession.reign_recorded", { { "service", service }, { "reign", reign }, { "outcome", result ? "written" : store::nameOf(result.error()) } });
+        logEvent(LogLevel::Info, "succession.term_recorded", { { "service", service }, { "term", term }, { "outcome", result ? "written" : store::nameOf(result.error()) } });
         if (!result || result->era != put.version.era)
             return;
         auto row = put;
@@ -281,7 +281,7 @@
     duty.stage = Stage::TakingOver;
     const auto expected = row ? row->version : store::Version {};
     const auto takenAt = this->parts.store.clock().earliest(engine::bootNow()).value_or(0);
-    store::Row put { .key = key, .value = encodeDuty({ .holder = this->options.self, .takenAt = takenAt, .era = this->knownEra, .reign = this->newestReign(service) }) };
+    store::Row put { .key = key, .value = encodeDuty({ .holder = this->options.self, .takenAt = takenAt, .era = this->knownEra, .term = this->newestTerm(service) }) };
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
     this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put, era = this->knownEra, written = std::move(written)](store::StoreResult<store::Version> result) {
         auto& taken = this->duties[service];
@@ -320,11 +320,11 @@
         duty.questions.push_back(this->parts.dispatcher.askStatus(service, id, now + answerTime, [this, service, heir](std::optional<engine::UpstreamStatus> status) {
             if (!status)
                 return;
-            logEvent(LogLevel::Info, "succession.heir_answered", { { "service", service }, { "upstream", heir.upstream }, { "primary", status->isPrimary }, { "reign", status->reign }, { "term", status->received.term }, { "position", status->received.position } });
-            this->parts.dispatcher.noteReign(service, status->reign);
+            logEvent(LogLevel::Info, "succession.heir_answered", { { "service", service }, { "upstream", heir.upstream }, { "primary", status->isPrimary }, { "term", status->term }, { "last_entry_term", status->received.term }, { "position", status->received.position } });
+            this->parts.dispatcher.noteTerm(service, status->term);
             auto& heirs = this->duties[service].heirs;
             heirs.push_back(heir);
-            heirs.back().reign = status->reign;
+            heirs.back().term = status->term;
             heirs.back().point = status->received;
             heirs.back().applied = status->applied.position;
         }));
@@ -343,27 +343,27 @@
         const auto pool = this->parts.dispatcher.pool(name);
         const bool mayLead = name != duty.suspect && !known->entry.draining;
         if (mayLead && pool && pool->logPoint() && !pool->health().failingSince)
-            duty.heirs.push_back({ .upstream = name, .reign = pool->logPoint()->term, .point = *pool->logPoint() });
+            duty.heirs.push_back({ .upstream = name, .term = pool->logPoint()->term, .point = *pool->logPoint() });
     }
 }
 
-/// Gives the upstreams that may be ordered: those that have followed the last reign, as long as one of them may come back.
+/// Gives the upstreams that may be ordered: those that have followed the last term, as long as one of them may come back.
 std::vector<Heir> SuccessionService::eligibleHeirs(const std::string& service, Duty& duty)
 {
     const auto now = this->parts.loop.now();
-    const auto reign = this->newestReign(service);
-    auto followers = followersOf(reign, duty.heirs);
+    const auto term = this->newestTerm(service);
+    auto followers = followersOf(term, duty.heirs);
     if (!followers.empty() || duty.heirs.empty()) {
         duty.supersededSince.reset();
         return followers;
     }
     if (!duty.supersededSince) {
         duty.supersededSince = now;
-        logEvent(LogLevel::Error, "succession.only_superseded", { { "service", service }, { "upstream", duty.suspect }, { "reign", reign }, { "answered", duty.heirs.size() } });
+        logEvent(LogLevel::Error, "succession.only_superseded", { { "service", service }, { "upstream", duty.suspect }, { "term", term }, { "answered", duty.heirs.size() } });
     }
     if (now - *duty.supersededSince < supersededPatience)
         return {};
-    logEvent(LogLevel::Error, "succession.history_given_up", { { "service", service }, { "upstream", duty.suspect }, { "reign", reign }, { "answered", duty.heirs.size() } });
+    logEvent(LogLevel::Error, "succession.history_given_up", { { "service", service }, { "upstream", duty.suspect }, { "term", term }, { "answered", duty.heirs.size() } });
     return duty.heirs;
 }
 
@@ -430,7 +430,7 @@
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - duty.order->at).count();
         if (const auto at = clock.earliest(engine::bootNow() - age))
-            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at, .isLeading = duty.order->isLeading, .reign = duty.order->reign });
+            digest.orders.push_back({ .service = service, .candidate = duty.order->candidate, .fence = duty.order->fence, .at = *at, .isLeading = duty.order->isLeading, .term = duty.order->term });
     }
 }
 
@@ -441,7 +441,7 @@
     for (const auto& suspicion : digest.suspicions)
         this->peerSuspicions[{ suspicion.service, digest.vm }] = { .upstream = suspicion.upstream, .heardAt = now };
     for (const auto& told : digest.orders) {
-        this->parts.dispatcher.noteReign(told.service, told.reign);
+        this->parts.dispatcher.noteTerm(told.service, told.term);
         if (told.isLeading)
             this->parts.dispatcher.noteClaim(told.service, told.candidate, told.fence);
         auto& duty = this->duties[told.service];
@@ -453,11 +453,11 @@
         if (isKnown) {
             if (told.isLeading && duty.order->fence == told.fence) {
                 duty.order->isLeading = true;
-                duty.order->reign = told.reign;
+                duty.order->term = told.term;
             }
             continue;
         }
-        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading, .reign = told.reign };
+        duty.order = KnownOrder { .candidate = told.candidate, .fence = told.fence, .at = now - age, .isLeading = told.isLeading, .term = told.term };
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", told.service }, { "heir", told.candidate }, { "fence", fenceOf(told.fence) }, { "from", digest.vm } });
     }
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -72,7 +72,7 @@
         Time at;
         bool isOwn { false }; ///< This daemon gave it.
         bool isLeading { false }; ///< The candidate says that it leads.
-        group::Term reign { 0 }; ///< In which it leads; 0 while it does not.
+        group::Term term { 0 }; ///< In which it leads; 0 while it does not.
     };
 
     struct Duty {
@@ -90,8 +90,8 @@
         std::map<std::string, Time> refusedHeirs; ///< Candidates that the platform refused, and when.
         bool needsFence { false }; ///< The fence held was refused.
         unsigned fruitlessAsks { 0 }; ///< Times in a row that no upstream could be ordered.
-        std::optional<Time> supersededSince; ///< Since when only upstreams that missed the last reign have answered.
-        group::Term recording { 0 }; ///< Reign that is being written into the duty's row.
+        std::optional<Time> supersededSince; ///< Since when only upstreams that missed the last term have answered.
+        group::Term recording { 0 }; ///< Term that is being written into the duty's row.
         Time recordAgainAt;
         Time pauseUntil;
         kernel::Registration timer;
@@ -116,8 +116,8 @@
     [[nodiscard]] std::string holderName(const std::string& service) const;
     void askOrderedHeir(const std::string& service, Duty& duty);
     void onHeirStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
-    [[nodiscard]] group::Term newestReign(const std::string& service) const;
-    void recordReign(const std::string& service, Duty& duty);
+    [[nodiscard]] group::Term newestTerm(const std::string& service) const;
+    void recordTerm(const std::string& service, Duty& duty);
     [[nodiscard]] std::vector<Heir> eligibleHeirs(const std::string& service, Duty& duty);
     void onNoHeir(const std::string& service, Duty& duty) const;
     void takeOver(const std::string& service);
--- a/test/engine/fake_links.cpp
+++ b/test/engine/fake_links.cpp
@@ -20,7 +20,7 @@
             return reply;
         }
         if (text == "STATUS")
-            return { .rows = { upstream.isReplica ? "replica" : "primary", std::to_string(upstream.notApplied), std::to_string(std::max(upstream.reign, upstream.point.term)) }, .digest = "-", .state = state, .point = upstream.point };
+            return { .rows = { upstream.isReplica ? "replica" : "primary", std::to_string(upstream.notApplied), std::to_string(std::max(upstream.term, upstream.point.term)) }, .digest = "-", .state = state, .point = upstream.point };
         return { .digest = "digest", .state = state, .point = upstream.point };
     }
 
@@ -131,7 +131,7 @@
         return std::nullopt;
     UpstreamStatus status { .isPrimary = reply.rows.front() == "primary", .received = *reply.point, .applied = *reply.point };
     status.received.position += std::stoull(reply.rows.at(1));
-    status.reign = std::stoull(reply.rows.at(2));
+    status.term = std::stoull(reply.rows.at(2));
     return status;
 }
 
--- a/test/engine/fake_links.hpp
+++ b/test/engine/fake_links.hpp
@@ -18,7 +18,7 @@
     std::map<std::string, std::deque<Reply>, std::less<>> replies;
     std::vector<std::string> sent; ///< Texts in order, each with the caller's id and wanted position before it.
     group::LogPoint point { .term = 1, .position = 10 };
-    group::Term reign { 0 }; ///< Newest reign that it knows, if not that of its last entry.
+    group::Term term { 0 }; ///< Newest term that it knows, if not that of its last entry.
     bool isReplica { false }; ///< As it tells of itself when asked for its status.
     group::Position notApplied { 0 }; ///< Positions that it has received and does not show yet.
     bool refusesConnections { false };
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -178,7 +178,7 @@
 TEST(EngineSession, AStaleReadGoesToAReplicaThatHoldsTheSample)
 {
     this->open("stale");
-    this->dispatcher->confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+    this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntry = 1 });
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     // A replica is not expected to hold what the leader wrote a moment ago.
     this->runFor(10ms);
@@ -206,7 +206,7 @@
 TEST(EngineSession, AReplicaThatLagsIsLeftForTheLeader)
 {
     this->open("stale");
-    this->dispatcher->confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+    this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntry = 1 });
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["r"].replies["READ"] = { Reply { .code = ReplyCode::Lagging } };
     this->links.upstreams["r"].point = { .term = 1, .position = 1 };
@@ -349,16 +349,16 @@
     LONGS_EQUAL(2, this->countSent("p", "STATUS"));
 }
 
-// Fault, as traced on a day of partitions: a primary that was superseded is ordered again and leads a third reign with a log that ends in the
+// Fault, as traced on a day of partitions: a primary that was superseded is ordered again and leads a third term with a log that ends in the
 // first. It answered "caught up" 4,000 times a second, and no statement that needs a primary was served.
 TEST(EngineSession, AnUpstreamThatLeadsAgainWithAnOldLogIsAskedOnceAndServes)
 {
     this->open("strict");
     CHECK(this->read().succeeded());
-    this->dispatcher->confirmLeader("s", { .upstream = "r", .reign = 2, .lastEntry = 2 });
+    this->dispatcher->confirmLeader("s", { .upstream = "r", .term = 2, .lastEntry = 2 });
     this->dispatcher->noteProof("s", { .upstream = "r", .point = { .term = 2, .position = 12 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["p"].sent.clear();
-    this->links.upstreams["p"].reign = 3;
+    this->links.upstreams["p"].term = 3;
     this->dispatcher->noteClaim("s", "p", { .number = 50 });
     this->runFor(20ms);
     CHECK(this->write().succeeded());
@@ -370,7 +370,7 @@
 TEST(EngineSession, ASupersededPrimaryIsAskedAFewTimesAndNotUsed)
 {
     this->open("strict");
-    this->dispatcher->noteReign("s", 2);
+    this->dispatcher->noteTerm("s", 2);
     CHECK_FALSE(this->write().succeeded());
     LONGS_EQUAL(0, this->countSent("p", "WRITE"));
     CHECK(this->countSent("p", "STATUS") <= 3);
@@ -397,7 +397,7 @@
 TEST(EngineSession, ASilentReplicaIsLeftForAnother)
 {
     this->open("stale");
-    this->dispatcher->confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+    this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntry = 1 });
     this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
     this->links.upstreams["r"].isSilent = true;
     CHECK(this->read().succeeded());
@@ -456,7 +456,7 @@
         TEST_GROUP_CppUTestGroupEngineSession::setup();
         this->context->relays = &this->relays;
         this->links.upstreams["p"].refusesConnections = true;
-        this->dispatcher->confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+        this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntry = 1 });
         this->news = this->loop.every(5ms, [this] {
             this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 10 }, .at = this->loop.now() }, engine::bootNow());
         });
--- a/test/fleet/test_line_codec.cpp
+++ b/test/fleet/test_line_codec.cpp
@@ -123,7 +123,7 @@
 TEST(LineCodec, StatusRowsAreRead)
 {
     const auto status = fleet::parseStatus("replica 4 3.1209 0 12 2 17");
-    LONGS_EQUAL(4, status->reign);
+    LONGS_EQUAL(4, status->term);
     CHECK_TRUE(status.has_value());
     CHECK_FALSE(status->isPrimary);
     CHECK(status->received == group::LogPoint({ .term = 3, .position = 1209 }));
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -10,9 +10,9 @@
 TEST(Digest, WhatIsToldArrives)
 {
     gossip::Digest sent { .vm = "front-1", .profile = { .address = { .host = "10.0.0.1", .port = 8782 }, .zone = "ba", .cores = 0.084 }, .wantsPeers = true, .versions = { .configuration = { .number = 3 }, .upstreams = { .era = 2, .number = 40 }, .fleet = { .number = 41 } } };
-    sent.leaders.push_back({ .service = "s", .upstream = "i-1", .reign = 3, .point = { .term = 2, .position = 99 }, .at = 123'456 });
+    sent.leaders.push_back({ .service = "s", .upstream = "i-1", .term = 3, .point = { .term = 2, .position = 99 }, .at = 123'456 });
     sent.suspicions.push_back({ .service = "s", .upstream = "i-2", .isRefusing = true });
-    sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = { .era = 1, .number = 77 }, .at = 5, .isLeading = true, .reign = 4 });
+    sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = { .era = 1, .number = 77 }, .at = 5, .isLeading = true, .term = 4 });
     sent.ages.push_back({ .vm = 77, .age = std::chrono::milliseconds(1200) });
     sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
     const auto got = gossip::decodeDigest(gossip::encodeDigest(sent));
@@ -22,11 +22,11 @@
     CHECK_TRUE(got->wantsPeers);
     CHECK(got->versions.upstreams == sent.versions.upstreams);
     CHECK(got->leaders.at(0).point == sent.leaders[0].point);
-    LONGS_EQUAL(3, got->leaders[0].reign);
+    LONGS_EQUAL(3, got->leaders[0].term);
     LONGS_EQUAL(123'456, got->leaders[0].at);
     CHECK_TRUE(got->suspicions.at(0).isRefusing);
     CHECK(got->orders.at(0).fence == sent.orders[0].fence);
-    LONGS_EQUAL(4, got->orders[0].reign);
+    LONGS_EQUAL(4, got->orders[0].term);
     LONGS_EQUAL(1200, got->ages.at(0).age.count());
     CHECK(got->peers.at(0) == sent.peers[0]);
 }
--- a/test/leadership/test_leader_record.cpp
+++ b/test/leadership/test_leader_record.cpp
@@ -12,11 +12,11 @@
     leadership::LeaderRecord record;
     Time start { 100s };
 
-    void prove(const char* upstream, group::Term reign, Duration after) { this->prove(upstream, reign, reign, after); }
+    void prove(const char* upstream, group::Term term, Duration after) { this->prove(upstream, term, term, after); }
 
-    void prove(const char* upstream, group::Term reign, group::Term lastEntry, Duration after)
+    void prove(const char* upstream, group::Term term, group::Term lastEntry, Duration after)
     {
-        this->record.confirm({ .upstream = upstream, .reign = reign, .lastEntry = lastEntry });
+        this->record.confirm({ .upstream = upstream, .term = term, .lastEntry = lastEntry });
         this->record.prove({ .upstream = upstream, .point = { .term = lastEntry, .position = 1 }, .at = this->start + after });
     }
 
@@ -44,7 +44,7 @@
     CHECK_EQUAL(std::string("b"), this->leader({ { "a", { .number = 5 }, this->start }, { "b", { .number = 9 }, this->start + 2s } }));
 }
 
-TEST(LeaderRecord, EvidenceOfAnOlderReignIsDropped)
+TEST(LeaderRecord, EvidenceOfAnOlderTermIsDropped)
 {
     this->prove("b", 2, 1s);
     this->prove("a", 1, 3s);
@@ -61,9 +61,9 @@
 }
 
 // A leader's log ends in an entry of an earlier term until its first commit.
-TEST(LeaderRecord, AReignIsConfirmedFromItsLastEntryOn)
+TEST(LeaderRecord, ATermIsConfirmedFromItsLastEntryOn)
 {
-    this->record.confirm({ .upstream = "b", .reign = 3, .lastEntry = 1 });
+    this->record.confirm({ .upstream = "b", .term = 3, .lastEntry = 1 });
     CHECK_TRUE(this->record.isConfirmed("b", 1));
     CHECK_TRUE(this->record.isConfirmed("b", 3));
     CHECK_FALSE(this->record.isConfirmed("b", 4));
@@ -76,17 +76,17 @@
     this->prove("a", 1, 1s);
     this->prove("b", 2, 2s);
     CHECK_FALSE(this->record.isConfirmed("a", 1));
-    this->record.confirm({ .upstream = "a", .reign = 3, .lastEntry = 1 });
+    this->record.confirm({ .upstream = "a", .term = 3, .lastEntry = 1 });
     CHECK_TRUE(this->record.isConfirmed("a", 1));
     CHECK_TRUE(this->record.prove({ .upstream = "a", .point = { .term = 1, .position = 5 }, .at = this->start + 3s }));
     CHECK_EQUAL(std::string("a"), this->leader({}));
 }
 
-TEST(LeaderRecord, AnOlderReignIsNotConfirmedAnyMore)
+TEST(LeaderRecord, AnOlderTermIsNotConfirmedAnyMore)
 {
-    this->record.confirm({ .upstream = "b", .reign = 2, .lastEntry = 2 });
-    this->record.confirm({ .upstream = "a", .reign = 1, .lastEntry = 1 });
+    this->record.confirm({ .upstream = "b", .term = 2, .lastEntry = 2 });
+    this->record.confirm({ .upstream = "a", .term = 1, .lastEntry = 1 });
     CHECK_TRUE(this->record.isConfirmed("b", 2));
     CHECK_FALSE(this->record.isConfirmed("a", 1));
-    LONGS_EQUAL(2, this->record.newestReign());
+    LONGS_EQUAL(2, this->record.newestTerm());
 }
--- a/test/succession/test_judgement.cpp
+++ b/test/succession/test_judgement.cpp
@@ -93,9 +93,9 @@
 }
 
 // Fault: an upstream that was cut off while its successor led holds more entries than those that followed the successor.
-TEST(Judgement, AnUpstreamThatMissedTheLastReignIsNoHeir)
+TEST(Judgement, AnUpstreamThatMissedTheLastTermIsNoHeir)
 {
-    const std::vector<Heir> heirs { { .upstream = "old", .reign = 1, .point = { 1, 133 } }, { .upstream = "new", .reign = 2, .point = { 1, 100 } } };
+    const std::vector<Heir> heirs { { .upstream = "old", .term = 1, .point = { 1, 133 } }, { .upstream = "new", .term = 2, .point = { 1, 100 } } };
     const auto followers = succession::followersOf(2, heirs);
     LONGS_EQUAL(1, followers.size());
     CHECK_EQUAL(std::string("new"), followers.front().upstream);
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -104,9 +104,9 @@
         this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, { .number = number }, this->loop.now());
     }
 
-    void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age, group::Term reign = 1)
+    void holdDuty(const char* vm, std::uint64_t incarnation, freshness::Micros age, group::Term term = 1)
     {
-        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age }, { "reign", reign } };
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age }, { "term", term } };
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .number = 50 } } });
     }
 
@@ -208,8 +208,8 @@
 }
 
 // Fault, as traced on a day of partitions: on one side of a cut only the primary that was superseded answers, with more entries than
-// its successor had when it took over. The daemon that acts there knows of the successor's reign by the duty's row alone.
-TEST(SuccessionService, AnUpstreamThatMissedTheLastReignIsNotOrdered)
+// its successor had when it took over. The daemon that acts there knows of the successor's term by the duty's row alone.
+TEST(SuccessionService, AnUpstreamThatMissedTheLastTermIsNotOrdered)
 {
     this->links.upstreams["a"].isSilent = true;
     this->links.upstreams["b"].point = { .term = 1, .position = 133 };
@@ -222,24 +222,24 @@
     CHECK(std::count(sent.begin(), sent.end(), "- STATUS") <= 6);
     // One that has followed it comes back, with fewer entries.
     this->links.upstreams["a"].isSilent = false;
-    this->links.upstreams["a"].reign = 2;
+    this->links.upstreams["a"].term = 2;
     this->runFor(2500ms);
     CHECK_FALSE(this->promoter.orders.empty());
     CHECK_EQUAL(std::string("a"), this->promoter.orders[0].candidate);
 }
 
-TEST(SuccessionService, AmongThoseThatAnswerTheNewestReignCounts)
+TEST(SuccessionService, AmongThoseThatAnswerTheNewestTermCounts)
 {
     this->links.upstreams["b"].point = { .term = 1, .position = 133 };
-    this->links.upstreams["a"].reign = 2;
+    this->links.upstreams["a"].term = 2;
     this->holdDuty("me", 1, longAgo);
     this->runFor(1200ms);
     LONGS_EQUAL(1, this->promoter.orders.size());
     CHECK_EQUAL(std::string("a"), this->promoter.orders[0].candidate);
 }
 
-// Who takes the duty over, on whatever side of a partition, learns of the reign from the duty's row.
-TEST(SuccessionService, TheHolderWritesTheReignOfItsCandidateIntoTheDutysRow)
+// Who takes the duty over, on whatever side of a partition, learns of the term from the duty's row.
+TEST(SuccessionService, TheHolderWritesTheTermOfItsCandidateIntoTheDutysRow)
 {
     this->holdDuty("me", 1, longAgo);
     this->links.upstreams["a"].isReplica = true;
@@ -247,21 +247,21 @@
     this->runFor(1200ms);
     LONGS_EQUAL(0, this->storage.commits);
     this->links.upstreams["b"].isReplica = false;
-    this->links.upstreams["b"].reign = 2;
+    this->links.upstreams["b"].term = 2;
     this->runFor(400ms);
     LONGS_EQUAL(1, this->storage.commits);
-    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("reign").get<int>());
+    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("term").get<int>());
     this->runFor(600ms);
     LONGS_EQUAL(1, this->storage.commits);
 }
 
-TEST(SuccessionService, WhoTakesTheDutyOverKeepsTheReignOfItsRow)
+TEST(SuccessionService, WhoTakesTheDutyOverKeepsTheTermOfItsRow)
 {
     this->holdDuty("other", 7, longAgo, 2);
-    this->links.upstreams["a"].reign = 2;
+    this->links.upstreams["a"].term = 2;
     this->runFor(2000ms);
     CHECK(this->storage.commits >= 1);
-    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("reign").get<int>());
+    LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("term").get<int>());
 }
 
 // The store comes back from a copy: its rows may be old, its numbers are given out again.
@@ -269,14 +269,14 @@
 {
     void takeRowOfCopy(const char* vm, std::uint64_t incarnation, std::uint64_t number, store::Era writtenIn)
     {
-        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - longAgo }, { "era", writtenIn }, { "reign", 1 } };
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - longAgo }, { "era", writtenIn }, { "term", 1 } };
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .era = this->storage.newestEra, .number = number } } });
     }
 
     /// The primary answers, so that nobody has a reason to act.
     void keepPrimary()
     {
-        this->dispatcher.confirmLeader("s", { .upstream = "p", .reign = 1, .lastEntry = 1 });
+        this->dispatcher.confirmLeader("s", { .upstream = "p", .term = 1, .lastEntry = 1 });
         this->proofs = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, engine::bootNow()); });
     }
 
