--- a/test/relay/test_relay.cpp
+++ b/test/relay/test_relay.cpp
@@ -40,6 +40,17 @@
         };
     }
 
+    /// Opens a transaction by way of a stream.
+    void begin(engine::RelayStream & stream)
+    {
+        auto relayed = write();
+        relayed.request = { .id = "q", .kind = engine::RequestKind::Begin, .text = "BEGIN" };
+        bool isOpen = false;
+        stream.send(relayed, [&](const engine::RelayedReply& reply) { isOpen = reply.reply.state == engine::TransactionState::Open; });
+        this->runFor(100ms);
+        CHECK_TRUE(isOpen);
+    }
+
     void runFor(Duration span)
     {
         const auto end = this->loop.after(span, [this] { this->loop.stop(); });
@@ -65,12 +76,7 @@
 {
     auto stream = this->client.open("home", this->address);
     LONGS_EQUAL(0, this->client.outstanding("home"));
-    auto begin = write();
-    begin.request = { .id = "q", .kind = engine::RequestKind::Begin, .text = "BEGIN" };
-    bool isOpen = false;
-    stream->send(begin, [&](const engine::RelayedReply& reply) { isOpen = reply.reply.state == engine::TransactionState::Open; });
-    this->runFor(100ms);
-    CHECK_TRUE(isOpen);
+    this->begin(*stream);
     LONGS_EQUAL(1, this->client.outstanding("home"));
     stream.reset();
     LONGS_EQUAL(0, this->client.outstanding("home"));
@@ -119,12 +125,7 @@
     auto home = std::make_unique<relay::RelayServer>(this->loop, kernel::Address { .host = "127.0.0.1" }, this->context);
     const kernel::Address place { .host = "127.0.0.1", .port = home->port() };
     auto stream = this->client.open("other", place);
-    auto begin = write();
-    begin.request = { .id = "q", .kind = engine::RequestKind::Begin, .text = "BEGIN" };
-    bool isOpen = false;
-    stream->send(begin, [&](const engine::RelayedReply& reply) { isOpen = reply.reply.state == engine::TransactionState::Open; });
-    this->runFor(100ms);
-    CHECK_TRUE(isOpen);
+    this->begin(*stream);
     home = nullptr;
     this->runFor(20ms);
     home = std::make_unique<relay::RelayServer>(this->loop, place, this->context);
--- a/test/succession/test_duty_search.cpp
+++ b/test/succession/test_duty_search.cpp
@@ -4,13 +4,12 @@
 
 #include "amaranthhall/succession/duty.hpp"
 #include "amaranthhall/succession/promoter.hpp"
+#include "succession/breadth_first.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <array>
-#include <deque>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 
 using namespace amaranthhall;
@@ -83,15 +82,10 @@
         for (std::size_t i = 0; i < daemonCount; ++i)
             first.daemons[i] = { .self = { .vm = std::string(1, static_cast<char>('a' + i)), .incarnation = 1 }, .news = { .startedAt = first.now - 60s } };
         this->push(first);
-        while (!this->open.empty() && this->found.empty()) {
-            const auto world = std::move(this->open.front());
-            this->open.pop_front();
-            this->expand(world);
-        }
-        return this->found;
+        return this->visits.run([this](const World& world) { this->expand(world); });
     }
 
-    [[nodiscard]] std::size_t states() const noexcept { return this->seen.size(); }
+    [[nodiscard]] std::size_t states() const noexcept { return this->visits.states(); }
 
 private:
     [[nodiscard]] std::uint64_t fenceOf(const store::Version& version) const
@@ -234,18 +228,10 @@
         return text;
     }
 
-    void push(const World& world)
-    {
-        if (!world.problem.empty())
-            this->found = world.problem;
-        if (this->seen.insert(std::hash<std::string>()(describe(world))).second)
-            this->open.push_back(world);
-    }
+    void push(const World& world) { this->visits.push(world, describe(world)); }
 
     Defect defect;
-    std::deque<World> open;
-    std::set<std::size_t> seen; ///< Hashes of states.
-    std::string found;
+    succession::testing::BreadthFirst<World> visits;
 };
 
 }
--- a/test/succession/test_promotion_search.cpp
+++ b/test/succession/test_promotion_search.cpp
@@ -3,12 +3,11 @@
 // promotion rolled back. With the rule left out, the search finds such a promotion.
 
 #include "amaranthhall/succession/judgement.hpp"
+#include "succession/breadth_first.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <array>
-#include <deque>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -47,15 +46,10 @@
     std::string run()
     {
         this->push(World {});
-        while (!this->open.empty() && this->found.empty()) {
-            const auto world = std::move(this->open.front());
-            this->open.pop_front();
-            this->expand(world);
-        }
-        return this->found;
+        return this->visits.run([this](const World& world) { this->expand(world); });
     }
 
-    [[nodiscard]] std::size_t states() const noexcept { return this->seen.size(); }
+    [[nodiscard]] std::size_t states() const noexcept { return this->visits.states(); }
 
 private:
     static void commit(World& world)
@@ -147,18 +141,10 @@
         return text;
     }
 
-    void push(const World& world)
-    {
-        if (!world.problem.empty())
-            this->found = world.problem;
-        if (this->seen.insert(describe(world)).second)
-            this->open.push_back(world);
-    }
+    void push(const World& world) { this->visits.push(world, describe(world)); }
 
     bool followersOnly;
-    std::deque<World> open;
-    std::set<std::string> seen;
-    std::string found;
+    succession::testing::BreadthFirst<World> visits;
 };
 
 }
