Logs and a gauge that tell who follows the store, whence a configuration came and how old the copy was

Change: store.following and store.not_following with rank and live peers; source and copy_age_ms in configuration.applied; peer and taken_ms in peer.rows_fetched and peer.rows_not_fetched; the gauge amaranthhall_copy_age_seconds. The age is kept in store time, from the time that each answer tells. The boot clock moves from engine to freshness, as store uses it too.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/engine/dispatcher.hpp"
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -121,7 +121,7 @@
     auto& service = this->serviceOf(entry.service);
     UpstreamPool::Callbacks callbacks {
         .available = [this, &service] { this->scheduleQueueProcessing(service); },
-        .logPointReported = [&service, upstream = entry.id](const auto& point) { freshness::updateLag(service.lags[upstream], service.samples, point, bootNow()); },
+        .logPointReported = [&service, upstream = entry.id](const auto& point) { freshness::updateLag(service.lags[upstream], service.samples, point, freshness::bootNow()); },
     };
     return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
 }
@@ -315,7 +315,7 @@
 std::vector<placement::Candidate> Dispatcher::candidatesFor(Service& service, const LinkRequirements& requirements)
 {
     const auto leader = this->leaderOf(service);
-    const auto now = bootNow();
+    const auto now = freshness::bootNow();
     std::vector<placement::Candidate> candidates;
     candidates.reserve(service.pools.size());
     for (const auto& pool : service.pools) {
--- a/src/amaranthhall/engine/dispatcher_leader.cpp
+++ b/src/amaranthhall/engine/dispatcher_leader.cpp
@@ -1,7 +1,7 @@
 // Leader tracking of the dispatcher: which upstream leads a service, whether it may be used and whether this daemon reaches it.
 
-#include "amaranthhall/engine/boot_clock.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/engine/session.hpp"
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -137,7 +137,7 @@
 void Session::startExecution(Request request)
 {
     const auto now = this->context.loop.now();
-    this->execution.emplace(Execution { .request = std::move(request), .arrivedAt = now, .arrivedBootTime = bootNow() });
+    this->execution.emplace(Execution { .request = std::move(request), .arrivedAt = now, .arrivedBootTime = freshness::bootNow() });
     const auto configuration = this->context.catalog.configuration();
     const auto* route = configuration ? configuration->findRoute(this->database) : nullptr;
     if (this->relayedRoute)
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/engine/session.hpp"
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/retry/backoff.hpp"
 
 #include <algorithm>
@@ -188,7 +188,7 @@
     auto& execution = *this->execution;
     execution.isSent = true;
     execution.sentAt = this->context.loop.now();
-    execution.sentBootTime = bootNow();
+    execution.sentBootTime = freshness::bootNow();
     const auto& request = execution.request;
     if (request.kind != RequestKind::Execute) {
         this->activeLink().send({ .id = request.id, .text = request.text, .after = execution.after }, std::move(done));
@@ -207,7 +207,7 @@
 void Session::runWrapped()
 {
     this->execution->sentAt = this->context.loop.now();
-    this->execution->sentBootTime = bootNow();
+    this->execution->sentBootTime = freshness::bootNow();
     this->activeLink().send({ .kind = Command::Kind::Begin }, this->guarded([this](Reply reply) {
         if (!reply.succeeded()) {
             this->onReply(std::move(reply));
@@ -226,7 +226,7 @@
 {
     auto& execution = *this->execution;
     execution.sentAt = this->context.loop.now();
-    execution.sentBootTime = bootNow();
+    execution.sentBootTime = freshness::bootNow();
     const auto done = this->guarded([this](Reply reply) { this->onBeginReply(std::move(reply)); });
     const bool sendsCallerText = execution.request.kind == RequestKind::Begin || !execution.needsLeader;
     if (sendsCallerText)
--- a/src/amaranthhall/engine/boot_clock.hpp
+++ b/src/amaranthhall/freshness/boot_clock.hpp
@@ -2,9 +2,9 @@
 
 #include "amaranthhall/freshness/store_clock.hpp"
 
-namespace amaranthhall::engine {
+namespace amaranthhall::freshness {
 
 /// @brief Reads CLOCK_BOOTTIME, which keeps running while the VM is suspended.
-[[nodiscard]] freshness::Micros bootNow() noexcept;
+[[nodiscard]] Micros bootNow() noexcept;
 
 }
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -72,11 +73,19 @@
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
     , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
     , storeEra(this->metrics.gauge("amaranthhall_store_era", "Times that the store came back from a copy"))
+    , configurationAge(this->copyAgeGauge("configuration"))
+    , upstreamsAge(this->copyAgeGauge("upstreams"))
+    , fleetAge(this->copyAgeGauge("daemons"))
     , relayedStreams(this->metrics.gauge("amaranthhall_relayed_streams", "Statements and transactions that run here for other daemons"))
     , tickTimer(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
 }
 
+prometheus::Gauge& Gateway::copyAgeGauge(std::string_view rows)
+{
+    return this->metrics.gauge("amaranthhall_copy_age_seconds", "Time since this daemon's rows were known to be those of the store", { { "rows", rows } });
+}
+
 engine::Dispatcher::Options Gateway::dispatcherOptions()
 {
     return {
@@ -215,6 +224,8 @@
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
     this->configurationVersion.Set(configuration ? static_cast<double>(configuration->version) : 0);
     this->relayedStreams.Set(static_cast<double>(this->relays.streamCount()));
+    for (const auto& [watch, gauge] : { std::pair(&this->configurationWatch, &this->configurationAge), { &this->upstreamWatch, &this->upstreamsAge }, { &this->fleetWatch, &this->fleetAge } })
+        gauge->Set(watch->age() ? std::chrono::duration<double>(*watch->age()).count() : std::numeric_limits<double>::infinity());
 }
 
 void Gateway::tick()
@@ -228,7 +239,11 @@
     const bool fleetKnownChanged = this->isFleetKnown() != std::exchange(this->wasFleetKnown, this->isFleetKnown());
     if (homesChanged || fleetKnownChanged || !expired.empty())
         this->dispatcher.onCatalogChanged();
-    const bool follows = gossip::rendezvousRank(storeFollowerTask, this->settings.vm, this->gossip.peers().liveNames(this->loop.now())) < maximumFollowers;
+    const auto live = this->gossip.peers().liveNames(this->loop.now());
+    const auto rank = gossip::rendezvousRank(storeFollowerTask, this->settings.vm, live);
+    const bool follows = rank < maximumFollowers;
+    if (follows != this->configurationWatch.follows())
+        logEvent(LogLevel::Info, follows ? "store.following" : "store.not_following", { { "rank", rank }, { "live_peers", live.size() } });
     for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch }) {
         watch->setFollowing(follows);
         watch->updateEra(this->platform.store.era());
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -58,7 +58,9 @@
 
 private:
     static constexpr std::string_view fleetTable = "amaranthhall"; ///< Table of the store with the rows of daemons and leases.
+    static constexpr std::string_view storeSource = "store";
 
+    [[nodiscard]] prometheus::Gauge& copyAgeGauge(std::string_view rows);
     [[nodiscard]] engine::Dispatcher::Options dispatcherOptions();
     [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
     [[nodiscard]] store::TableWatch::Callbacks configurationCallbacks();
@@ -79,7 +81,7 @@
     [[nodiscard]] bool isFleetKnown() const noexcept;
     void fillDigest(gossip::Digest& digest);
     void applyDigest(const gossip::Digest& digest);
-    void fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer);
+    void fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const gossip::Digest& digest);
     void ensureRegistered();
     void registerDaemon();
     [[nodiscard]] store::RowKey registrationKey() const;
@@ -108,11 +110,15 @@
     gossip::RowExchange rowExchange;
     succession::SuccessionService succession;
     std::set<std::string> fetchingTables; ///< Tables whose rows are being fetched from a peer.
+    std::string rowSource { storeSource }; ///< Where the rows that are being applied come from: a peer's VM or `storeSource`; for logs.
     http::Server metricsServer;
     prometheus::Gauge& livePeers;
     prometheus::Gauge& knownUpstreams;
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& storeEra;
+    prometheus::Gauge& configurationAge;
+    prometheus::Gauge& upstreamsAge;
+    prometheus::Gauge& fleetAge;
     prometheus::Gauge& relayedStreams;
     kernel::Registration tickTimer;
     kernel::Registration discoveryTimer;
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -1,6 +1,6 @@
 // Rows of the store and datagrams of other daemons: what the gateway learns from them, and what it tells.
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/gateway/gateway.hpp"
 #include "amaranthhall/kernel/random_seed.hpp"
 #include "amaranthhall/retry/backoff.hpp"
@@ -21,6 +21,13 @@
     constexpr Duration reregistrationGrace = 2500ms; // time for upstreams to register again after the store was restored from a backup
     constexpr std::string_view daemonPrefix = "daemon/";
 
+    /// Returns the age of a copy for logs, in ms; -1 if it is unknown.
+    std::int64_t ageMilliseconds(const store::TableWatch& watch)
+    {
+        const auto age = watch.age();
+        return age ? std::chrono::duration_cast<std::chrono::milliseconds>(*age).count() : -1;
+    }
+
 }
 
 std::vector<store::Row> Gateway::rowsAfter(const std::string& table, store::Version after)
@@ -67,7 +74,7 @@
     }
     const auto version = configuration->version;
     const auto isNewer = this->catalog.apply(*std::move(configuration));
-    logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", store::formatVersion(row.version) } });
+    logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", store::formatVersion(row.version) }, { "source", this->rowSource }, { "copy_age_ms", ageMilliseconds(this->configurationWatch) } });
     this->gossip.sendUrgently();
     if (isNewer)
         this->configurationApplied();
@@ -155,7 +162,7 @@
 {
     digest.versions = { .configuration = this->configurationWatch.newestRow(), .upstreams = this->upstreamWatch.newestRow(), .fleet = this->fleetWatch.newestRow() };
     const auto& clock = this->platform.store.clock();
-    const auto now = engine::bootNow();
+    const auto now = freshness::bootNow();
     for (const auto& service : this->homes.localServices()) {
         const auto sample = this->dispatcher.samples(service).newest();
         const auto& proof = this->dispatcher.proof(service);
@@ -170,7 +177,7 @@
 void Gateway::applyDigest(const gossip::Digest& digest)
 {
     const auto& clock = this->platform.store.clock();
-    const auto now = engine::bootNow();
+    const auto now = freshness::bootNow();
     for (const auto& report : digest.leaders) {
         const auto at = clock.earliestLocalTime(report.at, now);
         if (!at || now - *at > maximumLeaderReportAge)
@@ -183,13 +190,13 @@
         this->dispatcher.noteProof(report.service, { .upstream = report.upstream, .point = report.point, .at = this->loop.now() - age }, *at);
     }
     this->succession.mergeDigest(digest, clock);
-    this->fetchNewerRows(this->configurationWatch, this->platform.rows.configurationTable(), digest.versions.configuration, digest.profile.address);
-    this->fetchNewerRows(this->upstreamWatch, this->platform.rows.upstreamTable(), digest.versions.upstreams, digest.profile.address);
-    this->fetchNewerRows(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest.profile.address);
+    this->fetchNewerRows(this->configurationWatch, this->platform.rows.configurationTable(), digest.versions.configuration, digest);
+    this->fetchNewerRows(this->upstreamWatch, this->platform.rows.upstreamTable(), digest.versions.upstreams, digest);
+    this->fetchNewerRows(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest);
 }
 
 /// Fetches newer rows that a peer reports: from the store if this daemon follows it and it is reachable, otherwise from the peer.
-void Gateway::fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const kernel::Address& peer)
+void Gateway::fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const gossip::Digest& digest)
 {
     if (newest <= watch.newestRow())
         return;
@@ -199,14 +206,18 @@
     }
     if (!this->fetchingTables.insert(table).second)
         return;
-    this->rowExchange.fetch(peer, table, watch.newestRow(), [this, &watch, table](const auto& rows) {
+    this->rowExchange.fetch(digest.profile.address, table, watch.newestRow(), [this, &watch, table, peer = digest.vm, requestedAt = this->loop.now()](const auto& rows) {
         this->fetchingTables.erase(table);
+        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(this->loop.now() - requestedAt);
         if (!rows) {
+            logEvent(LogLevel::Info, "peer.rows_not_fetched", { { "table", table }, { "peer", peer }, { "taken_ms", taken.count() } });
             watch.refresh();
             return;
         }
-        logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows->size() } });
+        logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows->size() }, { "peer", peer }, { "taken_ms", taken.count() } });
+        this->rowSource = peer;
         watch.merge(*rows);
+        this->rowSource = storeSource;
     });
 }
 
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -77,13 +77,8 @@
 void RowExchange::fetch(const kernel::Address& peer, const std::string& table, store::Version after, FetchCallback onFetched)
 {
     const http::Request request { .path = "/rows", .query = "table=" + http::encodeQueryValue(table) + "&after=" + store::formatVersion(after) };
-    this->client.send(peer, request, fetchTimeout, [onFetched = std::move(onFetched), peer](const http::HttpResult& result) {
-        if (result && result->status == 200) {
-            onFetched(decodeRows(result->body));
-            return;
-        }
-        telemetry::logEvent(telemetry::LogLevel::Info, "peer.rows_not_fetched", { { "peer", kernel::formatAddress(peer) } });
-        onFetched(std::nullopt);
+    this->client.send(peer, request, fetchTimeout, [onFetched = std::move(onFetched)](const http::HttpResult& result) {
+        onFetched(result && result->status == 200 ? decodeRows(result->body) : std::nullopt);
     });
 }
 
--- a/src/amaranthhall/quota/io/quota_service.cpp
+++ b/src/amaranthhall/quota/io/quota_service.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/quota/io/quota_service.hpp"
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/hashing/rendezvous.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
@@ -40,7 +40,7 @@
 
 Time QuotaService::now() const noexcept
 {
-    return Time(std::chrono::microseconds(engine::bootNow()));
+    return Time(std::chrono::microseconds(freshness::bootNow()));
 }
 
 const std::vector<std::string>& QuotaService::ranking(std::string_view organisation)
--- a/src/amaranthhall/store/store.hpp
+++ b/src/amaranthhall/store/store.hpp
@@ -34,6 +34,7 @@
     std::vector<Row> rows;
     Version version; ///< All changes up to this version are included.
     bool hasMore { false }; ///< A further page follows.
+    freshness::Micros readAt { 0 }; ///< Store time at which the rows were read; 0 if the answer does not tell.
 };
 
 /// @brief Precondition of a transaction: the row must still have this version; the number 0 means that it must not exist.
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/store/table_watch.hpp"
 
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
@@ -69,8 +70,10 @@
         return;
     }
     this->handleSuccess();
-    if (!this->listingVersion)
+    if (!this->listingVersion) {
         this->listingVersion = result->version;
+        this->listingReadAt = result->readAt;
+    }
     if (result->version.era != this->listingVersion->era) {
         this->list({});
         return;
@@ -97,6 +100,7 @@
     this->applyRows(missing);
     this->hasListed = true;
     this->isCatchingUp = false;
+    this->noteVerified(this->listingReadAt);
     this->followedVersion = *this->listingVersion;
     this->appliedEra = this->followedVersion.era;
     this->callbacks.batchApplied();
@@ -184,6 +188,7 @@
     }
     this->applyRows(result->rows);
     this->followedVersion = std::max(this->followedVersion, result->version);
+    this->noteVerified(result->readAt);
     this->isCatchingUp = false;
     if (!result->rows.empty())
         this->callbacks.batchApplied();
@@ -255,6 +260,19 @@
     });
 }
 
+void TableWatch::noteVerified(freshness::Micros at) noexcept
+{
+    this->lastVerifiedAt = std::max(this->lastVerifiedAt, at);
+}
+
+std::optional<Duration> TableWatch::age() const noexcept
+{
+    const auto now = this->store.clock().latestStoreTime(freshness::bootNow());
+    if (!now || this->lastVerifiedAt == 0)
+        return std::nullopt;
+    return std::chrono::microseconds(std::max<freshness::Micros>(0, *now - this->lastVerifiedAt));
+}
+
 void TableWatch::handleSuccess()
 {
     this->failures = 0;
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -67,6 +67,12 @@
     /// @brief Returns the newest version of any known row; the lowest version if there is none.
     [[nodiscard]] Version newestRow() const noexcept { return this->newestVersion; }
 
+    /// @brief Returns the store time of the newest answer up to which the copy has all changes; 0 if there was none.
+    [[nodiscard]] freshness::Micros verifiedAt() const noexcept { return this->lastVerifiedAt; }
+
+    /// @brief Returns the upper bound of the time since verifiedAt(); std::nullopt if it is unknown.
+    [[nodiscard]] std::optional<Duration> age() const noexcept;
+
     /// @brief Returns since when the store has answered without a failure; std::nullopt while it is unreachable.
     [[nodiscard]] std::optional<Time> reachableSince() const noexcept { return this->connectedAt; }
 
@@ -94,6 +100,7 @@
     void listNewEra(Era era);
     void handleFailure(StoreError error);
     void handleSuccess();
+    void noteVerified(freshness::Micros at) noexcept;
 
     kernel::Loop& loop;
     Store& store;
@@ -105,6 +112,8 @@
     Version newestVersion;
     Version followedVersion; ///< The feed is requested after this version.
     std::optional<Version> listingVersion; ///< Version of the first page of the listing in progress.
+    freshness::Micros lastVerifiedAt { 0 };
+    freshness::Micros listingReadAt { 0 }; ///< Store time of the first page of the listing in progress.
     bool isFollowing;
     bool hasListed { false };
     unsigned failures { 0 };
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -1,6 +1,6 @@
 #include "amaranthhall/succession/succession_service.hpp"
 
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
@@ -201,7 +201,7 @@
     if (mayBeHeldAfterRestore(this->eraChange, state.holder, now))
         return true;
     const auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
-    const auto latestStoreTime = this->parts.store.clock().latestStoreTime(engine::bootNow());
+    const auto latestStoreTime = this->parts.store.clock().latestStoreTime(freshness::bootNow());
     if (!lease || !latestStoreTime)
         return false;
     return *latestStoreTime - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration).count();
@@ -283,7 +283,7 @@
     }
     state.stage = Stage::AcquiringLease;
     const auto expected = row ? row->version : store::Version {};
-    const auto takenAt = this->parts.store.clock().earliestStoreTime(engine::bootNow()).value_or(0);
+    const auto takenAt = this->parts.store.clock().earliestStoreTime(freshness::bootNow()).value_or(0);
     store::Row put { .key = key, .value = encodeLease({ .holder = this->options.self, .takenAt = takenAt, .era = this->currentEra, .term = this->newestTerm(service) }) };
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
     this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put, era = this->currentEra, onWritten = std::move(onWritten)](store::StoreResult<store::Version> result) {
@@ -432,7 +432,7 @@
         if (!state.promotion || now - state.promotion->at > promotionReportLifetime)
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::microseconds>(now - state.promotion->at).count();
-        if (const auto at = clock.earliestStoreTime(engine::bootNow() - age))
+        if (const auto at = clock.earliestStoreTime(freshness::bootNow() - age))
             digest.orders.push_back({ .service = service, .candidate = state.promotion->candidate, .fence = state.promotion->leaseVersion, .at = *at, .isLeading = state.promotion->isLeading, .term = state.promotion->term });
     }
 }
@@ -448,7 +448,7 @@
         if (report.isLeading)
             this->parts.dispatcher.noteClaim(report.service, report.candidate, report.fence);
         auto& state = this->serviceStates[report.service];
-        const auto boot = engine::bootNow();
+        const auto boot = freshness::bootNow();
         const auto local = clock.earliestLocalTime(report.at, boot);
         const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
         // The holder may send another request with the same fencing token.
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -1,5 +1,5 @@
-#include "amaranthhall/engine/boot_clock.hpp"
 #include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "engine/fake_links.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -217,7 +217,7 @@
 {
     this->open("stale");
     this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
-    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, freshness::bootNow());
     // A replica is not expected to have reached a position that the leader has only just written.
     this->runFor(10ms);
     CHECK(this->read().succeeded());
@@ -245,7 +245,7 @@
 {
     this->open("stale");
     this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
-    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, freshness::bootNow());
     this->links.upstreams["r"].replies["READ"] = { Reply { .code = ReplyCode::Lagging } };
     this->links.upstreams["r"].point = { .term = 1, .position = 1 };
     CHECK(this->read().succeeded());
@@ -394,7 +394,7 @@
     this->open("strict");
     CHECK(this->read().succeeded());
     this->dispatcher->confirmLeader("s", { .upstream = "r", .term = 2, .lastEntryTerm = 2 });
-    this->dispatcher->noteProof("s", { .upstream = "r", .point = { .term = 2, .position = 12 }, .at = this->loop.now() }, engine::bootNow());
+    this->dispatcher->noteProof("s", { .upstream = "r", .point = { .term = 2, .position = 12 }, .at = this->loop.now() }, freshness::bootNow());
     this->links.upstreams["p"].sent.clear();
     this->links.upstreams["p"].term = 3;
     this->dispatcher->noteClaim("s", "p", { .number = 50 });
@@ -436,7 +436,7 @@
 {
     this->open("stale");
     this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
-    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, engine::bootNow());
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, freshness::bootNow());
     this->links.upstreams["r"].isSilent = true;
     CHECK(this->read().succeeded());
     CHECK_TRUE(this->wasSent("p", "READ a"));
@@ -496,7 +496,7 @@
         this->links.upstreams["p"].refusesConnections = true;
         this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
         this->proofTimer = this->loop.every(5ms, [this] {
-            this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 10 }, .at = this->loop.now() }, engine::bootNow());
+            this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 10 }, .at = this->loop.now() }, freshness::bootNow());
         });
     }
 };
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -1,4 +1,4 @@
-#include "amaranthhall/engine/boot_clock.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/succession/succession_service.hpp"
 #include "engine/fake_links.hpp"
 
@@ -17,7 +17,7 @@
     explicit ImmediateStore(kernel::Loop& loop)
         : loop(loop)
     {
-        const auto now = engine::bootNow();
+        const auto now = freshness::bootNow();
         this->storeClock.observe(now, now, now);
     }
 
@@ -106,14 +106,14 @@
 
     void putLease(const char* vm, std::uint64_t incarnation, freshness::Micros age, group::Term term = 1)
     {
-        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - age }, { "term", term } };
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", freshness::bootNow() - age }, { "term", term } };
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .number = 50 } } });
     }
 
     void receivePromotionReport(freshness::Micros age) const
     {
         gossip::Digest digest { .vm = "other" };
-        digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = engine::bootNow() - age });
+        digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = freshness::bootNow() - age });
         this->service->mergeDigest(digest, this->storage.clock());
     }
 
@@ -202,7 +202,7 @@
 TEST(SuccessionService, UsesLeadingCandidateReportedByPeer)
 {
     gossip::Digest digest { .vm = "other" };
-    digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = engine::bootNow(), .isLeading = true });
+    digest.orders.push_back({ .service = "s", .candidate = "b", .fence = { .number = 50 }, .at = freshness::bootNow(), .isLeading = true });
     this->service->mergeDigest(digest, this->storage.clock());
     CHECK(this->dispatcher.leader("s") == std::optional<std::string>("b"));
 }
@@ -269,7 +269,7 @@
 {
     void restoreLeaseRow(const char* vm, std::uint64_t incarnation, std::uint64_t number, store::Era writtenIn)
     {
-        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", engine::bootNow() - longAgo }, { "era", writtenIn }, { "term", 1 } };
+        const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", freshness::bootNow() - longAgo }, { "era", writtenIn }, { "term", 1 } };
         this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .era = this->storage.newestEra, .number = number } } });
     }
 
@@ -277,7 +277,7 @@
     void keepPrimaryProven()
     {
         this->dispatcher.confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
-        this->proofTimer = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, engine::bootNow()); });
+        this->proofTimer = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, freshness::bootNow()); });
     }
 
     kernel::Registration proofTimer;
