Any daemon whose copy of the store grows old asks the store itself, and a peer beside it

Cause: a duty that one daemon does for all was given by name among the daemons that are alive, and nobody checked that it was done. The followers are the first four of a ranking of the live daemons; daemons that are turned away by the store are alive. A daemon without the duty had no notion of how old its copy was, so it could not tell a store without news from followers without a store. In the same way a follower that was told of a newer version waited for the store alone, up to its time limit of 3 s, and any other daemon for one peer, up to 2.5 s: each as long as the bound of the rule or nearly so.

Change: a copy of a table has an age, in the store's time: how long ago an answer of the store, to this daemon or to one that told it, showed that nothing was missing. Datagrams carry for each table the newest row of a complete copy, the store time of that answer and the store's version at it (20 bytes; builds before this ignore them). store/poll_policy decides by age and rank when a daemon asks the store, beside the feed: the first of the ranking at half of the maximum age, the others one after the other if they hear of no answer, all at the maximum age, which is 0.4 of the time within which a configuration must be in force (setting configuration.limit) or a draining upstream be left. An answer is told to up to 40 peers at once. A poll without an answer is repeated after 0.5 s on a new connection, a failed one after 0.1 to 2 s. A follower whose feed has not delivered in 0.3 s what others have asks a peer too; a second peer is asked 0.4 s after the first. Rows that a daemon has written itself no longer make its copy seem complete. A daemon that starts is ready only with a configuration that was known to be the store's, or a second after its start.

--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -17,6 +17,11 @@
     using telemetry::LogLevel;
 
     constexpr Duration tickInterval = 500ms;
+    constexpr Duration minimumPollCheckInterval = 5ms;
+    constexpr Duration maximumPollCheckInterval = 100ms;
+    constexpr Duration configurationCheckTimeout = 1s;
+    constexpr double maximumAgeFraction = 0.4; // of the time within which a change must be in force; the rest is for an unanswered poll and its repetition
+    constexpr Duration fleetMaximumAge = 10s; // daemons also hear of each other directly
     constexpr Duration fleetDiscoveryTimeout = 2s; // after this a daemon that has found no peers serves without them
     constexpr auto drainMargin = 1s; // a statement is queued and in transit before it reaches the upstream
     constexpr Duration drainPollInterval = 100ms;
@@ -32,9 +37,15 @@
     constexpr Duration peerRowsJitter = 100ms; // spreads the store reads of daemons that received no rows from their peers
     constexpr Duration maximumDiscoveryTime = 500ms; // then the frequent requests to the seeds end
 
-    store::TableWatch::Options watchOptions(std::string table, Duration pause, Duration listDelay)
+    store::TableWatch::Options watchOptions(std::string table, Duration pause, Duration listDelay, Duration maximumAge)
     {
-        return { .table = std::move(table), .partition = {}, .seed = kernel::randomSeed(), .pauseAfterChange = pause, .listDelay = listDelay, .follows = false };
+        return { .table = std::move(table), .partition = {}, .seed = kernel::randomSeed(), .pauseAfterChange = pause, .listDelay = listDelay, .follows = false, .polling = { .maximumAge = maximumAge } };
+    }
+
+    /// Returns the age of a copy at which a daemon asks the store itself, so that a change is in force within a limit.
+    Duration maximumAgeOf(Duration limit)
+    {
+        return std::chrono::duration_cast<Duration>(limit * maximumAgeFraction);
     }
 
     /// Chooses a random delay during which peers may supply configuration and upstreams before this daemon reads them from the store.
@@ -59,9 +70,9 @@
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
     , listDelay(chooseListDelay(usedSettings))
-    , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay), this->upstreamCallbacks())
-    , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay), this->configurationCallbacks())
-    , fleetWatch(usedLoop, usedPlatform.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero()), this->fleetCallbacks())
+    , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
+    , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
+    , fleetWatch(usedLoop, usedPlatform.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero(), fleetMaximumAge), this->fleetCallbacks())
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
@@ -110,6 +121,7 @@
         .changed = [this](const auto& row) { this->onConfigurationRow(row); },
         .batchApplied = [this] { this->onCatalogSettled(); },
         .reachabilityChanged = [](bool) {},
+        .polled = [this] { this->gossip.sendWidely(); },
     };
 }
 
@@ -193,6 +205,7 @@
     this->configurationWatch.start();
     this->upstreamWatch.start();
     this->fleetWatch.start();
+    this->pollStore();
     this->gossip.startDiscovery();
     this->discoveryTimer = this->loop.after(maximumDiscoveryTime, [this] { this->gossip.stopDiscovery(); });
 }
@@ -206,7 +219,15 @@
 
 bool Gateway::isReady() const noexcept
 {
-    return !this->isDraining && this->catalog.configuration() && !this->catalog.upstreams().empty() && this->isFleetKnown();
+    return !this->isDraining && this->isConfigurationUsable() && !this->catalog.upstreams().empty() && this->isFleetKnown();
+}
+
+/// Returns whether there is a configuration that was once known to be the store's present one. A daemon that starts may get an old one from a peer; if it can't
+/// be told how old it is, it uses it after the timeout.
+bool Gateway::isConfigurationUsable() const noexcept
+{
+    const bool isWithinTimeout = this->loop.now() - this->startedAt < configurationCheckTimeout;
+    return this->catalog.configuration() && (this->wasConfigurationFresh || !isWithinTimeout);
 }
 
 /// Returns whether the other daemons are known, from the store or from a peer, or the discovery timeout has passed. Before that, this
@@ -240,10 +261,10 @@
     if (homesChanged || fleetKnownChanged || !expired.empty())
         this->dispatcher.onCatalogChanged();
     const auto live = this->gossip.peers().liveNames(this->loop.now());
-    const auto rank = gossip::rendezvousRank(storeFollowerTask, this->settings.vm, live);
-    const bool follows = rank < maximumFollowers;
+    this->followerRank = gossip::rendezvousRank(storeFollowerTask, this->settings.vm, live);
+    const bool follows = this->followerRank < maximumFollowers;
     if (follows != this->configurationWatch.follows())
-        logEvent(LogLevel::Info, follows ? "store.following" : "store.not_following", { { "rank", rank }, { "live_peers", live.size() } });
+        logEvent(LogLevel::Info, follows ? "store.following" : "store.not_following", { { "rank", this->followerRank }, { "live_peers", live.size() } });
     for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch }) {
         watch->setFollowing(follows);
         watch->updateEra(this->platform.store.era());
@@ -251,6 +272,18 @@
     this->storeEra.Set(this->platform.store.era());
 }
 
+/// Asks the store itself where this daemon's copies have grown too old.
+void Gateway::pollStore()
+{
+    auto untilNext = maximumPollCheckInterval;
+    for (auto* watch : { &this->configurationWatch, &this->upstreamWatch, &this->fleetWatch })
+        untilNext = std::min(untilNext, watch->pollIfDue(this->followerRank));
+    this->pollTimer = this->loop.after(std::max(untilNext, minimumPollCheckInterval), [this] { this->pollStore(); });
+    const auto age = this->configurationWatch.age();
+    if (age && *age <= maximumAgeOf(this->settings.configurationLimit))
+        this->wasConfigurationFresh = true;
+}
+
 void Gateway::drain(engine::CallerServer& callers, std::function<void()> done)
 {
     if (std::exchange(this->isDraining, true))
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include "amaranthhall/engine/session.hpp"
 #include "amaranthhall/gateway/gateway_settings.hpp"
 #include "amaranthhall/gossip/gossip_node.hpp"
+#include "amaranthhall/gossip/pending_fetches.hpp"
 #include "amaranthhall/gossip/row_exchange.hpp"
 #include "amaranthhall/quota/io/quota_service.hpp"
 #include "amaranthhall/relay/home_router.hpp"
@@ -16,8 +17,9 @@
 #include "amaranthhall/telemetry/metrics.hpp"
 
 #include <functional>
+#include <limits>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,9 +81,12 @@
     void onFleetSettled();
     void stopDiscoveryIfDone();
     [[nodiscard]] bool isFleetKnown() const noexcept;
+    [[nodiscard]] bool isConfigurationUsable() const noexcept;
     void fillDigest(gossip::Digest& digest);
     void applyDigest(const gossip::Digest& digest);
-    void fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const gossip::Digest& digest);
+    void fetchNewerRows(store::TableWatch& watch, const std::string& table, const store::CopyState& copy, const gossip::Digest& digest);
+    static void readFromStore(store::TableWatch& watch);
+    void pollStore();
     void ensureRegistered();
     void registerDaemon();
     [[nodiscard]] store::RowKey registrationKey() const;
@@ -109,7 +114,8 @@
     relay::RelayServer relays;
     gossip::RowExchange rowExchange;
     succession::SuccessionService succession;
-    std::set<std::string> fetchingTables; ///< Tables whose rows are being fetched from a peer.
+    std::map<std::string, gossip::PendingFetches> pendingFetches; ///< By table.
+    std::size_t followerRank { std::numeric_limits<std::size_t>::max() }; ///< Position among the live daemons in the order in which they ask the store; updated by tick().
     std::string rowSource { storeSource }; ///< Where the rows that are being applied come from: a peer's VM or `storeSource`; for logs.
     http::Server metricsServer;
     prometheus::Gauge& livePeers;
@@ -121,6 +127,7 @@
     prometheus::Gauge& fleetAge;
     prometheus::Gauge& relayedStreams;
     kernel::Registration tickTimer;
+    kernel::Registration pollTimer;
     kernel::Registration discoveryTimer;
     kernel::Registration registrationRetry;
     kernel::Registration drainTimer;
@@ -129,6 +136,7 @@
     store::Version registeredVersion; ///< Version of the row that this process registered.
     Time startedAt;
     bool wasFleetKnown { false }; ///< Value of isFleetKnown() at the last tick.
+    bool wasConfigurationFresh { false }; ///< Whether the configuration was once known to be the store's present one.
     Time drainingSince;
     bool isDraining { false };
     std::function<void()> onDrained;
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -160,7 +160,7 @@
 
 void Gateway::fillDigest(gossip::Digest& digest)
 {
-    digest.versions = { .configuration = this->configurationWatch.newestRow(), .upstreams = this->upstreamWatch.newestRow(), .fleet = this->fleetWatch.newestRow() };
+    digest.copies = { .configuration = this->configurationWatch.copyState(), .upstreams = this->upstreamWatch.copyState(), .fleet = this->fleetWatch.copyState() };
     const auto& clock = this->platform.store.clock();
     const auto now = freshness::bootNow();
     for (const auto& service : this->homes.localServices()) {
@@ -190,35 +190,45 @@
         this->dispatcher.noteProof(report.service, { .upstream = report.upstream, .point = report.point, .at = this->loop.now() - age }, *at);
     }
     this->succession.mergeDigest(digest, clock);
-    this->fetchNewerRows(this->configurationWatch, this->platform.rows.configurationTable(), digest.versions.configuration, digest);
-    this->fetchNewerRows(this->upstreamWatch, this->platform.rows.upstreamTable(), digest.versions.upstreams, digest);
-    this->fetchNewerRows(this->fleetWatch, std::string(fleetTable), digest.versions.fleet, digest);
+    this->fetchNewerRows(this->configurationWatch, this->platform.rows.configurationTable(), digest.copies.configuration, digest);
+    this->fetchNewerRows(this->upstreamWatch, this->platform.rows.upstreamTable(), digest.copies.upstreams, digest);
+    this->fetchNewerRows(this->fleetWatch, std::string(fleetTable), digest.copies.fleet, digest);
 }
 
-/// Fetches newer rows that a peer reports: from the store if this daemon follows it and it is reachable, otherwise from the peer.
-void Gateway::fetchNewerRows(store::TableWatch& watch, const std::string& table, store::Version newest, const gossip::Digest& digest)
+/// Takes over what a peer knows of a table: until when a copy without its newer rows is complete, or else these rows. They come from the peer, unless
+/// this daemon's own feed is about to deliver them.
+void Gateway::fetchNewerRows(store::TableWatch& watch, const std::string& table, const store::CopyState& copy, const gossip::Digest& digest)
 {
-    if (newest <= watch.newestRow())
-        return;
-    if (watch.follows() && watch.reachableSince() && watch.isListed()) {
-        watch.noteNewerVersion(newest);
+    if (copy.newestRow <= watch.newestCompleteRow()) {
+        watch.noteVerifiedByPeer(copy);
         return;
     }
-    if (!this->fetchingTables.insert(table).second)
+    watch.noteNewerVersion(copy.newestRow);
+    auto& fetches = this->pendingFetches[table];
+    if (watch.isFeedExpectedToDeliver(copy.newestRow) || !fetches.mayStart(digest.vm, this->loop.now()))
         return;
-    this->rowExchange.fetch(digest.profile.address, table, watch.newestRow(), [this, &watch, table, peer = digest.vm, requestedAt = this->loop.now()](const auto& rows) {
-        this->fetchingTables.erase(table);
+    fetches.start(digest.vm, this->loop.now());
+    this->rowExchange.fetch(digest.profile.address, table, watch.newestCompleteRow(), [this, &watch, table, copy, peer = digest.vm, requestedAt = this->loop.now()](const auto& rows) {
+        this->pendingFetches[table].finish(peer);
         const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(this->loop.now() - requestedAt);
         if (!rows) {
             logEvent(LogLevel::Info, "peer.rows_not_fetched", { { "table", table }, { "peer", peer }, { "taken_ms", taken.count() } });
-            watch.refresh();
+            this->readFromStore(watch);
             return;
         }
         logEvent(LogLevel::Info, "peer.rows_fetched", { { "table", table }, { "rows", rows->size() }, { "peer", peer }, { "taken_ms", taken.count() } });
         this->rowSource = peer;
-        watch.merge(*rows);
+        watch.mergeCopy(*rows, copy);
         this->rowSource = storeSource;
     });
 }
 
+void Gateway::readFromStore(store::TableWatch& watch)
+{
+    if (watch.isComplete())
+        watch.poll();
+    else
+        watch.refresh();
+}
+
 }
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -25,6 +25,7 @@
             listKey("seeds", settings.seeds, readAddress),
             mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.promotionEndpoint) }),
             mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
+            mapKey("configuration", { durationKey("limit", settings.configurationLimit) }),
             mapKey("limits", { durationKey("window", settings.quotaWindow), nonNegativeKey("excess", settings.quotaExcess), nonNegativeKey("slack", settings.quotaSlack) }),
             mapKey("log", { { "level", [&settings](const auto& node, const auto& path) { settings.logLevel = readChoice(node, path, logLevels); } } }),
         };
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -26,6 +26,7 @@
     kernel::Address promotionEndpoint; ///< Address of the platform's endpoint for promotion requests.
     std::chrono::milliseconds drainLimit { 5000 }; ///< Maximum time from SIGTERM to the end of the process.
     std::chrono::milliseconds upstreamDrainLimit { 7000 }; ///< Time after which a draining upstream gets no new work.
+    std::chrono::milliseconds configurationLimit { 3000 }; ///< Time within which a confirmed configuration must be in force.
     std::chrono::milliseconds quotaWindow { 5000 }; ///< Window in which the limits of organisations are checked.
     double quotaExcess { 0 }; ///< Fraction by which the operations within a window may exceed the limit.
     double quotaSlack { 0 }; ///< Operations by which they may exceed it beyond that.
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -13,20 +14,24 @@
 
 namespace {
 
+    constexpr freshness::Micros microsPerMillisecond = 1000;
     constexpr double coresScale = 1000; // cores are transmitted as integer thousandths
 
     using PackedAddress = std::tuple<std::string, std::uint16_t>;
     using PackedProfile = std::tuple<PackedAddress, std::string, std::int64_t, std::uint32_t>;
     using PackedVersions = std::tuple<PackedVersion, PackedVersion, PackedVersion>;
+    using PackedVerification = std::tuple<std::int64_t, std::int64_t>; // store time in ms, version of the store
+    using PackedVerifications = std::tuple<PackedVerification, PackedVerification, PackedVerification>; // the second and the third as differences to the first, which take fewer bytes
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
     using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
-    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>>;
+    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>, PackedVerifications>;
 
     PackedAddress pack(const kernel::Address& address) { return { address.host, address.port }; }
     PackedProfile pack(const VmProfile& profile) { return { pack(profile.address), profile.zone, std::lround(profile.cores * coresScale), profile.relayVersion }; }
-    PackedVersions pack(const TableVersions& versions) { return { packVersion(versions.configuration), packVersion(versions.upstreams), packVersion(versions.fleet) }; }
+    PackedVersions packVersions(const TableCopies& copies) { return { packVersion(copies.configuration.newestRow), packVersion(copies.upstreams.newestRow), packVersion(copies.fleet.newestRow) }; }
+    PackedVerification pack(const store::CopyState& copy) { return { copy.verifiedAt / microsPerMillisecond, static_cast<std::int64_t>(copy.verifiedVersion) }; }
     PackedLeader pack(const LeaderReport& report) { return { report.service, report.upstream, report.term, report.point.term, report.point.position, report.at, report.hasRecentAnswer }; }
     PackedSuspicion pack(const SuspicionReport& report) { return { report.service, report.upstream, report.isRefusing }; }
     PackedOrder pack(const PromotionReport& report) { return { report.service, report.candidate, packVersion(report.fence), report.at, report.isLeading, report.term }; }
@@ -53,10 +58,44 @@
         return { .address = unpack(std::move(address)), .zone = std::move(zone), .cores = static_cast<double>(cores) / coresScale, .relayVersion = relayVersion };
     }
 
-    TableVersions unpack(PackedVersions&& from)
+    /// Adds without overflow, whatever the sender has sent.
+    std::int64_t wrappingSum(std::int64_t left, std::int64_t right)
     {
-        const auto& [configuration, upstreams, fleet] = from;
-        return { .configuration = unpackVersion(configuration), .upstreams = unpackVersion(upstreams), .fleet = unpackVersion(fleet) };
+        return static_cast<std::int64_t>(static_cast<std::uint64_t>(left) + static_cast<std::uint64_t>(right));
+    }
+
+    PackedVerification difference(const PackedVerification& of, const PackedVerification& to)
+    {
+        return { std::get<0>(of) - std::get<0>(to), std::get<1>(of) - std::get<1>(to) };
+    }
+
+    PackedVerification sum(const PackedVerification& left, const PackedVerification& right)
+    {
+        return { wrappingSum(std::get<0>(left), std::get<0>(right)), wrappingSum(std::get<1>(left), std::get<1>(right)) };
+    }
+
+    PackedVerifications packVerifications(const TableCopies& copies)
+    {
+        const auto first = pack(copies.configuration);
+        return { first, difference(pack(copies.upstreams), first), difference(pack(copies.fleet), first) };
+    }
+
+    store::CopyState unpackCopy(const PackedVersion& newestRow, const PackedVerification& verification)
+    {
+        constexpr auto maximumMilliseconds = std::numeric_limits<freshness::Micros>::max() / microsPerMillisecond;
+        const auto& [milliseconds, version] = verification;
+        return { .newestRow = unpackVersion(newestRow), .verifiedAt = std::clamp<std::int64_t>(milliseconds, 0, maximumMilliseconds) * microsPerMillisecond, .verifiedVersion = static_cast<std::uint64_t>(std::max<std::int64_t>(version, 0)) };
+    }
+
+    /// The verifications are zero if the sender is of a build that does not send them.
+    TableCopies unpackCopies(const PackedVersions& versions, const PackedVerifications& verifications)
+    {
+        const auto& [first, upstreams, fleet] = verifications;
+        return {
+            .configuration = unpackCopy(std::get<0>(versions), first),
+            .upstreams = unpackCopy(std::get<1>(versions), sum(first, upstreams)),
+            .fleet = unpackCopy(std::get<2>(versions), sum(first, fleet)),
+        };
     }
 
     LeaderReport unpack(PackedLeader&& from)
@@ -107,7 +146,7 @@
 
 std::string encodeDigest(const Digest& digest)
 {
-    return packing::pack(PackedDigest { digest.vm, pack(digest.profile), digest.requestsPeers, pack(digest.versions), packAll(digest.leaders), packAll(digest.suspicions), packAll(digest.orders), packAll(digest.activityAges), packAll(digest.peers) });
+    return packing::pack(PackedDigest { digest.vm, pack(digest.profile), digest.requestsPeers, packVersions(digest.copies), packAll(digest.leaders), packAll(digest.suspicions), packAll(digest.orders), packAll(digest.activityAges), packAll(digest.peers), packVerifications(digest.copies) });
 }
 
 std::optional<Digest> decodeDigest(std::string_view bytes)
@@ -120,12 +159,12 @@
     const auto& packedPeers = std::get<std::vector<PackedAddress>>(*unpacked);
     if (isMalformed(std::get<0>(std::get<PackedProfile>(*unpacked))) || std::any_of(packedPeers.begin(), packedPeers.end(), isMalformed))
         return std::nullopt;
-    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers] = *unpacked;
+    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications] = *unpacked;
     return Digest {
         .vm = std::move(vm),
         .profile = unpack(std::move(profile)),
         .requestsPeers = requestsPeers,
-        .versions = unpack(std::move(versions)),
+        .copies = unpackCopies(versions, verifications),
         .leaders = unpackAll(std::move(leaders)),
         .suspicions = unpackAll(std::move(suspicions)),
         .orders = unpackAll(std::move(orders)),
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/gossip/vm_profile.hpp"
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/address.hpp"
+#include "amaranthhall/store/copy_state.hpp"
 #include "amaranthhall/store/store.hpp"
 
 #include <cstdint>
@@ -42,11 +43,11 @@
     group::Term term { 0 }; ///< Term of its leadership; 0 while it is not the leader.
 };
 
-/// @brief The newest row version that a daemon has of each store table.
-struct TableVersions {
-    store::Version configuration;
-    store::Version upstreams;
-    store::Version fleet;
+/// @brief How much a daemon has of each store table.
+struct TableCopies {
+    store::CopyState configuration;
+    store::CopyState upstreams;
+    store::CopyState fleet;
 };
 
 /// @brief Time since the last known activity of a daemon.
@@ -60,7 +61,7 @@
     std::string vm;
     VmProfile profile; ///< Profile of the sender's VM.
     bool requestsPeers { false }; ///< The sender requests the addresses of other daemons.
-    TableVersions versions;
+    TableCopies copies;
     std::vector<LeaderReport> leaders;
     std::vector<SuspicionReport> suspicions;
     std::vector<PromotionReport> orders;
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -18,7 +18,6 @@
     constexpr Duration audienceInterval = 400ms; // shorter than the time for which evidence of a leader counts as recent
     constexpr unsigned roundsPerHeartbeat = 2; // an audience receives a digest in every second of its rounds even if nothing has changed
     constexpr unsigned sendersPerRound = 4; // senders that report on a service to a daemon in the same round
-    constexpr std::size_t urgentFanOut = 40;
     constexpr std::size_t minimumActivityAges = 16; // per datagram
     constexpr std::size_t maximumActivityAges = 64; // per datagram; each takes about 8 bytes
     constexpr std::size_t peersPerActivityAge = 4; // one in four peers is reported per datagram, so that activity of each peer is received about four times a second
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -54,9 +54,14 @@
     /// @brief Sends a digest to many peers and to all audiences in the next iteration of the loop.
     void sendUrgently();
 
+    /// @brief Sends a digest to many peers at once.
+    void sendWidely() { this->sendRound(urgentFanOut); }
+
     [[nodiscard]] PeerRegistry& peers() noexcept { return this->registry; }
 
 private:
+    static constexpr std::size_t urgentFanOut = 40; ///< Peers that receive an urgent digest.
+
     void sendRound(std::size_t fanOut);
     void receive(std::string_view bytes);
     void sendToAudiences(bool isUrgent);
--- a/src/amaranthhall/http/client.cpp
+++ b/src/amaranthhall/http/client.cpp
@@ -137,6 +137,9 @@
     if (this->native->pendingRequests.erase(pending) == 0)
         return;
     pending->timer.reset();
+    // Connections may go silent together, so after a timeout the next request to the address gets a new one.
+    if (!result && result.error() == HttpError::Timeout)
+        this->native->idle[pending->to].clear();
     // libevent still uses the connection during its callback, so it is reused or closed in a later iteration of the event loop.
     this->loop.post([this, aliveToken = std::weak_ptr(this->native->alive), pending, isConnectionReusable = result.has_value()] {
         if (aliveToken.expired())
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -18,7 +18,9 @@
     constexpr int minimumFeedWait = 12'000; // ms
     constexpr int maximumFeedWait = 25'000; // ms; the store allows 30 s
     constexpr retry::BackoffOptions retryBackoff { .first = 100ms, .limit = 1000ms };
-    constexpr Duration feedGracePeriod = 300ms; // time for the feed itself to deliver a change that others already have
+    constexpr Duration feedDeliveryTime = 300ms; // in which the feed itself delivers a change that others already have
+    constexpr freshness::Micros maximumClockError = 1'000'000; // µs; a time that lies further ahead is not of the store's present clock
+    constexpr freshness::Micros clockResetThreshold = 10'000'000; // µs; the store's answers are not as late as this
 
 }
 
@@ -101,6 +103,10 @@
     this->hasListed = true;
     this->isCatchingUp = false;
     this->noteVerified(this->listingReadAt);
+    for (const auto& [key, row] : this->rowsByKey) {
+        if (row.version <= *this->listingVersion)
+            this->completeRow = std::max(this->completeRow, row.version);
+    }
     this->followedVersion = *this->listingVersion;
     this->appliedEra = this->followedVersion.era;
     this->callbacks.batchApplied();
@@ -132,11 +138,43 @@
 void TableWatch::merge(const std::vector<Row>& rows)
 {
     this->applyRows(rows);
+    this->finishMerge(rows);
+}
+
+void TableWatch::finishMerge(const std::vector<Row>& rows)
+{
     for (const auto& row : rows)
         this->appliedEra = std::max(this->appliedEra, row.version.era);
     this->callbacks.batchApplied();
 }
 
+void TableWatch::mergeCopy(const std::vector<Row>& rows, const CopyState& other)
+{
+    if (!rows.empty())
+        this->suspectFeed();
+    this->applyRows(rows);
+    this->completeRow = std::max(this->completeRow, other.newestRow);
+    this->noteVerifiedByPeer(other);
+    this->finishMerge(rows);
+}
+
+void TableWatch::noteVerifiedByPeer(const CopyState& other) noexcept
+{
+    if (other.newestRow > this->completeRow || other.newestRow.era < this->completeRow.era)
+        return;
+    const auto now = this->store.clock().latestStoreTime(freshness::bootNow());
+    if (other.verifiedAt <= this->lastVerifiedAt || (now && other.verifiedAt > *now + maximumClockError))
+        return;
+    this->lastVerifiedAt = other.verifiedAt;
+    this->followedVersion = std::max(this->followedVersion, Version { .era = other.newestRow.era, .number = other.verifiedVersion });
+}
+
+CopyState TableWatch::copyState() const noexcept
+{
+    const bool isSameEra = this->followedVersion.era == this->completeRow.era;
+    return { .newestRow = this->completeRow, .verifiedAt = this->lastVerifiedAt, .verifiedVersion = isSameEra ? this->followedVersion.number : 0 };
+}
+
 std::vector<Row> TableWatch::rowsAfter(Version version) const
 {
     std::vector<Row> rows;
@@ -165,39 +203,131 @@
     this->timer.reset();
     this->requestedAt = this->loop.now();
     this->isCatchingUp = wait == std::chrono::milliseconds::zero();
-    this->store.follow(this->options.table, this->followedVersion, wait, [this, expected = ++this->requestId](const StoreResult<Rows>& result) {
+    this->feedSuspectedSince.reset();
+    const auto after = this->versionToFollow();
+    this->store.follow(this->options.table, after, wait, [this, after, expected = ++this->requestId](const StoreResult<Rows>& result) {
         if (this->requestId == expected)
-            this->onChanges(result);
+            this->onChanges(result, after);
     });
 }
 
-void TableWatch::onChanges(const StoreResult<Rows>& result)
+/// Applies an answer that has all changes between the version of its request and its own one.
+void TableWatch::applyChanges(const Rows& changes)
+{
+    this->applyRows(changes.rows);
+    for (const auto& row : changes.rows)
+        this->completeRow = std::max(this->completeRow, row.version);
+    this->followedVersion = std::max(this->followedVersion, changes.version);
+    this->noteVerified(changes.readAt);
+    if (!changes.rows.empty())
+        this->callbacks.batchApplied();
+}
+
+void TableWatch::onChanges(const StoreResult<Rows>& result, Version after)
 {
     if (!result) {
         this->handleFailure(result.error());
         return;
     }
-    if (result->version.era < this->followedVersion.era) {
+    if (result->version.era < after.era) {
         this->handleFailure(StoreError::HistoryGone);
         return;
     }
     this->handleSuccess();
-    if (result->version.era > this->followedVersion.era) {
+    if (result->version.era > after.era) {
         this->listNewEra(result->version.era);
         return;
     }
-    this->applyRows(result->rows);
-    this->followedVersion = std::max(this->followedVersion, result->version);
-    this->noteVerified(result->readAt);
+    this->feedSuspectedSince.reset();
     this->isCatchingUp = false;
-    if (!result->rows.empty())
-        this->callbacks.batchApplied();
+    this->applyChanges(*result);
     if (result->rows.empty() || this->options.pauseAfterChange == Duration::zero())
         this->follow();
     else
         this->timer = this->loop.after(this->options.pauseAfterChange, [this] { this->follow(); });
 }
 
+void TableWatch::poll()
+{
+    if (!this->isComplete() || this->pendingPolls.size() >= maximumPendingPolls)
+        return;
+    this->lastPollAt = this->loop.now();
+    const auto after = this->versionToFollow();
+    const auto id = ++this->pollId;
+    this->pendingPolls.insert(id);
+    this->store.follow(this->options.table, after, std::chrono::milliseconds::zero(), [this, after, id](const StoreResult<Rows>& result) {
+        this->pendingPolls.erase(id);
+        this->onPolled(result, after);
+    });
+}
+
+void TableWatch::onPolled(const StoreResult<Rows>& result, Version after)
+{
+    const bool isOutdated = result && result->version.era < this->versionToFollow().era;
+    if (!result || isOutdated) {
+        if (this->pollFailures++ == 0)
+            telemetry::logEvent(telemetry::LogLevel::Info, "store.poll_failed", { { "table", this->options.table }, { "error", isOutdated ? "an earlier era" : nameOf(result.error()) } });
+        if (!result && result.error() == StoreError::HistoryGone)
+            this->refresh();
+        return;
+    }
+    this->pollFailures = 0;
+    if (result->version.era > after.era) {
+        if (!this->isCatchingUp)
+            this->listNewEra(result->version.era);
+        return;
+    }
+    if (!result->rows.empty())
+        this->suspectFeed();
+    this->applyChanges(*result);
+    this->callbacks.polled();
+}
+
+Duration TableWatch::pollIfDue(std::size_t rank)
+{
+    if (!this->isComplete())
+        return Duration::max();
+    this->restartFeedIfSuspected();
+    const auto remaining = this->timeUntilPoll(rank);
+    if (remaining > Duration::zero())
+        return remaining;
+    this->poll();
+    return this->timeUntilPoll(rank);
+}
+
+Duration TableWatch::timeUntilPoll(std::size_t rank) const
+{
+    const PollInput input {
+        .rank = rank,
+        .age = this->age(),
+        .pending = this->pendingPolls.size(),
+        .sinceLastPoll = this->lastPollAt ? std::optional(this->loop.now() - *this->lastPollAt) : std::nullopt,
+        .failures = this->pollFailures,
+    };
+    return store::timeUntilPoll(this->options.polling, input);
+}
+
+void TableWatch::restartFeedIfSuspected()
+{
+    if (!this->feedSuspectedSince || this->loop.now() - *this->feedSuspectedSince < this->feedGracePeriod())
+        return;
+    telemetry::logEvent(telemetry::LogLevel::Info, "store.feed_restarted", { { "table", this->options.table }, { "version", formatVersion(this->completeRow) } });
+    this->follow();
+}
+
+/// Notes that rows came another way than by the feed; if it does not deliver them soon, its connection is dead.
+void TableWatch::suspectFeed()
+{
+    const bool isFeedWaiting = this->isFollowing && this->connectedAt && !this->isCatchingUp && !this->timer;
+    if (isFeedWaiting && !this->feedSuspectedSince)
+        this->feedSuspectedSince = this->loop.now();
+}
+
+Duration TableWatch::feedGracePeriod() const noexcept
+{
+    return feedDeliveryTime + this->options.pauseAfterChange;
+}
+
 /// Lists the table again after a restore of the store, because its feed does not contain the changes that the restore made.
 void TableWatch::listNewEra(Era era)
 {
@@ -207,7 +337,7 @@
 
 void TableWatch::updateEra(Era era)
 {
-    const bool isBehind = this->isFollowing && this->hasListed && era > this->followedVersion.era;
+    const bool isBehind = this->isFollowing && this->isComplete() && era > this->versionToFollow().era;
     if (isBehind && this->failures == 0 && !this->isCatchingUp)
         this->listNewEra(era);
 }
@@ -222,18 +352,31 @@
 {
     if (std::exchange(this->isFollowing, follows) || !follows)
         return;
-    if (this->failures == 0 && !this->isCatchingUp)
+    if (this->failures > 0 || this->isCatchingUp)
+        return;
+    if (this->isComplete())
+        this->requestChanges(std::chrono::milliseconds::zero());
+    else
         this->list({});
 }
 
+bool TableWatch::isFeedExpectedToDeliver(Version newestElsewhere)
+{
+    const auto now = this->loop.now();
+    if (this->awaitedVersion <= this->completeRow)
+        this->awaitedSince = now;
+    this->awaitedVersion = std::max(this->awaitedVersion, newestElsewhere);
+    return this->isFollowing && this->connectedAt && this->isComplete() && now - this->awaitedSince < this->feedGracePeriod();
+}
+
 void TableWatch::noteNewerVersion(Version newestElsewhere)
 {
-    const bool isBehind = this->hasListed && this->isFollowing && newestElsewhere > this->newestVersion && newestElsewhere > this->followedVersion;
-    const auto gracePeriod = feedGracePeriod + this->options.pauseAfterChange;
+    const bool isBehind = this->isComplete() && this->isFollowing && newestElsewhere > this->newestVersion && newestElsewhere > this->followedVersion;
+    const auto gracePeriod = this->feedGracePeriod();
     // A large answer may take longer than the time between two calls of this function; if each call repeated the request, the answer would never arrive.
     if (!isBehind || this->failures > 0 || this->isCatchingUp || this->loop.now() - this->requestedAt < gracePeriod)
         return;
-    if (newestElsewhere.era > this->followedVersion.era) {
+    if (newestElsewhere.era > this->versionToFollow().era) {
         this->listNewEra(newestElsewhere.era);
         return;
     }
@@ -250,7 +393,7 @@
     }
     this->isCatchingUp = false;
     const auto pause = retryBackoff.first / 2 + retry::jitteredDelay(retryBackoff, this->failures++, this->random);
-    const bool mustList = !this->hasListed || error == StoreError::HistoryGone || error == StoreError::Malformed;
+    const bool mustList = !this->isComplete() || error == StoreError::HistoryGone || error == StoreError::Malformed;
     ++this->requestId;
     this->timer = this->loop.after(pause, [this, mustList] {
         if (mustList)
@@ -262,13 +405,16 @@
 
 void TableWatch::noteVerified(freshness::Micros at) noexcept
 {
-    this->lastVerifiedAt = std::max(this->lastVerifiedAt, at);
+    if (at == 0)
+        return;
+    const bool wasClockReset = at + clockResetThreshold < this->lastVerifiedAt;
+    this->lastVerifiedAt = wasClockReset ? at : std::max(this->lastVerifiedAt, at);
 }
 
 std::optional<Duration> TableWatch::age() const noexcept
 {
     const auto now = this->store.clock().latestStoreTime(freshness::bootNow());
-    if (!now || this->lastVerifiedAt == 0)
+    if (!now || this->lastVerifiedAt == 0 || this->lastVerifiedAt > *now + maximumClockError)
         return std::nullopt;
     return std::chrono::microseconds(std::max<freshness::Micros>(0, *now - this->lastVerifiedAt));
 }
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -263,6 +263,7 @@
         auto row = put;
         row.version = *result;
         this->parts.fleet.merge({ row });
+        this->parts.fleet.poll();
     });
 }
 
@@ -300,6 +301,7 @@
         auto row = put;
         row.version = *result;
         this->parts.fleet.merge({ row });
+        this->parts.fleet.poll();
         logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", fencingTokenOf(*result) } });
         onWritten(*result);
     });
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -9,7 +9,7 @@
 
 TEST(Digest, EncodedDigestDecodesToTheSameValues)
 {
-    gossip::Digest sent { .vm = "front-1", .profile = { .address = { .host = "10.0.0.1", .port = 8782 }, .zone = "ba", .cores = 0.084 }, .requestsPeers = true, .versions = { .configuration = { .number = 3 }, .upstreams = { .era = 2, .number = 40 }, .fleet = { .number = 41 } } };
+    gossip::Digest sent { .vm = "front-1", .profile = { .address = { .host = "10.0.0.1", .port = 8782 }, .zone = "ba", .cores = 0.084 }, .requestsPeers = true, .copies = { .configuration = { .newestRow = { .number = 3 }, .verifiedAt = 7'000, .verifiedVersion = 41 }, .upstreams = { .newestRow = { .era = 2, .number = 40 } }, .fleet = { .newestRow = { .number = 41 } } } };
     sent.leaders.push_back({ .service = "s", .upstream = "i-1", .term = 3, .point = { .term = 2, .position = 99 }, .at = 123'456 });
     sent.suspicions.push_back({ .service = "s", .upstream = "i-2", .isRefusing = true });
     sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = { .era = 1, .number = 77 }, .at = 5, .isLeading = true, .term = 4 });
@@ -20,7 +20,8 @@
     CHECK_EQUAL(sent.vm, decoded->vm);
     CHECK(decoded->profile == sent.profile);
     CHECK_TRUE(decoded->requestsPeers);
-    CHECK(decoded->versions.upstreams == sent.versions.upstreams);
+    CHECK(decoded->copies.configuration == sent.copies.configuration);
+    CHECK(decoded->copies.upstreams == sent.copies.upstreams);
     CHECK(decoded->leaders.at(0).point == sent.leaders[0].point);
     LONGS_EQUAL(3, decoded->leaders[0].term);
     LONGS_EQUAL(123'456, decoded->leaders[0].at);
@@ -44,13 +45,13 @@
 
 TEST(Digest, FilteringRemovesReportsOfOtherServices)
 {
-    gossip::Digest digest { .vm = "a", .versions = { .configuration = { .number = 3 } } };
+    gossip::Digest digest { .vm = "a", .copies = { .configuration = { .newestRow = { .number = 3 } } } };
     digest.leaders = { { .service = "s", .upstream = "i-1" }, { .service = "t", .upstream = "i-2" } };
     digest.suspicions = { { .service = "t", .upstream = "i-2" } };
     digest.orders = { { .service = "s", .candidate = "i-1" }, { .service = "t", .candidate = "i-2" } };
     const std::vector<std::string> services { "s", "u" };
     const auto filtered = gossip::filterServices(digest, services);
-    LONGS_EQUAL(3, filtered.versions.configuration.number);
+    LONGS_EQUAL(3, filtered.copies.configuration.newestRow.number);
     LONGS_EQUAL(1, filtered.leaders.size());
     CHECK_EQUAL(std::string("i-1"), filtered.leaders[0].upstream);
     CHECK(filtered.suspicions.empty());
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -1,3 +1,4 @@
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/store/table_watch.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -45,8 +46,6 @@
     std::chrono::milliseconds lastWait { 0 };
     int reads { 0 };
     int follows { 0 };
-
-private:
     freshness::StoreClock storeClock;
 };
 
@@ -197,6 +196,139 @@
     LONGS_EQUAL(6, this->storage.lastAfter.number);
 }
 
+namespace {
+
+constexpr freshness::Micros second = 1'000'000; // µs
+
+}
+
+/// The store's clock is the local boot clock, so that copies have an age.
+TEST_GROUP_BASE(TableWatchAge, TEST_GROUP_CppUTestGroupTableWatch) {
+    void setup() override {
+        const auto now = freshness::bootNow();
+this->storage.storeClock.observe(now, now, now);
+}
+
+void listAt(freshness::Micros ago, std::vector<Row> rows, std::uint64_t number)
+{
+    this->watch.start();
+    this->storage.answer(Rows { .rows = std::move(rows), .version = { .number = number }, .readAt = freshness::bootNow() - ago });
+    this->storage.pending.clear();
+    this->events.clear();
+}
+
+store::CopyState copyOf(std::uint64_t newestRow, freshness::Micros ago, std::uint64_t version, store::Era era = 0) const
+{
+    return { .newestRow = { .era = era, .number = newestRow }, .verifiedAt = freshness::bootNow() - ago, .verifiedVersion = version };
+}
+}
+;
+
+TEST(TableWatchAge, AnOldCopyIsPolledBesideAFeedThatIsSilent)
+{
+    this->listAt(2 * second, { row("a", 1) }, 5);
+    LONGS_EQUAL(1, this->storage.follows);
+    CHECK(this->watch.age() >= 2s);
+    this->watch.pollIfDue(9);
+    LONGS_EQUAL(2, this->storage.follows);
+    LONGS_EQUAL(0, this->storage.lastWait.count());
+    this->storage.answer(Rows { .rows = { row("b", 7) }, .version = { .number = 7 }, .readAt = freshness::bootNow() });
+    CHECK(this->events == std::vector<std::string>({ "+b@7" }));
+    CHECK(this->watch.age() < 1s);
+    CHECK(this->watch.pollIfDue(9) > Duration::zero());
+    LONGS_EQUAL(2, this->storage.follows);
+    // The feed should have delivered the row, so its connection is dead.
+    this->runFor(350ms);
+    this->watch.pollIfDue(9);
+    LONGS_EQUAL(3, this->storage.follows);
+    CHECK(this->storage.lastWait > 0ms);
+    LONGS_EQUAL(7, this->storage.lastAfter.number);
+}
+
+TEST(TableWatchAge, APollThatTheStoreDoesNotAnswerIsRepeatedBeforeItTimesOut)
+{
+    this->listAt(2 * second, { row("a", 1) }, 5);
+    this->watch.pollIfDue(0);
+    this->watch.pollIfDue(0);
+    LONGS_EQUAL(2, this->storage.follows);
+    this->runFor(550ms);
+    this->watch.pollIfDue(0);
+    LONGS_EQUAL(3, this->storage.follows);
+}
+
+TEST(TableWatchAge, AnAnswerToAPeerMakesTheOwnCopyYoung)
+{
+    this->listAt(2 * second, { row("a", 4) }, 5);
+    this->watch.noteVerifiedByPeer(this->copyOf(4, 0, 80));
+    CHECK(this->watch.age() < 1s);
+    this->watch.pollIfDue(9);
+    LONGS_EQUAL(1, this->storage.follows);
+    // The history of the store may no longer reach back to the own last answer.
+    this->watch.poll();
+    LONGS_EQUAL(80, this->storage.lastAfter.number);
+}
+
+TEST(TableWatchAge, AnAnswerToAPeerWithNewerRowsProvesNothing)
+{
+    this->listAt(2 * second, { row("a", 4) }, 5);
+    this->watch.noteVerifiedByPeer(this->copyOf(6, 0, 80));
+    CHECK(this->watch.age() >= 2s);
+    this->watch.mergeCopy({ row("a", 6) }, this->copyOf(6, 0, 80));
+    CHECK(this->watch.age() < 1s);
+    CHECK(this->watch.copyState().newestRow == store::Version({ .number = 6 }));
+    LONGS_EQUAL(80, this->watch.copyState().verifiedVersion);
+}
+
+TEST(TableWatchAge, AnAnswerOfAnEarlierEraOrOfTheFutureProvesNothing)
+{
+    this->listAt(2 * second, { row("a", 4) }, 5);
+    this->watch.mergeCopy({ { .key = { .table = "t", .key = "a" }, .value = "v", .version = { .era = 1, .number = 3 } } }, this->copyOf(3, 2 * second, 5, 1));
+    this->watch.noteVerifiedByPeer(this->copyOf(4, 0, 80));
+    CHECK(this->watch.age() >= 2s);
+    this->watch.noteVerifiedByPeer(this->copyOf(3, -60 * second, 80, 1));
+    CHECK(this->watch.age() >= 2s);
+}
+
+// A daemon that has written a row does not know what others wrote before it.
+TEST(TableWatchAge, AnOwnRowDoesNotMakeTheCopyCompleteUpToIt)
+{
+    this->listAt(0, { row("a", 4) }, 5);
+    this->watch.merge({ row("own", 9) });
+    LONGS_EQUAL(4, this->watch.copyState().newestRow.number);
+    this->watch.poll();
+    LONGS_EQUAL(5, this->storage.lastAfter.number);
+    this->storage.answer(Rows { .rows = { row("b", 8), row("own", 9) }, .version = { .number = 9 }, .readAt = freshness::bootNow() });
+    LONGS_EQUAL(9, this->watch.copyState().newestRow.number);
+}
+
+TEST(TableWatchAge, APollBehindTheHistoryOfTheStoreCausesAListing)
+{
+    this->listAt(2 * second, { row("a", 1) }, 5);
+    this->watch.poll();
+    this->storage.answer(tl::unexpected(StoreError::HistoryGone));
+    LONGS_EQUAL(2, this->storage.reads);
+}
+
+TEST(TableWatchAge, APollThatShowsANewEraCausesAListing)
+{
+    this->listAt(2 * second, { row("a", 4) }, 5);
+    this->watch.poll();
+    this->storage.answer(Rows { .rows = {}, .version = { .era = 1, .number = 3 }, .readAt = freshness::bootNow() });
+    LONGS_EQUAL(2, this->storage.reads);
+    CHECK(this->watch.age() >= 2s);
+}
+
+TEST(TableWatchAge, AFeedIsExpectedToDeliverForItsGracePeriodOnly)
+{
+    this->watch.start();
+    this->storage.answer(Rows { .rows = { row("a", 1) }, .version = { .number = 5 }, .readAt = freshness::bootNow() });
+    CHECK_TRUE(this->watch.isFeedExpectedToDeliver({ .number = 6 }));
+    this->runFor(350ms);
+    CHECK_FALSE(this->watch.isFeedExpectedToDeliver({ .number = 6 }));
+    this->storage.answer(Rows { .rows = { row("a", 6) }, .version = { .number = 6 } });
+    CHECK_TRUE(this->watch.isFeedExpectedToDeliver({ .number = 7 }));
+}
+
 // When a whole fleet starts at once, only a few daemons may query the store; the others get the rows from them.
 TEST(TableWatch, TheStoreIsNotReadIfAPeerProvidesTheRows)
 {
