The limit of a draining upstream counts from when its entry may have changed; lists shrink without the own feed

Change: the limit counts from the time before which the own copy was known to be complete; a follower whose copy is young by its peers' answers removes upstreams like all others.

--- a/src/amaranthhall/catalog/catalog.cpp
+++ b/src/amaranthhall/catalog/catalog.cpp
@@ -33,7 +33,7 @@
     return departure != this->departures.end() && version.era > departure->second.era && departure->second.startedAt == entry.startedAt;
 }
 
-void Catalog::put(UpstreamEntry entry, const store::Version& version, Time now)
+void Catalog::put(UpstreamEntry entry, const store::Version& version, Time now, Duration copyAge)
 {
     const auto pending = this->restoredEntries.find(entry.id);
     const bool isRewritten = pending != this->restoredEntries.end() && version > pending->second.version;
@@ -44,7 +44,7 @@
     }
     if (isRewritten)
         this->restoredEntries.erase(pending);
-    this->update(std::move(entry), version, now);
+    this->update(std::move(entry), version, now, copyAge);
 }
 
 /// Applies restored entries that have existed for restoredEntryDelay.
@@ -60,7 +60,7 @@
     }
 }
 
-void Catalog::update(UpstreamEntry entry, const store::Version& version, Time now)
+void Catalog::update(UpstreamEntry entry, const store::Version& version, Time now, Duration copyAge)
 {
     auto& upstream = this->upstreamsById[entry.id];
     if (version < upstream.version)
@@ -74,7 +74,7 @@
     if (!entry.draining)
         upstream.drainingSince.reset();
     else if (!upstream.drainingSince)
-        upstream.drainingSince = now;
+        upstream.drainingSince = now - copyAge;
     const bool serviceChanged = upstream.entry.service != entry.service;
     if (serviceChanged)
         this->removeFromService(upstream);
--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -23,7 +23,7 @@
     store::Version version; ///< Store version at which the entry last changed.
     store::Version roleVersion; ///< Store version at which the role last changed.
     Time roleSeenAt; ///< When this daemon learned the role.
-    std::optional<Time> drainingSince; ///< When this daemon learned that the upstream is draining.
+    std::optional<Time> drainingSince; ///< Earliest time at which the upstream may have announced that it is draining.
     std::optional<Time> missingSince; ///< Start of the grace period of an entry that was removed from the store; the entry is used until its end. May be in the future.
 };
 
@@ -59,8 +59,9 @@
     /**
      * @brief Adds or updates the entry of an upstream.
      * @param version Store version at which the entry changed.
+     * @param copyAge How long before `now` the entry may have changed at most.
      */
-    void put(UpstreamEntry entry, const store::Version& version, Time now);
+    void put(UpstreamEntry entry, const store::Version& version, Time now, Duration copyAge = Duration::zero());
 
     /**
      * @brief Records that an entry was removed from the store.
@@ -108,7 +109,7 @@
     };
 
     [[nodiscard]] bool isStaleRestoredEntry(const UpstreamEntry& entry, const store::Version& version) const;
-    void update(UpstreamEntry entry, const store::Version& version, Time now);
+    void update(UpstreamEntry entry, const store::Version& version, Time now, Duration copyAge = Duration::zero());
     void acceptOldRestoredEntries(Time now);
     void addToService(const UpstreamRecord& upstream);
     void removeFromService(const UpstreamRecord& upstream);
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -249,11 +249,20 @@
         gauge->Set(watch->age() ? std::chrono::duration<double>(*watch->age()).count() : std::numeric_limits<double>::infinity());
 }
 
+/// Returns since when the rows of upstreams have been those of the store; std::nullopt while this is not known. A daemon that does not reach the store itself learns
+/// of a removal only through a peer that has read it.
+std::optional<Time> Gateway::storeReadSince() const
+{
+    const auto age = this->upstreamWatch.age();
+    const bool isCurrent = age && *age <= maximumAgeOf(this->settings.upstreamDrainLimit);
+    if (!this->upstreamWatch.follows() || isCurrent)
+        return this->upstreamWatch.reachableSince().value_or(this->startedAt);
+    return this->upstreamWatch.reachableSince();
+}
+
 void Gateway::tick()
 {
-    // A daemon that does not follow the store learns of a removal only through a peer that has read it from the store.
-    const auto reachableSince = this->upstreamWatch.follows() ? this->upstreamWatch.reachableSince() : std::optional(this->startedAt);
-    const auto expired = this->catalog.expire(this->loop.now(), reachableSince);
+    const auto expired = this->catalog.expire(this->loop.now(), this->storeReadSince());
     for (const auto& id : expired)
         logEvent(LogLevel::Info, "upstream.gone", { { "upstream", id } });
     const bool homesChanged = this->homes.refresh();
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -91,6 +91,7 @@
     void registerDaemon();
     [[nodiscard]] store::RowKey registrationKey() const;
     void unregisterDaemon();
+    [[nodiscard]] std::optional<Time> storeReadSince() const;
     void updateGauges();
     void tick();
     void continueDrain(engine::CallerServer& callers);
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -60,7 +60,7 @@
         return;
     }
     logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", store::formatVersion(row.version) } });
-    this->catalog.put(*std::move(entry), row.version, this->loop.now());
+    this->catalog.put(*std::move(entry), row.version, this->loop.now(), this->upstreamWatch.age().value_or(Duration::zero()));
 }
 
 void Gateway::onConfigurationRow(const store::Row& row)
--- a/test/catalog/test_catalog.cpp
+++ b/test/catalog/test_catalog.cpp
@@ -173,3 +173,10 @@
     this->putRestored(41, false, 99);
     CHECK_FALSE(this->subject.find("a")->drainingSince.has_value());
 }
+
+// The limit for a draining upstream counts from the store's confirmation, which a daemon may learn of late.
+TEST(Catalog, ADrainingUpstreamCountsFromWhenItsEntryMayHaveChanged)
+{
+    this->subject.put({ .id = "a", .service = "s", .draining = true }, { .number = 1 }, this->now, 2s);
+    CHECK(this->subject.find("a")->drainingSince == this->now - 2s);
+}
