An odd entry of another writer among the upstreams names none, also where it replaces a good one

Such an upstream now counts as missing, with the grace period in which it can write its own entry again.

--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -75,6 +75,7 @@
     [[nodiscard]] quota::QuotaService::Options quotaOptions() const;
     [[nodiscard]] std::vector<store::Row> rowsAfter(const std::string& table, store::Version after);
     void onUpstreamRow(const store::Row& row);
+    void markUpstreamMissing(const store::Row& row);
     void onConfigurationRow(const store::Row& row);
     void onFleetRow(const store::Row& row);
     void onCatalogSettled();
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -45,18 +45,25 @@
     return table == this->platform.rows.configurationTable() ? &this->configurationWatch : nullptr;
 }
 
+void Gateway::markUpstreamMissing(const store::Row& row)
+{
+    // Upstreams write their entries again after the store was restored from a backup.
+    const auto grace = this->upstreamWatch.isApplyingNewEra() ? reregistrationGrace : Duration::zero();
+    this->catalog.markMissing(row.key.key, row.version, this->loop.now() + grace);
+}
+
 void Gateway::onUpstreamRow(const store::Row& row)
 {
     if (row.isRemoved) {
         logEvent(LogLevel::Info, "upstream.missing", { { "upstream", row.key.key }, { "version", store::formatVersion(row.version) } });
-        // Upstreams write their entries again after the store was restored from a backup.
-        const auto grace = this->upstreamWatch.isApplyingNewEra() ? reregistrationGrace : Duration::zero();
-        this->catalog.markMissing(row.key.key, row.version, this->loop.now() + grace);
+        this->markUpstreamMissing(row);
         return;
     }
     auto entry = this->platform.rows.readUpstream(row.key.key, row.value);
     if (!entry) {
         logEvent(LogLevel::Warning, "upstream.entry_skipped", { { "upstream", row.key.key }, { "version", store::formatVersion(row.version) }, { "problem", entry.error() } });
+        // An entry of another writer names no upstream, also if it replaces one that did. If it was a mistake, the upstream writes its own again within the grace period.
+        this->markUpstreamMissing(row);
         return;
     }
     logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", store::formatVersion(row.version) } });
--- a/test/fleet/test_platform_row_reader.cpp
+++ b/test/fleet/test_platform_row_reader.cpp
@@ -44,6 +44,19 @@
     }
 }
 
+// Such entries of another writer must neither end the program nor name an upstream.
+TEST(PlatformRowReader, AnEntryThatIsNestedDeeplyOrHasNumbersOutOfRangeIsRejected)
+{
+    constexpr std::size_t veryDeep = 100'000;
+    const auto nested = std::string(veryDeep, '[') + std::string(veryDeep, ']');
+    for (const auto& odd : { nested, entryWith("{", "{\"more\":" + nested + ","), entryWith("\"slots\":2", "\"slots\":99999999999999999999999"), entryWith("\"slots\":2", "\"slots\":18446744073709551615"), entryWith("\"slots\":2", "\"slots\":1e999"), entryWith("\"slots\":2", "\"slots\":-1"), entryWith("\"born\":99", "\"born\":1e300"), entryWith(":8080", ":70000"), entryWith(":8080", ":-1"), entryWith(":8080", ":0"), entryWith(":8080", ":4294967376") }) {
+        const auto read = fleet::readUpstream("i-1", odd);
+        CHECK_FALSE(read.has_value());
+        CHECK_FALSE(read.error().empty());
+    }
+    CHECK_TRUE(fleet::readUpstream("i-1", entryWith("\"cold_remaining_ms\":7", "\"cold_remaining_ms\":1e300")).has_value());
+}
+
 TEST(PlatformRowReader, AConfigurationIsDecoded)
 {
     const auto read = fleet::readConfiguration(R"({"version":7,"routes":[{"name":"r","host":"fiti","path_prefix":"/","route_type":"read_your_writes","timeout_ms":800,"target_latency_ms":200,"priority":2,"service":"huvo","max_attempts":2,"max_staleness_ms":2500}],"services":[{"name":"huvo","max_conns":34}],"limits":{"tx_idle_ms":3000}})");
--- a/test/integration/gateway_fleet.cpp
+++ b/test/integration/gateway_fleet.cpp
@@ -76,10 +76,16 @@
     catalog::Configuration configuration { .version = version };
     for (const auto& database : databases)
         configuration.routes[database] = { .database = database, .service = "svc" };
+    configuration.services["svc"] = { .name = "svc", .maximumConnections = 60 };
     const fleet::PlatformRowReader rows;
     this->store.put(rows.configurationTable(), rows.configurationKey(), fleet::standin::encodeConfiguration(configuration));
 }
 
+void GatewayFleet::writeUpstream(const std::string& id, const std::string& value)
+{
+    this->store.put(fleet::PlatformRowReader().upstreamTable(), id, value);
+}
+
 void GatewayFleet::refuseStore(std::size_t daemon)
 {
     this->proxy.addRule({ .route = routeOf(daemon), .cut = true });
--- a/test/integration/gateway_fleet.hpp
+++ b/test/integration/gateway_fleet.hpp
@@ -33,6 +33,9 @@
     /// @brief Writes a configuration with a route for each database.
     void writeConfiguration(std::uint64_t version, const std::vector<std::string>& databases = {});
 
+    /// @brief Writes bytes as the registration of an upstream.
+    void writeUpstream(const std::string& id, const std::string& value);
+
     /// @brief Refuses a daemon's connections to the store.
     void refuseStore(std::size_t daemon);
 
@@ -46,6 +49,7 @@
     [[nodiscard]] bool hasApplied(std::size_t daemon, std::uint64_t version) const;
 
     [[nodiscard]] std::size_t size() const noexcept { return this->daemons.size(); }
+    [[nodiscard]] bool isRunning(std::size_t daemon) { return this->daemons[daemon].process->isRunning(); }
     [[nodiscard]] const rig::Process& process(std::size_t daemon) const { return *this->daemons[daemon].process; }
 
     /// @brief Path of the gateway of this build.
