--- a/test/fleet/test_platform_row_reader.cpp
+++ b/test/fleet/test_platform_row_reader.cpp
@@ -57,6 +57,19 @@
     CHECK_TRUE(fleet::readUpstream("i-1", entryWith("\"cold_remaining_ms\":7", "\"cold_remaining_ms\":1e300")).has_value());
 }
 
+TEST(PlatformRowReader, AConfigurationIsReadHoweverItsNumbersAreWritten)
+{
+    const auto read = fleet::readConfiguration(R"({"version":7.0,"routes":[{"host":"a","route_type":"primary","service":"s","priority":-1,"timeout_ms":8e2},{"host":"b","route_type":"primary","service":"s","priority":5.0}],"services":[{"name":"s","max_conns":34.0}]})");
+    CHECK_TRUE(read.has_value());
+    LONGS_EQUAL(7, read->version);
+    LONGS_EQUAL(0, read->findRoute("a")->priority);
+    LONGS_EQUAL(800, read->findRoute("a")->statementTimeout.count());
+    LONGS_EQUAL(5, read->findRoute("b")->priority);
+    LONGS_EQUAL(34, read->services.find("s")->second.maximumConnections);
+    for (const auto* version : { "7.5", "-7", "1e300", "\"7\"" })
+        CHECK_FALSE(fleet::readConfiguration(std::string(R"({"routes":[],"services":[],"version":)") + version + "}").has_value());
+}
+
 TEST(PlatformRowReader, AConfigurationIsDecoded)
 {
     const auto read = fleet::readConfiguration(R"({"version":7,"routes":[{"name":"r","host":"fiti","path_prefix":"/","route_type":"read_your_writes","timeout_ms":800,"target_latency_ms":200,"priority":2,"service":"huvo","max_attempts":2,"max_staleness_ms":2500}],"services":[{"name":"huvo","max_conns":34}],"limits":{"tx_idle_ms":3000}})");
