--- a/src/amaranthhall/program/soak.cpp
+++ b/src/amaranthhall/program/soak.cpp
@@ -24,6 +24,8 @@
     add("daemons", options::value<std::size_t>()->default_value(5), "gateways");
     add("callers", options::value<std::size_t>()->default_value(20), "callers");
     add("gateway", options::value<std::string>(), "path of the gateway; else beside this program");
+    add("other-gateway", options::value<std::string>()->default_value(""), "path of a gateway of another build, from which the daemons are replaced, and back");
+    add("without-organisations", "callers need no keys, as builds before organisations require");
     add("folder", options::value<std::string>(), "for settings and logs; else in the temporary folder");
     options::variables_map values;
     options::store(options::parse_command_line(count, arguments, description), values);
@@ -35,6 +37,8 @@
     soak::SoakOptions chosen { .seed = seed, .length = std::chrono::seconds(values["seconds"].as<unsigned>()), .daemons = values["daemons"].as<std::size_t>(), .callers = values["callers"].as<std::size_t>() };
     const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path();
     chosen.program = values.count("gateway") != 0 ? values["gateway"].as<std::string>() : (own / "amaranthhall-gateway").string();
+    chosen.otherProgram = values["other-gateway"].as<std::string>();
+    chosen.hasOrganisations = values.count("without-organisations") == 0;
     chosen.folder = values.count("folder") != 0 ? values["folder"].as<std::string>() : (std::filesystem::temp_directory_path() / ("amaranthhall-soak-" + std::to_string(seed))).string();
     spdlog::set_level(spdlog::level::off);
     soak::SoakRun run(chosen);
--- a/src/amaranthhall/soak/soak_caller.cpp
+++ b/src/amaranthhall/soak/soak_caller.cpp
@@ -152,7 +152,7 @@
 
 void SoakCaller::count(bool hasSucceeded)
 {
-    if (this->key.organisation == this->context.limitedOrganisation)
+    if (!this->key.organisation.empty() && this->key.organisation == this->context.limitedOrganisation)
         this->context.limitedAnswered += hasSucceeded ? 1 : 0;
     else
         ++(hasSucceeded ? this->context.answered : this->context.failed);
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -74,6 +74,10 @@
 
 void SoakRun::makeOrganisations()
 {
+    if (!this->options.hasOrganisations) {
+        this->context.keys.push_back({ .key = "caller", .organisation = {} });
+        return;
+    }
     for (std::size_t number = 0; number < organisationCount; ++number) {
         fleet::standin::OrganisationRow organisation { .name = "organisation" + std::to_string(number), .keys = {} };
         for (const auto* suffix : { "first", "second" }) {
@@ -94,6 +98,10 @@
 /// Withdraws the last organisation's second key for longer than daemons may take to learn of it.
 void SoakRun::withdrawKey()
 {
+    if (this->organisations.empty()) {
+        this->writeConfiguration();
+        return;
+    }
     auto& keys = this->organisations.back().keys;
     if (keys.size() < 2)
         return;
@@ -124,7 +132,8 @@
             this->proxied[g].push_back(this->proxy.addRoute(group.idOf(i), { .host = "127.0.0.1", .port = group.portOf(i) }));
             this->registerUpstream(g, i, false);
         }
-        group.ran = [this](const auto& organisation, const auto& id) { this->organisationOracle.noteRun(organisation, id, this->loop.now()); };
+        if (this->options.hasOrganisations)
+            group.ran = [this](const auto& organisation, const auto& id) { this->organisationOracle.noteRun(organisation, id, this->loop.now()); };
         group.changed = [this, g](std::size_t index) { this->registerUpstream(g, index, false); };
         this->context.databases.push_back({ .name = "strict" + std::to_string(g), .group = service });
         this->context.databases.push_back({ .name = "stale" + std::to_string(g), .group = service, .allowance = staleAllowance });
@@ -181,7 +190,10 @@
         std::ofstream file(daemon.settings);
         file << "vm:\n  id: \"" << daemon.vm << "\"\n  zone: \"a\"\nlisten:\n  callers: \"" << endpoint(host, base) << "\"\n  ready: \"" << endpoint(host, base + 1) << "\"\n  peers: \"" << endpoint(host, base + 2)
              << "\"\n  relay: \"" << endpoint(host, base + 3) << "\"\n  metrics: \"" << endpoint(host, base + 4) << "\"\nseeds: [\"" << endpoint(hostOf(0), base + 2) << "\"]\nplatform:\n  store: \""
-             << endpoint("127.0.0.1", store) << "\"\n  orders: \"" << endpoint("127.0.0.1", this->store.port()) << "\"\ndrain:\n  daemon: \"6s\"\n  upstream: \"7s\"\nlimits:\n  window: \"5s\"\n  excess: 0.1\n  slack: 20\n";
+             << endpoint("127.0.0.1", store) << "\"\n  orders: \"" << endpoint("127.0.0.1", this->store.port()) << "\"\ndrain:\n  daemon: \"6s\"\n  upstream: \"7s\"\n";
+        if (this->options.hasOrganisations)
+            file << "limits:\n  window: \"5s\"\n  excess: 0.1\n  slack: 20\n";
+        daemon.program = this->options.otherProgram.empty() ? this->options.program : this->options.otherProgram;
         this->context.daemons.push_back(daemon.callers);
         this->daemons.push_back(std::move(daemon));
     }
@@ -191,7 +203,33 @@
 {
     auto& daemon = this->daemons[index];
     daemon.isPaused = false;
-    daemon.process = std::make_unique<rig::Process>(this->options.program, std::vector<std::string> { "--settings", daemon.settings }, daemon.log + "." + std::to_string(++daemon.starts) + ".log");
+    daemon.process = std::make_unique<rig::Process>(daemon.program, std::vector<std::string> { "--settings", daemon.settings }, daemon.log + "." + std::to_string(++daemon.starts) + ".log");
+}
+
+/// Has one daemon after the other stopped and started with a program.
+void SoakRun::replacePrograms(const std::string& program, Duration gap)
+{
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+        this->later(gap * i, [this, i, program] {
+            auto& daemon = this->daemons[i];
+            this->record("replace " + daemon.vm + " by " + program);
+            daemon.program = program;
+            if (daemon.process)
+                daemon.process->signal(SIGTERM);
+        });
+    }
+}
+
+/// Plans replacements of all daemons by the new build, back by the other one, and by the new one again, within the faults.
+void SoakRun::planReplacements()
+{
+    if (this->options.otherProgram.empty())
+        return;
+    const Duration span = this->options.length / 3;
+    const auto gap = span / (this->daemons.size() + 1);
+    this->replacePrograms(this->options.program, gap);
+    this->later(span, [this, gap] { this->replacePrograms(this->options.otherProgram, gap); });
+    this->later(2 * span, [this, gap] { this->replacePrograms(this->options.program, gap); });
 }
 
 /// Starts daemons again that have ended.
@@ -458,6 +496,7 @@
     this->waitFor(startTime);
     for (std::size_t i = 0; i < this->options.callers; ++i)
         this->callers.push_back(std::make_unique<SoakCaller>(this->context, "c" + std::to_string(i), this->random()));
+    this->planReplacements();
     this->injectFault();
     this->waitFor(this->options.length);
     this->healAll();
@@ -472,7 +511,8 @@
     this->context.isStopping = true;
     this->waitFor(1s);
     SoakResult result { .violations = this->context.violations, .faults = this->faults, .answered = this->context.answered, .failed = this->context.failed };
-    result.limitShare = limitedAnswered / (limitOfFirstOrganisation.perSecond * std::chrono::duration<double>(calmTime).count());
+    if (this->options.hasOrganisations)
+        result.limitShare = limitedAnswered / (limitOfFirstOrganisation.perSecond * std::chrono::duration<double>(calmTime).count());
     for (const auto& broken : this->organisationOracle.violations())
         result.violations.push_back(broken);
     for (const auto& broken : this->store.violations())
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -28,6 +28,8 @@
     std::size_t daemons { 5 };
     std::size_t callers { 20 };
     std::string program; ///< Path of the gateway.
+    std::string otherProgram; ///< Path of a gateway of another build; if not empty, the daemons start with it and are replaced one after the other, and back again.
+    bool hasOrganisations { true }; ///< Whether callers need keys; earlier builds know no organisations.
     std::string folder; ///< For settings and logs.
 };
 
@@ -38,7 +40,7 @@
     std::uint64_t answered { 0 };
     std::uint64_t failed { 0 };
     double calmShare { 0 }; ///< Operations that succeeded in the calm end, but for those of the limited organisation.
-    double limitShare { 0 }; ///< Operations of the limited organisation in the calm end, as a share of what its limit allows.
+    double limitShare { 1 }; ///< Operations of the limited organisation in the calm end, as a share of what its limit allows.
 };
 
 /// @brief Real gateways as processes, between callers and stand-ins, under faults drawn by a seed.
@@ -56,6 +58,7 @@
         std::string settings;
         std::string log;
         kernel::Address callers;
+        std::string program;
         std::unique_ptr<rig::Process> process;
         int starts { 0 };
         bool isPaused { false };
@@ -65,6 +68,8 @@
     void makeDaemons();
     void startDaemon(std::size_t index);
     void watchDaemons();
+    void replacePrograms(const std::string& program, Duration gap);
+    void planReplacements();
     void registerUpstream(std::size_t group, std::size_t index, bool isDraining);
     void makeOrganisations();
     void writeConfiguration();
