A configuration that the store has lost is handed on to daemons that start

Cause: rows are handed on by the store's versions, and the row of the newer configuration is of the earlier era.

Change: the row that a restored copy replaces is kept while its configuration is in force; datagrams carry the operators' version of the configuration in force, and a daemon that has an older one in a store that was restored fetches that row from the peer.

--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -61,6 +61,7 @@
 private:
     static constexpr std::string_view fleetTable = "amaranthhall"; ///< Table of the store with the rows of daemons and leases.
     static constexpr std::string_view storeSource = "store";
+    static constexpr std::string_view configurationInForce = "configuration in force"; ///< Name under which daemons hand on a configuration that the store has lost.
 
     [[nodiscard]] prometheus::Gauge& copyAgeGauge(std::string_view rows);
     [[nodiscard]] engine::Dispatcher::Options dispatcherOptions();
@@ -77,6 +78,9 @@
     void onUpstreamRow(const store::Row& row);
     void markUpstreamMissing(const store::Row& row);
     void onConfigurationRow(const store::Row& row);
+    bool applyConfiguration(const store::Row& row);
+    void keepLostConfiguration(store::Row&& row);
+    void fetchConfigurationInForce(const gossip::Digest& digest);
     void onFleetRow(const store::Row& row);
     void onCatalogSettled();
     void onFleetSettled();
@@ -138,6 +142,7 @@
     store::Version registeredVersion; ///< Version of the row that this process registered.
     Time startedAt;
     bool wasFleetKnown { false }; ///< Value of isFleetKnown() at the last tick.
+    std::optional<store::Row> lostConfiguration; ///< Row of the configuration in force, if the store was restored from a copy that has an older one.
     bool wasConfigurationFresh { false }; ///< Whether the configuration was once known to be the store's present one.
     Time drainingSince;
     bool isDraining { false };
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -32,6 +32,8 @@
 
 std::vector<store::Row> Gateway::rowsAfter(const std::string& table, store::Version after)
 {
+    if (table == configurationInForce)
+        return this->lostConfiguration ? std::vector { *this->lostConfiguration } : std::vector<store::Row>();
     auto* watch = this->findWatch(table);
     return watch ? watch->rowsAfter(after) : std::vector<store::Row>();
 }
@@ -72,19 +74,58 @@
 
 void Gateway::onConfigurationRow(const store::Row& row)
 {
-    if (row.key.key != this->platform.rows.configurationKey() || row.isRemoved)
-        return;
+    if (row.key.key == this->platform.rows.configurationKey() && !row.isRemoved)
+        this->applyConfiguration(row);
+}
+
+/// Keeps a row that a restored copy of the store replaced. After several restores the first one is that of the configuration in force.
+void Gateway::keepLostConfiguration(store::Row&& row)
+{
+    if (!this->lostConfiguration && row.key.key == this->platform.rows.configurationKey() && !row.isRemoved)
+        this->lostConfiguration = std::move(row);
+}
+
+/// Puts a configuration into force if it is newer; returns whether it is.
+bool Gateway::applyConfiguration(const store::Row& row)
+{
     auto configuration = this->platform.rows.readConfiguration(row.value);
     if (!configuration) {
         logEvent(LogLevel::Error, "configuration.skipped", { { "version", store::formatVersion(row.version) }, { "problem", configuration.error() } });
-        return;
+        return false;
     }
     const auto version = configuration->version;
     const auto isNewer = this->catalog.apply(*std::move(configuration));
     logEvent(LogLevel::Info, isNewer ? "configuration.applied" : "configuration.older_dropped", { { "configuration", version }, { "version", store::formatVersion(row.version) }, { "source", this->rowSource }, { "copy_age_ms", ageMilliseconds(this->configurationWatch) } });
     this->gossip.sendUrgently();
+    const bool isWrittenAgain = this->lostConfiguration && version >= this->catalog.configuration()->version && row.version.era > this->lostConfiguration->version.era;
+    if (isWrittenAgain)
+        this->lostConfiguration.reset();
     if (isNewer)
         this->configurationApplied();
+    return isNewer;
+}
+
+/// Gets a newer configuration from a peer that has it from before the store was restored from a copy; the operators have not written it again yet.
+void Gateway::fetchConfigurationInForce(const gossip::Digest& digest)
+{
+    const auto& current = this->catalog.configuration();
+    const auto era = this->configurationWatch.newestCompleteRow().era;
+    const bool isLostInStore = current && digest.configurationVersion > current->version && era > 0 && digest.copies.configuration.newestRow <= this->configurationWatch.newestCompleteRow();
+    const std::string table(configurationInForce);
+    auto& fetches = this->pendingFetches[table];
+    if (!isLostInStore || !fetches.mayStart(digest.vm, this->loop.now()))
+        return;
+    fetches.start(digest.vm, this->loop.now());
+    this->rowExchange.fetch(digest.profile.address, table, {}, [this, table, peer = digest.vm](const auto& rows) {
+        this->pendingFetches[table].finish(peer);
+        if (!rows || rows->empty())
+            return;
+        this->rowSource = peer;
+        if (this->applyConfiguration(rows->front()))
+            this->lostConfiguration = rows->front();
+        this->rowSource = storeSource;
+        this->onCatalogSettled();
+    });
 }
 
 void Gateway::onFleetRow(const store::Row& row)
@@ -168,6 +209,8 @@
 void Gateway::fillDigest(gossip::Digest& digest)
 {
     digest.copies = { .configuration = this->configurationWatch.copyState(), .upstreams = this->upstreamWatch.copyState(), .fleet = this->fleetWatch.copyState() };
+    if (const auto& configuration = this->catalog.configuration())
+        digest.configurationVersion = configuration->version;
     const auto& clock = this->platform.store.clock();
     const auto now = freshness::bootNow();
     for (const auto& service : this->homes.localServices()) {
@@ -197,6 +240,7 @@
         this->dispatcher.noteProof(report.service, { .upstream = report.upstream, .point = report.point, .at = this->loop.now() - age }, *at);
     }
     this->succession.mergeDigest(digest, clock);
+    this->fetchConfigurationInForce(digest);
     this->fetchNewerRows(this->configurationWatch, this->platform.rows.configurationTable(), digest.copies.configuration, digest);
     this->fetchNewerRows(this->upstreamWatch, this->platform.rows.upstreamTable(), digest.copies.upstreams, digest);
     this->fetchNewerRows(this->fleetWatch, std::string(fleetTable), digest.copies.fleet, digest);
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -26,7 +26,7 @@
     using PackedSuspicion = std::tuple<std::string, std::string, bool>;
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
     using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
-    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>, PackedVerifications>;
+    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>, PackedVerifications, std::uint64_t>;
 
     PackedAddress pack(const kernel::Address& address) { return { address.host, address.port }; }
     PackedProfile pack(const VmProfile& profile) { return { pack(profile.address), profile.zone, std::lround(profile.cores * coresScale), profile.relayVersion }; }
@@ -146,7 +146,7 @@
 
 std::string encodeDigest(const Digest& digest)
 {
-    return packing::pack(PackedDigest { digest.vm, pack(digest.profile), digest.requestsPeers, packVersions(digest.copies), packAll(digest.leaders), packAll(digest.suspicions), packAll(digest.orders), packAll(digest.activityAges), packAll(digest.peers), packVerifications(digest.copies) });
+    return packing::pack(PackedDigest { digest.vm, pack(digest.profile), digest.requestsPeers, packVersions(digest.copies), packAll(digest.leaders), packAll(digest.suspicions), packAll(digest.orders), packAll(digest.activityAges), packAll(digest.peers), packVerifications(digest.copies), digest.configurationVersion });
 }
 
 std::optional<Digest> decodeDigest(std::string_view bytes)
@@ -159,12 +159,13 @@
     const auto& packedPeers = std::get<std::vector<PackedAddress>>(*unpacked);
     if (isMalformed(std::get<0>(std::get<PackedProfile>(*unpacked))) || std::any_of(packedPeers.begin(), packedPeers.end(), isMalformed))
         return std::nullopt;
-    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications] = *unpacked;
+    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion] = *unpacked;
     return Digest {
         .vm = std::move(vm),
         .profile = unpack(std::move(profile)),
         .requestsPeers = requestsPeers,
         .copies = unpackCopies(versions, verifications),
+        .configurationVersion = configurationVersion,
         .leaders = unpackAll(std::move(leaders)),
         .suspicions = unpackAll(std::move(suspicions)),
         .orders = unpackAll(std::move(orders)),
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -62,6 +62,7 @@
     VmProfile profile; ///< Profile of the sender's VM.
     bool requestsPeers { false }; ///< The sender requests the addresses of other daemons.
     TableCopies copies;
+    std::uint64_t configurationVersion { 0 }; ///< Operators' version of the configuration in force; 0 if the sender has none or does not send it.
     std::vector<LeaderReport> leaders;
     std::vector<SuspicionReport> suspicions;
     std::vector<PromotionReport> orders;
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -120,7 +120,11 @@
     if (row.version <= stored.version)
         return;
     const bool isSame = stored.version.number > 0 && stored.version.era < row.version.era && stored.isRemoved == row.isRemoved && stored.value == row.value;
-    stored = row;
+    const bool isRestored = !isSame && stored.version.number > 0 && stored.version.era < row.version.era;
+    if (isRestored)
+        this->callbacks.replacedByRestore(std::exchange(stored, row));
+    else
+        stored = row;
     this->newestVersion = std::max(this->newestVersion, row.version);
     if (!isSame)
         this->callbacks.changed(row);
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -35,6 +35,7 @@
         std::function<void()> batchApplied; ///< All changes of an answer or of a merge were reported.
         std::function<void(bool isReachable)> reachabilityChanged; ///< The store has become reachable or unreachable.
         std::function<void()> polled { [] {} }; ///< The store has answered a poll.
+        std::function<void(Row&& previous)> replacedByRestore { [](Row&&) {} }; ///< A row of a newer era, with another value, replaces a row; called before `changed`.
     };
 
     struct Options {
--- a/test/integration/gateway_fleet.hpp
+++ b/test/integration/gateway_fleet.hpp
@@ -33,6 +33,9 @@
     /// @brief Writes a configuration with a route for each database.
     void writeConfiguration(std::uint64_t version, const std::vector<std::string>& databases = {});
 
+    /// @brief Restores the store from a copy of some time ago; operators write again later.
+    void restoreStore(Duration age, Duration rewriteAfter) { this->store.restoreCopy(age, rewriteAfter); }
+
     /// @brief Writes bytes as the registration of an upstream.
     void writeUpstream(const std::string& id, const std::string& value);
 
--- a/test/integration/test_configuration.cpp
+++ b/test/integration/test_configuration.cpp
@@ -60,3 +60,18 @@
     fleet->silenceStore(fleet->followers().at(0));
     checkAllApply(*fleet, 2);
 }
+
+TEST(ConfigurationInForce, ADaemonThatStartsAfterARestoreOfTheStoreGetsItFromItsPeers)
+{
+    const auto fleet = startFleet("restored-store");
+    fleet->runFor(500ms);
+    fleet->writeConfiguration(2);
+    fleet->runFor(500ms);
+    fleet->restoreStore(800ms, 60s);
+    fleet->runFor(1s);
+    fleet->start(3);
+    fleet->runFor(applyTime);
+    CHECK_TRUE(fleet->hasApplied(3, 2));
+    // The operators' next version goes on from there.
+    checkAllApply(*fleet, 3);
+}
