Datagrams and rows of builds before eras are read and written beside the present ones

Change: a digest is decoded in either format; a daemon remembers which peers speak the earlier one (gossip/plain_digest) and writes it to them; a request for rows with a plain version is answered with plain versions, and an answer of either kind is read. Parts that are the same in both formats stand once, in packed_parts.

--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -1,11 +1,12 @@
 #include "amaranthhall/gossip/digest.hpp"
 
+#include "amaranthhall/gossip/packed_parts.hpp"
 #include "amaranthhall/gossip/packed_version.hpp"
+#include "amaranthhall/gossip/plain_digest.hpp"
 #include "amaranthhall/packing/packing.hpp"
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <limits>
 #include <tuple>
 #include <utility>
@@ -15,48 +16,18 @@
 namespace {
 
     constexpr freshness::Micros microsPerMillisecond = 1000;
-    constexpr double coresScale = 1000; // cores are transmitted as integer thousandths
 
-    using PackedAddress = std::tuple<std::string, std::uint16_t>;
-    using PackedProfile = std::tuple<PackedAddress, std::string, std::int64_t, std::uint32_t>;
     using PackedVersions = std::tuple<PackedVersion, PackedVersion, PackedVersion>;
     using PackedVerification = std::tuple<std::int64_t, std::int64_t>; // store time in ms, version of the store
     using PackedVerifications = std::tuple<PackedVerification, PackedVerification, PackedVerification>; // the second and the third as differences to the first, which take fewer bytes
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
-    using PackedSuspicion = std::tuple<std::string, std::string, bool>;
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
-    using PackedAge = std::tuple<std::uint32_t, std::int64_t>;
-    using PackedDigest = std::tuple<std::string, PackedProfile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<PackedSuspicion>, std::vector<PackedOrder>, std::vector<PackedAge>, std::vector<PackedAddress>, PackedVerifications, std::uint64_t>;
+    using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t>;
 
-    PackedAddress pack(const kernel::Address& address) { return { address.host, address.port }; }
-    PackedProfile pack(const VmProfile& profile) { return { pack(profile.address), profile.zone, std::lround(profile.cores * coresScale), profile.relayVersion }; }
     PackedVersions packVersions(const TableCopies& copies) { return { packVersion(copies.configuration.newestRow), packVersion(copies.upstreams.newestRow), packVersion(copies.fleet.newestRow) }; }
-    PackedVerification pack(const store::CopyState& copy) { return { copy.verifiedAt / microsPerMillisecond, static_cast<std::int64_t>(copy.verifiedVersion) }; }
-    PackedLeader pack(const LeaderReport& report) { return { report.service, report.upstream, report.term, report.point.term, report.point.position, report.at, report.hasRecentAnswer }; }
-    PackedSuspicion pack(const SuspicionReport& report) { return { report.service, report.upstream, report.isRefusing }; }
-    PackedOrder pack(const PromotionReport& report) { return { report.service, report.candidate, packVersion(report.fence), report.at, report.isLeading, report.term }; }
-    PackedAge pack(const ActivityAge& entry) { return { entry.shortId, entry.age.count() }; }
-
-    template <typename Item>
-    auto packAll(const std::vector<Item>& items)
-    {
-        std::vector<decltype(pack(items.front()))> all;
-        all.reserve(items.size());
-        for (const auto& item : items)
-            all.push_back(pack(item));
-        return all;
-    }
-
-    kernel::Address unpack(PackedAddress&& from)
-    {
-        return { .host = std::move(std::get<0>(from)), .port = std::get<1>(from) };
-    }
-
-    VmProfile unpack(PackedProfile&& from)
-    {
-        auto& [address, zone, cores, relayVersion] = from; // a daemon without relay versions sends three elements, which leaves 0
-        return { .address = unpack(std::move(address)), .zone = std::move(zone), .cores = static_cast<double>(cores) / coresScale, .relayVersion = relayVersion };
-    }
+    PackedVerification packVerification(const store::CopyState& copy) { return { copy.verifiedAt / microsPerMillisecond, static_cast<std::int64_t>(copy.verifiedVersion) }; }
+    PackedLeader packLeader(const LeaderReport& report) { return { report.service, report.upstream, report.term, report.point.term, report.point.position, report.at, report.hasRecentAnswer }; }
+    PackedOrder packOrder(const PromotionReport& report) { return { report.service, report.candidate, packVersion(report.fence), report.at, report.isLeading, report.term }; }
 
     /// Adds without overflow, whatever the sender has sent.
     std::int64_t wrappingSum(std::int64_t left, std::int64_t right)
@@ -76,8 +47,8 @@
 
     PackedVerifications packVerifications(const TableCopies& copies)
     {
-        const auto first = pack(copies.configuration);
-        return { first, difference(pack(copies.upstreams), first), difference(pack(copies.fleet), first) };
+        const auto first = packVerification(copies.configuration);
+        return { first, difference(packVerification(copies.upstreams), first), difference(packVerification(copies.fleet), first) };
     }
 
     store::CopyState unpackCopy(const PackedVersion& newestRow, const PackedVerification& verification)
@@ -98,40 +69,18 @@
         };
     }
 
-    LeaderReport unpack(PackedLeader&& from)
+    LeaderReport unpackLeader(PackedLeader&& from)
     {
         auto& [service, upstream, term, lastTerm, position, at, hasRecentAnswer] = from;
         return { .service = std::move(service), .upstream = std::move(upstream), .term = term, .point = { .term = lastTerm, .position = position }, .at = at, .hasRecentAnswer = hasRecentAnswer };
     }
 
-    SuspicionReport unpack(PackedSuspicion&& from)
-    {
-        auto& [service, upstream, isRefusing] = from;
-        return { .service = std::move(service), .upstream = std::move(upstream), .isRefusing = isRefusing };
-    }
-
-    PromotionReport unpack(PackedOrder&& from)
+    PromotionReport unpackOrder(PackedOrder&& from)
     {
         auto& [service, candidate, fence, at, isLeading, term] = from;
         return { .service = std::move(service), .candidate = std::move(candidate), .fence = unpackVersion(fence), .at = at, .isLeading = isLeading, .term = term };
     }
 
-    ActivityAge unpack(PackedAge&& from)
-    {
-        const auto& [shortId, age] = from;
-        return { .shortId = shortId, .age = std::chrono::milliseconds(age) };
-    }
-
-    template <typename Packed>
-    auto unpackAll(std::vector<Packed>&& items)
-    {
-        std::vector<decltype(unpack(std::move(items.front())))> all;
-        all.reserve(items.size());
-        for (auto& item : items)
-            all.push_back(unpack(std::move(item)));
-        return all;
-    }
-
 }
 
 Digest filterServices(const Digest& digest, std::span<const std::string> services)
@@ -144,33 +93,46 @@
     return filtered;
 }
 
-std::string encodeDigest(const Digest& digest)
+std::string encodeDigest(const Digest& digest, WireFormat format)
 {
-    return packing::pack(PackedDigest { digest.vm, pack(digest.profile), digest.requestsPeers, packVersions(digest.copies), packAll(digest.leaders), packAll(digest.suspicions), packAll(digest.orders), packAll(digest.activityAges), packAll(digest.peers), packVerifications(digest.copies), digest.configurationVersion });
+    if (format == WireFormat::PlainVersions)
+        return encodePlainDigest(digest);
+    const auto packPart = [](const auto& part) { return packed::pack(part); };
+    return packing::pack(PackedDigest {
+        digest.vm,
+        packed::pack(digest.profile),
+        digest.requestsPeers,
+        packVersions(digest.copies),
+        packed::packAll(digest.leaders, packLeader),
+        packed::packAll(digest.suspicions, packPart),
+        packed::packAll(digest.orders, packOrder),
+        packed::packAll(digest.activityAges, packPart),
+        packed::packAll(digest.peers, packPart),
+        packVerifications(digest.copies),
+        digest.configurationVersion,
+    });
 }
 
 std::optional<Digest> decodeDigest(std::string_view bytes)
 {
     auto unpacked = packing::unpack<PackedDigest>(bytes);
     if (!unpacked)
-        return std::nullopt;
-    // Datagrams are sent to the addresses of a digest, so a malformed one would fail there.
-    const auto isMalformed = [](const PackedAddress& address) { return !kernel::isIpAddress({ .host = std::get<0>(address), .port = std::get<1>(address) }); };
-    const auto& packedPeers = std::get<std::vector<PackedAddress>>(*unpacked);
-    if (isMalformed(std::get<0>(std::get<PackedProfile>(*unpacked))) || std::any_of(packedPeers.begin(), packedPeers.end(), isMalformed))
-        return std::nullopt;
+        return decodePlainDigest(bytes);
     auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion] = *unpacked;
+    if (!packed::isUsable(std::get<0>(profile)) || !std::all_of(peers.begin(), peers.end(), packed::isUsable))
+        return std::nullopt;
+    const auto unpackPart = [](auto&& part) { return packed::unpack(std::move(part)); };
     return Digest {
         .vm = std::move(vm),
-        .profile = unpack(std::move(profile)),
+        .profile = packed::unpack(std::move(profile)),
         .requestsPeers = requestsPeers,
         .copies = unpackCopies(versions, verifications),
         .configurationVersion = configurationVersion,
-        .leaders = unpackAll(std::move(leaders)),
-        .suspicions = unpackAll(std::move(suspicions)),
-        .orders = unpackAll(std::move(orders)),
-        .activityAges = unpackAll(std::move(activityAges)),
-        .peers = unpackAll(std::move(peers)),
+        .leaders = packed::unpackAll(std::move(leaders), unpackLeader),
+        .suspicions = packed::unpackAll(std::move(suspicions), unpackPart),
+        .orders = packed::unpackAll(std::move(orders), unpackOrder),
+        .activityAges = packed::unpackAll(std::move(activityAges), unpackPart),
+        .peers = packed::unpackAll(std::move(peers), unpackPart),
     };
 }
 
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/freshness/store_clock.hpp"
 #include "amaranthhall/gossip/vm_profile.hpp"
+#include "amaranthhall/gossip/wire_format.hpp"
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/address.hpp"
 #include "amaranthhall/store/copy_state.hpp"
@@ -59,6 +60,7 @@
 /// @brief Content of a gossip datagram.
 struct Digest {
     std::string vm;
+    WireFormat format { WireFormat::VersionsWithEra }; ///< In which it was received.
     VmProfile profile; ///< Profile of the sender's VM.
     bool requestsPeers { false }; ///< The sender requests the addresses of other daemons.
     TableCopies copies;
@@ -76,10 +78,10 @@
  */
 [[nodiscard]] Digest filterServices(const Digest& digest, std::span<const std::string> services);
 
-/// @brief Encodes a digest as MessagePack.
-[[nodiscard]] std::string encodeDigest(const Digest& digest);
+/// @brief Encodes a digest as MessagePack, in the format that its receivers read.
+[[nodiscard]] std::string encodeDigest(const Digest& digest, WireFormat format = WireFormat::VersionsWithEra);
 
-/// @brief Decodes a digest; returns std::nullopt if it is malformed.
+/// @brief Decodes a digest of any format; returns std::nullopt if it is malformed.
 [[nodiscard]] std::optional<Digest> decodeDigest(std::string_view bytes);
 
 }
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -21,6 +21,7 @@
     constexpr std::size_t minimumActivityAges = 16; // per datagram
     constexpr std::size_t maximumActivityAges = 64; // per datagram; each takes about 8 bytes
     constexpr std::size_t peersPerActivityAge = 4; // one in four peers is reported per datagram, so that activity of each peer is received about four times a second
+    constexpr std::size_t maximumPlainPeers = 10'000;
     constexpr std::size_t maximumPeersInReply = 30; // addresses per reply
 
 }
@@ -55,15 +56,27 @@
 
 void GossipNode::send(std::span<const kernel::Address> targets, const Digest& digest)
 {
-    if (targets.empty())
-        return;
-    const auto bytes = encodeDigest(digest);
+    std::map<WireFormat, std::string> encoded;
     for (const auto& target : targets) {
-        if (target != this->options.profile.address)
-            this->socket.send(target, bytes);
+        if (target == this->options.profile.address)
+            continue;
+        const auto format = this->formatOf(target);
+        auto& bytes = encoded[format];
+        if (bytes.empty())
+            bytes = encodeDigest(digest, format);
+        this->socket.send(target, bytes);
     }
 }
 
+/// Remembers which daemons are of a build that reads another format; a VM may be replaced by one of a later build.
+void GossipNode::noteFormat(const Digest& digest)
+{
+    if (digest.format != WireFormat::PlainVersions)
+        this->plainPeers.erase(digest.profile.address);
+    else if (this->plainPeers.size() < maximumPlainPeers)
+        this->plainPeers.insert(digest.profile.address);
+}
+
 void GossipNode::sendRound(std::size_t count)
 {
     this->registry.removeInactive(this->loop.now());
@@ -170,6 +183,7 @@
     if (digest->vm == this->options.vm)
         return;
     const auto now = this->loop.now();
+    this->noteFormat(*digest);
     this->registry.noteActivity(digest->vm, digest->profile, now);
     for (const auto& entry : digest->activityAges)
         this->registry.noteIndirectActivity(entry.shortId, now - entry.age);
@@ -177,14 +191,10 @@
         auto answer = this->makeDigest();
         this->addActivityAges(answer);
         answer.peers = this->registry.samplePeers(maximumPeersInReply, digest->profile.zone, this->random);
-        this->socket.send(digest->profile.address, encodeDigest(answer));
-    }
-    for (const auto& address : digest->peers) {
-        if (address == this->options.profile.address)
-            continue;
-        const auto introduction = this->makeDigest();
-        this->socket.send(address, encodeDigest(introduction));
+        this->send({ &digest->profile.address, 1 }, answer);
     }
+    if (!digest->peers.empty())
+        this->send(digest->peers, this->makeDigest());
     this->callbacks.received(*digest);
 }
 
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -72,6 +73,8 @@
     [[nodiscard]] Digest makeDigest();
     void addActivityAges(Digest& digest);
     void send(std::span<const kernel::Address> targets, const Digest& digest);
+    void noteFormat(const Digest& digest);
+    [[nodiscard]] WireFormat formatOf(const kernel::Address& peer) const noexcept { return this->plainPeers.contains(peer) ? WireFormat::PlainVersions : WireFormat::VersionsWithEra; }
 
     kernel::Loop& loop;
     Options options;
@@ -79,6 +82,7 @@
     PeerRegistry registry;
     std::map<std::string, freshness::Micros, std::less<>> lastSentEvidence; ///< By service: time of the leader evidence that was last sent to an audience.
     unsigned audienceRound { 0 };
+    std::set<kernel::Address> plainPeers; ///< Daemons that read WireFormat::PlainVersions only.
     Random random;
     kernel::DatagramSocket socket;
     kernel::Registration timer;
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthhall/gossip/wire_format.hpp"
 #include "amaranthhall/http/client.hpp"
 #include "amaranthhall/http/server.hpp"
 #include "amaranthhall/store/store.hpp"
@@ -31,10 +32,11 @@
     struct CachedAnswer {
         store::Version after;
         store::Version newest;
+        WireFormat format { WireFormat::VersionsWithEra };
         std::string body;
     };
 
-    [[nodiscard]] const std::string& encodedRows(const std::string& table, store::Version after);
+    [[nodiscard]] const std::string& encodedRows(const std::string& table, store::Version after, WireFormat format);
 
     Source source;
     std::map<std::string, CachedAnswer> cachedAnswers; ///< By table.
@@ -43,9 +45,9 @@
 };
 
 /// @brief Encodes rows as compressed MessagePack.
-[[nodiscard]] std::string encodeRows(const std::vector<store::Row>& rows);
+[[nodiscard]] std::string encodeRows(const std::vector<store::Row>& rows, WireFormat format = WireFormat::VersionsWithEra);
 
-/// @brief Decodes rows; returns std::nullopt and logs the reason if the input is malformed.
+/// @brief Decodes rows of any format; returns std::nullopt and logs the reason if the input is malformed.
 [[nodiscard]] std::optional<std::vector<store::Row>> decodeRows(std::string_view compressed);
 
 }
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -1,4 +1,7 @@
 #include "amaranthhall/gossip/digest.hpp"
+#include "amaranthhall/gossip/packed_version.hpp"
+#include "amaranthhall/packing/packing.hpp"
+#include "gossip/earlier_builds.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -70,3 +73,54 @@
     digest.profile.address.host.clear();
     CHECK_FALSE(gossip::decodeDigest(gossip::encodeDigest(digest)).has_value());
 }
+
+TEST_GROUP(DigestOfEarlierBuilds) {
+    static void checkContent(const gossip::Digest& digest) {
+        STRCMP_EQUAL("front-1", digest.vm.c_str());
+STRCMP_EQUAL("ba", digest.profile.zone.c_str());
+DOUBLES_EQUAL(0.084, digest.profile.cores, 0.0001);
+CHECK_TRUE(digest.requestsPeers);
+LONGS_EQUAL(3, digest.copies.configuration.newestRow.number);
+LONGS_EQUAL(40, digest.copies.upstreams.newestRow.number);
+LONGS_EQUAL(0, digest.copies.configuration.verifiedAt);
+CHECK(digest.leaders.at(0).point == group::LogPoint({ .term = 2, .position = 99 }));
+CHECK_TRUE(digest.leaders[0].hasRecentAnswer);
+STRCMP_EQUAL("i-2", digest.suspicions.at(0).upstream.c_str());
+LONGS_EQUAL(77, digest.orders.at(0).fence.number);
+CHECK_TRUE(digest.orders[0].isLeading);
+LONGS_EQUAL(1200, digest.activityAges.at(0).age.count());
+STRCMP_EQUAL("10.0.0.2", digest.peers.at(0).host.c_str());
+}
+}
+;
+
+TEST(DigestOfEarlierBuilds, TheirDigestsAreRead)
+{
+    for (const auto& digits : { gossip::earlier::digestOf5682247, gossip::earlier::digestOfF4b655d, gossip::earlier::digestOf2aa645e }) {
+        const auto digest = gossip::decodeDigest(gossip::earlier::bytesOf(digits));
+        CHECK_TRUE(digest.has_value());
+        checkContent(*digest);
+    }
+    CHECK(gossip::decodeDigest(gossip::earlier::bytesOf(gossip::earlier::digestOf5682247))->format == gossip::WireFormat::PlainVersions);
+    CHECK(gossip::decodeDigest(gossip::earlier::bytesOf(gossip::earlier::digestOf2aa645e))->format == gossip::WireFormat::VersionsWithEra);
+}
+
+TEST(DigestOfEarlierBuilds, ADaemonWithoutErasGetsTheBytesThatItKnows)
+{
+    const auto bytes = gossip::earlier::bytesOf(gossip::earlier::digestOf5682247);
+    CHECK(gossip::encodeDigest(*gossip::decodeDigest(bytes), gossip::WireFormat::PlainVersions) == bytes);
+}
+
+// Daemons of f4b655d and 2aa645e read the first nine elements.
+TEST(DigestOfEarlierBuilds, TheFirstNineElementsAreAsBefore)
+{
+    using Version = gossip::PackedVersion;
+    using Address = std::tuple<std::string, std::uint16_t>;
+    using Earlier = std::tuple<std::string, std::tuple<Address, std::string, std::int64_t, std::uint32_t>, bool, std::tuple<Version, Version, Version>, std::vector<std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>>, std::vector<std::tuple<std::string, std::string, bool>>, std::vector<std::tuple<std::string, std::string, Version, freshness::Micros, bool, group::Term>>, std::vector<std::tuple<std::uint32_t, std::int64_t>>, std::vector<Address>>;
+    const auto bytes = gossip::earlier::bytesOf(gossip::earlier::digestOf2aa645e);
+    auto digest = *gossip::decodeDigest(bytes);
+    digest.copies.configuration.verifiedAt = 86'400'000'000;
+    const auto read = packing::unpack<Earlier>(gossip::encodeDigest(digest));
+    CHECK_TRUE(read.has_value());
+    CHECK(packing::pack(*read) == bytes);
+}
--- a/test/gossip/test_row_exchange.cpp
+++ b/test/gossip/test_row_exchange.cpp
@@ -1,5 +1,8 @@
 #include "amaranthhall/gossip/compression.hpp"
 #include "amaranthhall/gossip/row_exchange.hpp"
+#include "gossip/earlier_builds.hpp"
+
+#include "amaranthhall/packing/packing.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
@@ -24,6 +27,11 @@
     return text + "}";
 }
 
+std::string decompressed(const std::string& bytes)
+{
+    return gossip::decompress(bytes, 1U << 20U).value_or("");
+}
+
 store::Row configurationRow(std::size_t routes)
 {
     return { .key = { .table = "op", .key = "config" }, .value = configurationJson(routes), .version = { .era = 1, .number = 9 } };
@@ -109,3 +117,34 @@
     rows[0].version.number = 12;
     LONGS_EQUAL(12, fetch({ .era = 1, .number = 3 }).at(0).version.number);
 }
+
+TEST(RowExchange, RowsOfEarlierBuildsAreRead)
+{
+    const auto plain = gossip::decodeRows(gossip::earlier::bytesOf(gossip::earlier::rowsOf5682247));
+    CHECK_TRUE(plain.has_value());
+    STRCMP_EQUAL("config", plain->at(0).key.key.c_str());
+    CHECK(plain->at(0).version == store::Version({ .number = 16 }));
+    CHECK_TRUE(plain->at(1).isRemoved);
+    CHECK(decompressed(gossip::encodeRows(*plain, gossip::WireFormat::PlainVersions)) == decompressed(gossip::earlier::bytesOf(gossip::earlier::rowsOf5682247)));
+    const auto withEra = gossip::decodeRows(gossip::earlier::bytesOf(gossip::earlier::rowsOf2aa645e));
+    CHECK(withEra->at(0).version == store::Version({ .era = 1, .number = 16 }));
+    CHECK(decompressed(gossip::encodeRows(*withEra)) == decompressed(gossip::earlier::bytesOf(gossip::earlier::rowsOf2aa645e)));
+}
+
+TEST(RowExchange, ARequestWithAPlainVersionIsAnsweredWithPlainVersions)
+{
+    const kernel::Address any { .host = "127.0.0.1" };
+    gossip::RowExchange server(this->loop, any, [](const auto&, auto after) { return after.number == 15 ? std::vector { store::Row { .key = { .table = "op", .key = "a" }, .version = { .number = 16 } } } : std::vector<store::Row>(); });
+    http::Client client(this->loop);
+    std::string body;
+    bool isDone = false;
+    client.send({ .host = "127.0.0.1", .port = server.port() }, { .path = "/rows", .query = "table=op&after=15" }, 2s, [&](const http::HttpResult& result) {
+        body = result->body;
+        isDone = true;
+    });
+    this->runUntil(isDone);
+    const auto bytes = gossip::decompress(body, 1U << 20U);
+    const auto rows = packing::unpack<std::vector<std::tuple<std::string, std::string, std::string, std::string, std::uint64_t, bool>>>(*bytes);
+    CHECK_TRUE(rows.has_value());
+    LONGS_EQUAL(16, std::get<4>(rows->at(0)));
+}
