--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -122,7 +122,7 @@
         .batchApplied = [this] { this->onCatalogSettled(); },
         .reachabilityChanged = [](bool) {},
         .polled = [this] { this->gossip.sendWidely(); },
-        .replacedByRestore = [this](auto&& previous) { this->keepLostConfiguration(std::move(previous)); },
+        .replacedByRestore = [this](store::Row&& previous) { this->keepLostConfiguration(std::move(previous)); },
     };
 }
 
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -121,7 +121,7 @@
     auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion] = *unpacked;
     if (!packed::isUsable(std::get<0>(profile)) || !std::all_of(peers.begin(), peers.end(), packed::isUsable))
         return std::nullopt;
-    const auto unpackPart = [](auto&& part) { return packed::unpack(std::move(part)); };
+    const auto unpackPart = []<typename Part>(Part&& part) { return packed::unpack(std::forward<Part>(part)); };
     return Digest {
         .vm = std::move(vm),
         .profile = packed::unpack(std::move(profile)),
--- a/src/amaranthhall/gossip/plain_digest.cpp
+++ b/src/amaranthhall/gossip/plain_digest.cpp
@@ -85,7 +85,7 @@
     auto& [address, zone, cores] = profile;
     if (!packed::isUsable(address) || !std::all_of(peers.begin(), peers.end(), packed::isUsable))
         return std::nullopt;
-    const auto unpackPart = [](auto&& part) { return packed::unpack(std::move(part)); };
+    const auto unpackPart = []<typename Part>(Part&& part) { return packed::unpack(std::forward<Part>(part)); };
     return Digest {
         .vm = std::move(vm),
         .format = WireFormat::PlainVersions,
