--- a/test/integration/gateway_fleet.cpp
+++ b/test/integration/gateway_fleet.cpp
@@ -4,6 +4,7 @@
 #include "platform/standin/fleet_rows.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -34,6 +35,15 @@
     return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "amaranthhall-gateway").string();
 }
 
+std::vector<std::string> GatewayFleet::mixedPrograms(std::size_t daemons)
+{
+    std::vector<std::string> programs(daemons, ownProgram());
+    const auto* other = std::getenv("AMARANTHHALL_OTHER_GATEWAY");
+    for (std::size_t i = 0; other && i < daemons; i += 2)
+        programs[i] = other;
+    return programs;
+}
+
 GatewayFleet::GatewayFleet(const Options& options)
     : folder((std::filesystem::temp_directory_path() / ("amaranthhall-fleet-" + options.name)).string())
     , store(this->loop, [](const auto&, const auto&) { return true; })
--- a/test/integration/gateway_fleet.hpp
+++ b/test/integration/gateway_fleet.hpp
@@ -58,6 +58,9 @@
     /// @brief Path of the gateway of this build.
     [[nodiscard]] static std::string ownProgram();
 
+    /// @brief Programs of a fleet in which every second daemon is of another build, if AMARANTHHALL_OTHER_GATEWAY names one; else all are of this build.
+    [[nodiscard]] static std::vector<std::string> mixedPrograms(std::size_t daemons);
+
 private:
     struct Daemon {
         std::string vm;
--- a/test/integration/test_configuration.cpp
+++ b/test/integration/test_configuration.cpp
@@ -15,7 +15,7 @@
 
 TEST_GROUP(ConfigurationInForce) {
     static std::unique_ptr<integration::GatewayFleet> startFleet(const char* name) {
-        auto fleet = std::make_unique<integration::GatewayFleet>(integration::GatewayFleet::Options { .name = name, .daemons = 8 });
+        auto fleet = std::make_unique<integration::GatewayFleet>(integration::GatewayFleet::Options { .name = name, .daemons = 8, .programs = integration::GatewayFleet::mixedPrograms(8) });
 fleet->writeConfiguration(1);
 for (std::size_t i = 0; i < fleet->size(); ++i)
     fleet->start(i);
@@ -54,6 +54,16 @@
     checkAllApply(*fleet, 3);
 }
 
+TEST(ConfigurationInForce, IsAppliedInTimeIfOneDaemonOnlyReachesTheStore)
+{
+    const auto fleet = startFleet("one-reaches");
+    for (std::size_t i = 0; i + 1 < fleet->size(); ++i)
+        fleet->refuseStore(i);
+    fleet->runFor(500ms);
+    checkAllApply(*fleet, 2);
+    checkAllApply(*fleet, 3);
+}
+
 TEST(ConfigurationInForce, IsAppliedInTimeByAFollowerToWhichTheStoreIsSilent)
 {
     const auto fleet = startFleet("follower-silenced");
--- a/test/integration/test_upstream_list.cpp
+++ b/test/integration/test_upstream_list.cpp
@@ -44,7 +44,7 @@
         entryWith("127.0.0.1:9", "255.255.255.255:80"),
         entryWith("127.0.0.1:9", "224.0.0.1:80"),
         entryWith("\"svc\"", "\"" + std::string(60'000, 's') + "\""),
-        "\xff\xfe\x00",
+        std::string("\xff\xfe\0", 3),
         "null",
     };
 }
