Polls keep an interval whatever their answers are; an age of a copy that a cut explains counts in part

Polls keep 0.2 s now, and an own answer is believed after the clock was set back by more than a second. PollPolicy PollsKeepAnIntervalWhateverTheirAnswersAre and TableWatchAge AnAnswerIsBelievedAfterTheClockOfTheStoreWasSetBack failed before.

The age that shortens the use of a draining upstream is at most half of the limit: after the store was away for all, nothing was confirmed meanwhile, and a primary that announces its leaving just then would have been left at once.

--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -69,7 +69,10 @@
         return;
     }
     logEvent(LogLevel::Info, "upstream.entry", { { "upstream", entry->id }, { "service", entry->service }, { "primary", entry->role == catalog::Role::Primary }, { "draining", entry->draining }, { "version", store::formatVersion(row.version) } });
-    this->catalog.put(*std::move(entry), row.version, this->loop.now(), this->upstreamWatch.age().value_or(Duration::zero()));
+    // An entry that changed longer ago than this was confirmed while this daemon was cut off from store and peers.
+    const Duration maximumCopyAge = this->settings.upstreamDrainLimit / 2;
+    const auto copyAge = std::min(this->upstreamWatch.age().value_or(Duration::zero()), maximumCopyAge);
+    this->catalog.put(*std::move(entry), row.version, this->loop.now(), copyAge);
 }
 
 void Gateway::onConfigurationRow(const store::Row& row)
--- a/src/amaranthhall/store/poll_policy.cpp
+++ b/src/amaranthhall/store/poll_policy.cpp
@@ -25,8 +25,8 @@
     /// Returns the least time between the last poll and the next one, whatever the age of the copy.
     Duration pollInterval(const PollInput& input) noexcept
     {
-        const auto afterFailure = input.failures > 0 ? retryInterval(input.failures) : Duration::zero();
-        return input.pending > 0 ? std::max(hedgeDelay, afterFailure) : afterFailure;
+        const auto afterLast = input.failures > 0 ? retryInterval(input.failures) : minimumPollInterval;
+        return input.pending > 0 ? std::max(hedgeDelay, afterLast) : afterLast;
     }
 
 }
--- a/src/amaranthhall/store/poll_policy.hpp
+++ b/src/amaranthhall/store/poll_policy.hpp
@@ -24,6 +24,7 @@
 
 inline constexpr Duration hedgeDelay = std::chrono::milliseconds(500); ///< A poll without an answer is followed by another one; longer than an answer of a slow store takes.
 inline constexpr std::size_t maximumPendingPolls = 3;
+inline constexpr Duration minimumPollInterval = std::chrono::milliseconds(200); ///< Also if an answer does not make the copy young, as when it does not tell the time.
 inline constexpr Duration firstRetryInterval = std::chrono::milliseconds(100); ///< After a failed poll; the interval doubles with each failure.
 inline constexpr Duration maximumRetryInterval = std::chrono::seconds(2); ///< A daemon that regains its way to the store uses it within this time.
 
--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -20,7 +20,6 @@
     constexpr retry::BackoffOptions retryBackoff { .first = 100ms, .limit = 1000ms };
     constexpr Duration feedDeliveryTime = 300ms; // in which the feed itself delivers a change that others already have
     constexpr freshness::Micros maximumClockError = 1'000'000; // µs; a time that lies further ahead is not of the store's present clock
-    constexpr freshness::Micros clockResetThreshold = 10'000'000; // µs; the store's answers are not as late as this
 
 }
 
@@ -411,7 +410,7 @@
 {
     if (at == 0)
         return;
-    const bool wasClockReset = at + clockResetThreshold < this->lastVerifiedAt;
+    const bool wasClockReset = at + maximumClockError < this->lastVerifiedAt;
     this->lastVerifiedAt = wasClockReset ? at : std::max(this->lastVerifiedAt, at);
 }
 
--- a/test/store/test_poll_policy.cpp
+++ b/test/store/test_poll_policy.cpp
@@ -163,6 +163,13 @@
     CHECK(store::timeUntilPoll(policy, { .age = 2s, .sinceLastPoll = 0ms, .failures = 50 }) == store::maximumRetryInterval);
 }
 
+// A store that does not tell its time, or whose clock was reset, must not be asked in a loop.
+TEST(PollPolicy, PollsKeepAnIntervalWhateverTheirAnswersAre)
+{
+    CHECK(store::timeUntilPoll(policy, { .rank = 0, .sinceLastPoll = 5ms }) == store::minimumPollInterval - 5ms);
+    CHECK(store::timeUntilPoll(policy, { .rank = 0, .age = 60s, .sinceLastPoll = 5ms }) == store::minimumPollInterval - 5ms);
+}
+
 TEST_GROUP(PollSimulation) {};
 
 TEST(PollSimulation, FewPollsASecondKeepAllCopiesYoung)
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -318,6 +318,17 @@
     CHECK(this->watch.age() >= 2s);
 }
 
+TEST(TableWatchAge, AnAnswerIsBelievedAfterTheClockOfTheStoreWasSetBack)
+{
+    this->listAt(0, { row("a", 1) }, 5);
+    const auto earlier = freshness::bootNow() - 5 * second;
+    this->storage.storeClock = {};
+    this->storage.storeClock.observe(freshness::bootNow(), freshness::bootNow(), earlier);
+    this->watch.poll();
+    this->storage.answer(Rows { .rows = {}, .version = { .number = 6 }, .readAt = earlier });
+    CHECK(this->watch.age() < 1s);
+}
+
 TEST(TableWatchAge, AFeedIsExpectedToDeliverForItsGracePeriodOnly)
 {
     this->watch.start();
