A peer's answer without the row that it told of does not make a copy complete

TableWatchAge APeerThatAnswersWithoutItsNewestRowDoesNotMakeTheCopyComplete failed before, passes now.

--- a/src/amaranthhall/store/table_watch.cpp
+++ b/src/amaranthhall/store/table_watch.cpp
@@ -156,7 +156,10 @@
     if (!rows.empty())
         this->suspectFeed();
     this->applyRows(rows);
-    this->completeRow = std::max(this->completeRow, other.newestRow);
+    // A daemon that has restarted since it told of its copy may answer without these rows.
+    const bool hasNewestRow = std::any_of(rows.begin(), rows.end(), [&other](const Row& row) { return row.version >= other.newestRow; });
+    if (hasNewestRow)
+        this->completeRow = std::max(this->completeRow, other.newestRow);
     this->noteVerifiedByPeer(other);
     this->finishMerge(rows);
 }
--- a/test/store/test_table_watch.cpp
+++ b/test/store/test_table_watch.cpp
@@ -318,6 +318,16 @@
     CHECK(this->watch.age() >= 2s);
 }
 
+TEST(TableWatchAge, APeerThatAnswersWithoutItsNewestRowDoesNotMakeTheCopyComplete)
+{
+    this->listAt(2 * second, { row("a", 4) }, 5);
+    this->watch.mergeCopy({}, this->copyOf(6, 0, 80));
+    LONGS_EQUAL(4, this->watch.copyState().newestRow.number);
+    CHECK(this->watch.age() >= 2s);
+    this->watch.mergeCopy({ row("b", 5) }, this->copyOf(6, 0, 80));
+    LONGS_EQUAL(4, this->watch.copyState().newestRow.number);
+}
+
 TEST(TableWatchAge, AnAnswerIsBelievedAfterTheClockOfTheStoreWasSetBack)
 {
     this->listAt(0, { row("a", 1) }, 5);
