--- a/review/standin/database.hpp
+++ b/review/standin/database.hpp
@@ -158,6 +158,13 @@
         this->acknowledged.insert(data);
     }
 
+    /// Returns all commits, those that were dropped among them.
+    [[nodiscard]] std::vector<CommitPointer> commits()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->history;
+    }
+
     /// Returns whether a request has reached a backend.
     [[nodiscard]] bool hasArrived(const std::string& id)
     {
@@ -439,7 +446,11 @@
             return {};
         if (word == "PREPARE") {
             const auto name = takeWord(rest);
-            session.statements[name] = takeWord(rest) == "WRITE";
+            const auto mode = takeWord(rest);
+            if ((mode != "READ" && mode != "WRITE") || rest.empty())
+                return { .code = "MALFORMED" };
+            this->record.write(backend.id + " prepares " + name + " " + mode + " \"" + rest + "\"");
+            session.statements[name] = mode == "WRITE";
             return {};
         }
         if (word == "ROLLBACK") {
