--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,7 +1,9 @@
-// A process ends: consumers flood a gateway with questions, and the gateway keeps all of them in memory.
+// LOST: gateways are stopped and started in turn while callers keep using their open sessions, one request after the other.
 
 #include "../standin/deployment.hpp"
 
+#include <array>
+
 namespace {
 
 using namespace review;
@@ -9,110 +11,95 @@
 
 constexpr std::size_t gatewayCount = 3;
 constexpr int callersPerGateway = 4;
-constexpr double memoryLimit = 512; // MB, memory_mb of the larger machines of the site
-constexpr auto quietTime = 3s;
-constexpr auto floodTime = 84500ms; // 13 times the 6.5 s of the site's own entry, one after the other
-constexpr double floodRate = 6; // MB a second of each rude consumer
-constexpr int rudeConsumers = 4; // at each gateway; together they use 192 of the 200 Mbit/s of a machine's link
-constexpr int endsThatCount = 3; // of one machine, on two machines
+constexpr auto quietTime = 4s;
+constexpr auto graceTime = 6s;
+constexpr auto earlyTime = 3s; // requests sent up to this long after SIGTERM may be excused
+constexpr int rounds = 1;
+
+/// When a gateway was last sent SIGTERM.
+struct Term {
+    std::mutex mutex;
+    std::optional<Time> at;
+
+    std::optional<Time> get()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->at;
+    }
+
+    void set(std::optional<Time> fresh)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->at = fresh;
+    }
+};
 
 struct Shared {
     Record& record;
     Deployment& deployment;
+    std::array<Term, gatewayCount> terms;
     std::atomic<std::uint64_t> answered { 0 };
-    std::atomic<std::uint64_t> cut { 0 };
+    std::atomic<std::uint64_t> cutEarly { 0 }; ///< Cut, but sent early enough that the rule may excuse it.
+    std::atomic<std::uint64_t> duringDrain { 0 }; ///< Answered more than three seconds after SIGTERM.
 };
 
-/// An ordinary consumer: one request after the other, each sent once the last one was answered.
+/// Judges a request whose connection ended without a complete answer.
+void judge(Shared& shared, std::size_t gateway, Service& service, const std::string& id, Time sentAt, Milliseconds timeout)
+{
+    const auto now = Clock::now();
+    const auto term = shared.terms[gateway].get();
+    // It may be on its way to the backend still.
+    std::this_thread::sleep_for(50ms);
+    const bool hasArrived = service.hasArrived(id);
+    const bool isAround = term && now - *term <= graceTime + 1s;
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - sentAt);
+    const auto vm = shared.deployment.gateways[gateway]->vm();
+    shared.record.write(vm + " ends the connection of " + id + " without an answer after " + std::to_string(age.count()) + " ms, " + (hasArrived ? "it has reached a backend" : "it has reached no backend"));
+    if (!isAround || age >= timeout || !(hasArrived || age > 200ms))
+        return;
+    if (sentAt - *term <= earlyTime) {
+        ++shared.cutEarly;
+        return;
+    }
+    shared.record.violation("LOST " + id + " was sent to " + vm + " " + std::to_string(std::chrono::duration_cast<Milliseconds>(sentAt - *term).count()) + " ms after its SIGTERM and cut " + std::to_string(age.count()) + " ms later without an answer; it has " + (hasArrived ? "reached a backend" : "reached no backend"));
+}
+
+/// Uses a session for one request after the other; after its close, the caller goes to the next gateway that is ready.
 void callForever(Shared& shared, std::size_t number)
 {
+    std::mt19937 random(static_cast<unsigned>(number));
     auto& deployment = shared.deployment;
     const auto index = number % deployment.services.size();
-    const auto gateway = number % gatewayCount;
+    auto& service = *deployment.services[index];
+    auto gateway = number % gatewayCount;
     std::unique_ptr<Caller> caller;
     while (true) {
         if (!caller || !caller->isUsable()) {
+            if (caller)
+                gateway = (gateway + 1) % gatewayCount;
             caller.reset();
-            caller = std::make_unique<Caller>(deployment.gateways[gateway]->callers(), Deployment::updates(index));
-            std::this_thread::sleep_for(100ms);
+            if (deployment.gateways[gateway]->isReady())
+                caller = std::make_unique<Caller>(deployment.gateways[gateway]->callers(), Deployment::updates(index));
+            else
+                gateway = (gateway + 1) % gatewayCount;
+            std::this_thread::sleep_for(20ms);
             continue;
         }
         const auto id = newId();
-        const auto reply = caller->query(id, "READ item" + std::to_string(number));
-        shared.record.write(deployment.gateways[gateway]->vm() + " answers " + id + " with " + (reply.succeeded() ? "COMPLETE " + reply.digest : reply.isComplete ? reply.code
-                                                                                                                                                                  : "nothing"));
-        ++(reply.isComplete ? shared.answered : shared.cut);
-        std::this_thread::sleep_for(20ms);
-    }
-}
-
-/// A session of a rude consumer: sends questions without waiting for their answers, and doesn't read these either.
-void floodSession(Record& record, const Gateway& gateway, Time end)
-{
-    const auto socket = connectTo(gateway.callers());
-    if (!socket || !sendAll(socket, "STARTUP lookups1 u1\r\n"))
-        return;
-    const auto startedAt = Clock::now();
-    const timeval timeout { .tv_sec = 0, .tv_usec = 200'000 };
-    setsockopt(socket.descriptor(), SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
-    std::uint64_t sent = 0;
-    std::uint64_t questions = 0;
-    std::string pending;
-    while (Clock::now() < end) {
-        const auto allowed = std::chrono::duration<double>(Clock::now() - startedAt).count() * floodRate * 1e6;
-        if (static_cast<double>(sent) > allowed) {
-            std::this_thread::sleep_for(1ms);
-            continue;
-        }
-        while (pending.size() < 60'000) {
-            pending += "QUERY " + newId() + " READ item1\r\n";
-            ++questions;
-        }
-        // A gateway that doesn't read blocks the sender; it waits.
-        const auto count = send(socket.descriptor(), pending.data(), pending.size(), MSG_NOSIGNAL);
-        if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
-            break;
-        if (count > 0) {
-            pending.erase(0, static_cast<std::size_t>(count));
-            sent += static_cast<std::uint64_t>(count);
-        }
-    }
-    record.write("a rude consumer has sent " + std::to_string(questions) + " questions, " + std::to_string(sent / 1'000'000) + " MB, to " + gateway.vm());
-}
-
-/// A rude consumer connects again when its session has ended.
-void flood(Record& record, const Gateway& gateway, Time end)
-{
-    while (Clock::now() < end) {
-        floodSession(record, gateway, end);
-        std::this_thread::sleep_for(200ms);
-    }
-}
-
-/// Returns the resident memory of a process in MB.
-double residentMemory(pid_t process)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/statm");
-    long total = 0;
-    long resident = 0;
-    file >> total >> resident;
-    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
-/// Does what the platform does: kills a process over its memory limit, and starts one again that has ended.
-void watchGateways(Shared& shared, std::map<std::string, int>& ends)
-{
-    for (const auto& gateway : shared.deployment.gateways) {
-        const auto memory = gateway->pid() > 0 ? residentMemory(gateway->pid()) : 0;
-        const bool isOverLimit = memory > memoryLimit;
-        const auto status = isOverLimit ? std::nullopt : gateway->ended();
-        if (!isOverLimit && !status)
-            continue;
-        gateway->kill();
-        ++ends[gateway->vm()];
-        shared.record.say(gateway->vm() + (isOverLimit ? " holds " + std::to_string(static_cast<int>(memory)) + " MB, over its limit of " + std::to_string(static_cast<int>(memoryLimit)) + " MB, and is killed for it" : " has ended by itself, status " + std::to_string(*status)));
-        std::this_thread::sleep_for(300ms);
-        gateway->start();
+        const bool writes = random() % 8 == 0;
+        const auto text = writes ? "WRITE item" + std::to_string(number) + " d" + id : "READ item" + std::to_string(number);
+        shared.record.write("caller " + std::to_string(number) + " sends " + id + " to " + deployment.gateways[gateway]->vm() + ": " + text);
+        const auto sentAt = Clock::now();
+        const auto reply = caller->query(id, text);
+        const auto term = shared.terms[gateway].get();
+        if (reply.isComplete) {
+            ++shared.answered;
+            if (term && sentAt - *term > earlyTime)
+                ++shared.duringDrain;
+            shared.record.write(deployment.gateways[gateway]->vm() + " answers " + id + " with " + (reply.succeeded() ? "COMPLETE " + reply.digest : reply.code));
+        } else
+            judge(shared, gateway, service, id, sentAt, 800ms);
+        std::this_thread::sleep_for(Milliseconds(random() % 20));
     }
 }
 
@@ -122,32 +109,41 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     Record record("review/4/record.txt");
-    Deployment deployment(record, { .services = 3, .gateways = gatewayCount, .service = {} });
+    ServiceOptions service;
+    service.work = { .mean = 9, .spread = 0.7, .maximum = 22 };
+    Deployment deployment(record, { .services = 3, .gateways = gatewayCount, .service = service });
     if (!deployment.start())
         finish(record, deployment, 2);
-    Shared shared { .record = record, .deployment = deployment };
+    Shared shared { .record = record, .deployment = deployment, .terms = {} };
     for (std::size_t number = 0; number < gatewayCount * callersPerGateway; ++number)
         std::thread([&shared, number] { callForever(shared, number); }).detach();
-    std::map<std::string, int> ends;
-    const auto wait = [&](Milliseconds span) {
-        const auto end = Clock::now() + span;
-        while (Clock::now() < end) {
-            watchGateways(shared, ends);
-            std::this_thread::sleep_for(10ms);
+    std::this_thread::sleep_for(quietTime);
+    for (std::size_t step = 0; step < rounds * gatewayCount; ++step) {
+        const auto index = step % gatewayCount;
+        auto& gateway = *deployment.gateways[index];
+        if (!hasTrouble()) {
+            std::this_thread::sleep_for(graceTime + quietTime);
+            continue;
+        }
+        record.say("SIGTERM to " + gateway.vm());
+        const auto termAt = Clock::now();
+        shared.terms[index].set(termAt);
+        gateway.signal(SIGTERM);
+        std::optional<int> status;
+        while (!status && Clock::now() - termAt < graceTime) {
+            status = gateway.ended();
+            std::this_thread::sleep_for(5ms);
         }
-    };
-    wait(quietTime);
-    for (const auto& gateway : deployment.gateways) {
-        for (int consumer = 0; hasTrouble() && consumer < rudeConsumers; ++consumer)
-            std::thread([&record, &gateway] { flood(record, *gateway, Clock::now() + floodTime); }).detach();
+        record.say(gateway.vm() + (status ? " has ended with status " + std::to_string(*status) + "," : " is killed") + " " + std::to_string(std::chrono::duration_cast<Milliseconds>(Clock::now() - termAt).count()) + " ms after its SIGTERM");
+        gateway.kill();
+        std::this_thread::sleep_for(1s);
+        gateway.start();
+        if (!waitUntilReady(deployment.gateways, 10000ms))
+            finish(record, deployment, 2);
+        std::this_thread::sleep_for(quietTime);
+        shared.terms[index].set(std::nullopt);
     }
-    wait(floodTime + 2000ms);
-    record.say(std::to_string(shared.answered) + " requests of other consumers were answered, " + std::to_string(shared.cut) + " were cut");
-    int machines = 0;
-    for (const auto& [vm, count] : ends)
-        machines += count >= endsThatCount ? 1 : 0;
-    if (machines >= 2)
-        record.violation("FAULT on " + std::to_string(machines) + " of " + std::to_string(gatewayCount) + " machines the process has ended three times or more, over its limit of memory");
-    finish(record, deployment, shared.answered < 300 ? 2 : record.violationCount() > 0 ? 1
-                                                                                       : 0);
+    record.say(std::to_string(shared.answered) + " requests were answered, " + std::to_string(shared.duringDrain) + " of them sent more than 3 s after a SIGTERM to a gateway that was draining; " + std::to_string(shared.cutEarly) + " were cut that had been sent earlier");
+    finish(record, deployment, shared.answered < 1000 ? 2 : record.violationCount() > 0 ? 1
+                                                                                        : 0);
 }
--- a/review/standin/database.hpp
+++ b/review/standin/database.hpp
@@ -551,6 +551,15 @@
     std::uint64_t lastDigest { 0 };
 };
 
+/// An order to promote that the platform accepted.
+struct AcceptedOrder {
+    std::string service;
+    std::string holder;
+    std::string fence;
+    std::string id;
+    Time at;
+};
+
 /// The platform's endpoint for promotions; it checks fences.
 class Cloud {
 public:
@@ -563,6 +572,19 @@
 
     [[nodiscard]] const Endpoint& address() const { return this->server.address(); }
 
+    /// Sets how long an answer takes; the order itself is carried out at once.
+    void setAnswerTime(Milliseconds time)
+    {
+        const std::lock_guard guard(this->mutex);
+        this->answerTime = time;
+    }
+
+    [[nodiscard]] std::vector<AcceptedOrder> accepted()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->acceptedOrders;
+    }
+
 private:
     int serve(const HttpRequest& request)
     {
@@ -574,7 +596,7 @@
         const auto fence = std::stoull(token->second);
         const auto name = json.at("service").get<std::string>();
         const auto id = json.at("id").get<std::string>();
-        const std::lock_guard guard(this->mutex);
+        std::unique_lock lock(this->mutex);
         auto& seen = this->fences[name];
         int status = 409;
         if (fence >= seen) {
@@ -584,7 +606,12 @@
                     status = service->order(id);
             }
         }
+        if (status == 200)
+            this->acceptedOrders.push_back({ .service = name, .holder = holder->second, .fence = token->second, .id = id, .at = Clock::now() });
         this->record.say("order by " + holder->second + " with fence " + token->second + ": " + id + " is to lead " + name + ", answered " + std::to_string(status));
+        const auto delay = this->answerTime;
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
         return status;
     }
 
@@ -592,6 +619,8 @@
     std::vector<Service*> services;
     std::mutex mutex;
     std::map<std::string, std::uint64_t> fences; ///< Highest seen, by service.
+    std::vector<AcceptedOrder> acceptedOrders;
+    Milliseconds answerTime { 4 };
     HttpServer server;
 };
 
