A prepared statement's name at an upstream is a number, not its shape

Shapes of plain words were acknowledged and could not be run.

Cause: the name under which a daemon prepares a statement was 'r_' or 'w_' and the shape as it is. A blank ends a field on the wire, so the upstream read another name, mode and shape.

Why it works: the name is the number of the statement on its link, which is one word whatever callers send, and a link knows each statement by mode and shape, so no two share a name.

--- a/src/amaranthhall/engine/relay.hpp
+++ b/src/amaranthhall/engine/relay.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/catalog/configuration.hpp"
 #include "amaranthhall/engine/link.hpp"
+#include "amaranthhall/engine/prepared_statement.hpp"
 #include "amaranthhall/engine/request.hpp"
 #include "amaranthhall/identity/identity.hpp"
 
@@ -18,12 +19,6 @@
 
 namespace amaranthhall::engine {
 
-/// @brief A prepared statement of a session.
-struct PreparedStatement {
-    bool writes { false };
-    std::string shape;
-};
-
 /// @brief A statement relayed to another daemon, with the session state required to run it.
 struct RelayedRequest {
     Request request;
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -22,9 +22,10 @@
         return { .consistency = static_cast<std::size_t>(route.consistency), .priority = route.priority };
     }
 
-    std::string preparedName(bool writes, std::string_view shape)
+    /// Returns the name of the next statement prepared on a link: one word whatever its shape contains, and unique until the link is reset.
+    std::string nextPreparedName(const PooledLink& link)
     {
-        return (writes ? "w_" : "r_") + std::string(shape);
+        return std::string("s").append(std::to_string(link.prepared.size() + 1));
     }
 
 }
@@ -176,9 +177,9 @@
     }
     if (this->execution->request.kind == RequestKind::Execute) {
         const auto& statement = this->statements.find(this->execution->request.name)->second;
-        const auto name = preparedName(statement.writes, statement.shape);
-        if (link.prepared.insert(name).second)
-            send({ .kind = statement.writes ? Command::Kind::PrepareWrite : Command::Kind::PrepareRead, .name = name, .value = statement.shape });
+        const auto [prepared, isNew] = link.prepared.try_emplace(statement, nextPreparedName(link));
+        if (isNew)
+            send({ .kind = statement.writes ? Command::Kind::PrepareWrite : Command::Kind::PrepareRead, .name = prepared->second, .value = statement.shape });
     }
     finish(Reply {});
 }
@@ -195,7 +196,7 @@
         return;
     }
     const auto& statement = this->statements.find(request.name)->second;
-    const auto name = preparedName(statement.writes, statement.shape);
+    const auto& name = this->activeLink().pooledLink().prepared.at(statement);
     this->activeLink().send({ .kind = Command::Kind::Execute, .id = request.id, .name = name, .value = request.value, .after = execution.after }, std::move(done));
 }
 
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/catalog/upstream_entry.hpp"
 #include "amaranthhall/engine/link.hpp"
+#include "amaranthhall/engine/prepared_statement.hpp"
 #include "amaranthhall/kernel/loop.hpp"
 #include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/upstream_health.hpp"
@@ -9,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +29,7 @@
     std::unique_ptr<Link> link;
     std::string organisation; ///< Told to the upstream when the link was opened; empty for none.
     SessionSettings settings;
-    std::set<std::string, std::less<>> prepared; ///< Names of the statements prepared on this link.
+    std::map<PreparedStatement, std::string> prepared; ///< Names at the upstream of the statements prepared on this link.
     Time idleSince;
     Time sentAt; ///< When the first outstanding command was sent or the last reply arrived, whichever is later.
     std::uint32_t running { 0 }; ///< Number of outstanding commands.
