A planned stop closes sessions with a reply and answers what is still in progress

Cause: sessions were closed only where a look every 100 ms found them idle, and the process ended with whatever was under way. The same holds for long statements, for what a daemon runs for others (not counted, not aborted at half of the time), and for a session whose request had arrived and was not read.

Why it works: together with a reply is the one moment at which a caller that waits for replies can have nothing on the way. What can't end in time gets a true answer: not run, or outcome unknown. The decision is a function of times and counts (gateway/drain_decision).

--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -221,6 +221,19 @@
 }
 
 void Session::onDeadline()
+{
+    const bool hasUpstream = this->transaction || this->execution->isSent;
+    this->giveUp(hasUpstream ? "no answer within the statement timeout" : "no upstream was free within the statement timeout");
+}
+
+void Session::abandonRequest(std::string_view reason)
+{
+    if (this->execution)
+        this->giveUp(reason);
+}
+
+/// Ends the request in progress without waiting for its reply.
+void Session::giveUp(std::string_view reason)
 {
     auto& execution = *this->execution;
     ++this->generation; // ignore late replies
@@ -233,16 +246,13 @@
         this->transaction->stream.reset();
         if (isCommit)
             this->transaction.reset();
-        this->sendError(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, "no answer within the statement timeout");
+        this->sendError(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, reason);
         return;
     }
     const bool isUnknown = execution.isSent && this->writes(execution.request);
     this->currentLink.discard();
     this->currentStream.reset();
-    if (isUnknown)
-        this->sendError(ReplyCode::InDoubt, "no answer within the statement timeout");
-    else
-        this->sendError(ReplyCode::Aborted, execution.isSent ? "no answer within the statement timeout" : "no upstream was free within the statement timeout");
+    this->sendError(isUnknown ? ReplyCode::InDoubt : ReplyCode::Aborted, reason);
 }
 
 void Session::abortTransaction(std::string_view)
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -59,6 +59,9 @@
     /// @brief Returns whether a request is in progress.
     [[nodiscard]] bool isBusy() const noexcept { return this->execution.has_value(); }
 
+    /// @brief Returns the state that the caller is told.
+    [[nodiscard]] TransactionState state() const noexcept;
+
     /// @brief Returns whether a transaction is open, or has failed and has not been ended yet.
     [[nodiscard]] bool inTransaction() const noexcept { return this->transaction.has_value(); }
 
@@ -71,6 +74,9 @@
     /// @brief Rolls back the open transaction; the next statement receives an error.
     void abortTransaction(std::string_view reason);
 
+    /// @brief Answers the request in progress, if any, at once: as not run if it was not sent or writes nothing, else as of unknown outcome.
+    void abandonRequest(std::string_view reason);
+
 private:
     static constexpr Duration retryDelay = std::chrono::milliseconds(5); ///< About half the duration of a statement.
 
@@ -144,6 +150,7 @@
     void retryLater(const Reply& reply);
     void watchForStall();
     void onDeadline();
+    void giveUp(std::string_view reason);
     void failTransaction(Reply reply);
     [[nodiscard]] bool isConfirmed(const Reply& reply);
     void retryUnconfirmedLeader();
@@ -152,7 +159,6 @@
     void sendReply(Reply reply);
     void sendError(ReplyCode code, std::string_view detail);
     [[nodiscard]] AcquiredLink& activeLink() noexcept { return this->transaction ? this->transaction->link : this->currentLink; }
-    [[nodiscard]] TransactionState state() const noexcept;
     [[nodiscard]] bool writes(const Request& request) const;
     void watchIdleTransaction();
 
--- a/src/amaranthhall/gateway/fwd.hpp
+++ b/src/amaranthhall/gateway/fwd.hpp
@@ -3,6 +3,8 @@
 namespace amaranthhall::gateway {
 
 class Gateway;
+struct DrainDecision;
+struct DrainState;
 struct GatewaySettings;
 
 }
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -25,9 +25,7 @@
     constexpr Duration fleetDiscoveryTimeout = 2s; // after this a daemon that has found no peers serves without them
     constexpr auto drainMargin = 1s; // a statement is queued and in transit before it reaches the upstream
     constexpr Duration drainPollInterval = 100ms;
-    constexpr Duration trafficRemovalDelay = 2200ms; // the platform stops sending callers after two failed readiness checks, made once per second
     constexpr Duration idleTimeBeforeClose = 30ms; // a caller that has just received a reply may already have sent its next request
-    constexpr Duration shutdownMargin = 500ms; // time left before the platform kills the process
     constexpr std::size_t maximumFollowers = 4; // daemons that follow the store; the others get its rows from them
     constexpr Duration pauseAfterChange = 100ms; // batches changes: upstreams change in groups, for example on a failover
     constexpr Duration pauseAfterFleetChange = 1s; // a longer pause is enough, as starting daemons discover each other by UDP gossip
@@ -308,14 +306,42 @@
 
 void Gateway::continueDrain(engine::CallerServer& callers)
 {
-    const auto elapsed = this->loop.now() - this->drainingSince;
-    if (elapsed >= this->settings.drainLimit / 2)
+    const auto decision = decideDrain({
+        .elapsed = this->loop.now() - this->drainingSince,
+        .limit = this->settings.drainLimit,
+        .sessions = callers.sessions(),
+        .relayedStreams = this->relays.streamCount(),
+    });
+    this->logDrain(decision, callers.sessions());
+    if (decision.abortsTransactions) {
         callers.abortTransactions();
-    if (elapsed >= trafficRemovalDelay)
+        this->relays.abortTransactions();
+    }
+    if (decision.closesSessions) {
+        callers.closeAfterReplies();
         callers.closeIdle(idleTimeBeforeClose);
-    const bool isOver = callers.sessions() == 0 && elapsed >= trafficRemovalDelay;
-    if (isOver || elapsed >= this->settings.drainLimit - shutdownMargin)
+    }
+    if (decision.abandonsRequests) {
+        callers.abandonRequests();
+        this->relays.abandonRequests();
+    }
+    if (decision.isOver)
         this->onDrained();
 }
 
+/// Logs each new step of the stop once.
+void Gateway::logDrain(const DrainDecision& decision, std::size_t sessions)
+{
+    const auto isNew = [](bool& wasTaken, bool isTaken) { return isTaken && !std::exchange(wasTaken, true); };
+    const auto log = [&](std::string_view step) {
+        logEvent(LogLevel::Info, "daemon.drain_step", { { "step", step }, { "sessions", sessions }, { "relayed_streams", this->relays.streamCount() } });
+    };
+    if (isNew(this->drainSteps.closesSessions, decision.closesSessions))
+        log("close_sessions");
+    if (isNew(this->drainSteps.abortsTransactions, decision.abortsTransactions))
+        log("abort_transactions");
+    if (isNew(this->drainSteps.abandonsRequests, decision.abandonsRequests))
+        log("abandon_requests");
+}
+
 }
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/engine/caller_server.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/gateway/drain_decision.hpp"
 #include "amaranthhall/gateway/gateway_settings.hpp"
 #include "amaranthhall/gossip/gossip_node.hpp"
 #include "amaranthhall/gossip/pending_fetches.hpp"
@@ -52,9 +53,10 @@
     [[nodiscard]] bool isReady() const noexcept;
 
     /**
-     * @brief Stops accepting work: reports not ready, unregisters this daemon and closes idle sessions.
+     * @brief Stops accepting work: reports not ready, unregisters this daemon and closes sessions between two requests.
      *
-     * Transactions are aborted after half of the drain limit. `done` is called once no session is left or the limit is almost reached.
+     * Transactions are aborted after half of the drain limit. `done` is called once no session is left or the limit is almost reached;
+     * requests that are then still in progress are answered before.
      */
     void drain(engine::CallerServer& callers, std::function<void()> done);
 
@@ -100,6 +102,7 @@
     void updateGauges();
     void tick();
     void continueDrain(engine::CallerServer& callers);
+    void logDrain(const DrainDecision& decision, std::size_t sessions);
     [[nodiscard]] store::TableWatch* findWatch(const std::string& table) noexcept;
 
     kernel::Loop& loop;
@@ -146,6 +149,7 @@
     bool wasConfigurationFresh { false }; ///< Whether the configuration was once known to be the store's present one.
     Time drainingSince;
     bool isDraining { false };
+    DrainDecision drainSteps; ///< Steps of the drain that have begun.
     std::function<void()> onDrained;
     std::function<void()> configurationApplied { [] {} };
 };
--- a/src/amaranthhall/kernel/byte_stream.cpp
+++ b/src/amaranthhall/kernel/byte_stream.cpp
@@ -48,6 +48,12 @@
         this->fail();
 }
 
+bool ByteStream::hasUnreadInput() const noexcept
+{
+    char next = 0;
+    return this->socket && recv(this->socket.descriptor(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void ByteStream::read()
 {
     std::array<char, readBytes> buffer; // NOLINT: not zeroed, since recv fills it.
--- a/src/amaranthhall/kernel/byte_stream.hpp
+++ b/src/amaranthhall/kernel/byte_stream.hpp
@@ -38,6 +38,9 @@
     /// @brief Closes once all buffered bytes are written.
     void closeAfterWrite();
 
+    /// @brief Returns whether the connection has received bytes that are not read yet.
+    [[nodiscard]] bool hasUnreadInput() const noexcept;
+
     [[nodiscard]] const Socket& connection() const noexcept { return this->socket; }
 
 private:
--- a/src/amaranthhall/relay/relay_server.cpp
+++ b/src/amaranthhall/relay/relay_server.cpp
@@ -13,6 +13,7 @@
 
     using namespace std::chrono_literals;
 
+    constexpr std::string_view shutdownReason = "shutting down";
     constexpr Duration keepaliveInterval = 50ms; // a third of the silence after which the other daemon tries another home
 
     /// Runs the statements of one stream in a session of its own and sends the replies back.
@@ -38,6 +39,9 @@
             this->sendRelayedReply({ .reply = reply, .lastCommit = this->session.newestCommit() });
         }
 
+        void abortTransaction() { this->session.abortTransaction(shutdownReason); }
+        void abandonRequest() { this->session.abandonRequest(shutdownReason); }
+
         [[nodiscard]] bool isBusy() const noexcept { return this->session.isBusy(); }
         [[nodiscard]] bool isFinished() const noexcept { return !this->session.isBusy() && !this->session.inTransaction(); }
 
@@ -60,6 +64,18 @@
 
     [[nodiscard]] std::size_t streamCount() const noexcept { return this->servedStreams.size(); }
 
+    void abortTransactions()
+    {
+        for (const auto& [id, served] : this->servedStreams)
+            served->abortTransaction();
+    }
+
+    void abandonRequests()
+    {
+        for (const auto& [id, served] : this->servedStreams)
+            served->abandonRequest();
+    }
+
 private:
     void receive(std::string_view bytes)
     {
@@ -139,6 +155,18 @@
     return count;
 }
 
+void RelayServer::abortTransactions()
+{
+    for (const auto& connection : this->connections)
+        connection->abortTransactions();
+}
+
+void RelayServer::abandonRequests()
+{
+    for (const auto& connection : this->connections)
+        connection->abandonRequests();
+}
+
 void RelayServer::accept()
 {
     while (auto socket = kernel::acceptFrom(this->listener)) {
--- a/src/amaranthhall/relay/relay_server.hpp
+++ b/src/amaranthhall/relay/relay_server.hpp
@@ -24,6 +24,12 @@
     /// @brief Returns the number of statements and transactions that run for other daemons.
     [[nodiscard]] std::size_t streamCount() const noexcept;
 
+    /// @brief Rolls back the transactions that run for other daemons and have no statement in progress.
+    void abortTransactions();
+
+    /// @brief Answers the statements in progress at once: as not run if they were not sent or write nothing, else as of unknown outcome.
+    void abandonRequests();
+
 private:
     void accept();
 
--- a/test/relay/test_relay.cpp
+++ b/test/relay/test_relay.cpp
@@ -154,3 +154,35 @@
     this->runFor(500ms);
     CHECK_FALSE(static_cast<bool>(kernel::acceptFrom(listener)));
 }
+
+// Failure: a daemon that was stopped ended while it ran a statement for another one, which learned of it by the lost connection only.
+TEST(Relay, AStatementInProgressAtTheEndIsAnswered)
+{
+    auto stream = this->client.open("home", this->address);
+    this->begin(*stream);
+    this->links.upstreams["p"].isSilent = true;
+    stream = this->client.open("home", this->address);
+    std::optional<engine::Reply> reply;
+    stream->send(makeWrite(), [&](const engine::RelayedReply& relayed) { reply = relayed.reply; });
+    this->runFor(50ms);
+    this->server.abandonRequests();
+    this->runFor(50ms);
+    CHECK_TRUE(reply.has_value());
+    CHECK(reply->code == engine::ReplyCode::InDoubt);
+    LONGS_EQUAL(0, this->server.streamCount());
+}
+
+TEST(Relay, AnIdleTransactionIsRolledBackAtAStop)
+{
+    auto stream = this->client.open("home", this->address);
+    this->begin(*stream);
+    this->server.abortTransactions();
+    std::optional<engine::Reply> reply;
+    auto relayed = makeWrite();
+    relayed.request = { .id = "q", .kind = engine::RequestKind::Commit, .text = "COMMIT" };
+    stream->send(relayed, [&](const engine::RelayedReply& answer) { reply = answer.reply; });
+    this->runFor(50ms);
+    CHECK_TRUE(reply.has_value());
+    CHECK(reply->code == engine::ReplyCode::Aborted);
+    LONGS_EQUAL(0, this->server.streamCount());
+}
