Acknowledged commits of a service with synchronous replicas survive a promotion

Cause: the candidate was chosen by one STATUS about a second before its promotion took effect; until then the old primary confirmed commits that only the other replica had received. sync_replicas was never read. Also passed over: a replica that did not answer in 80 ms, a draining one, one that the platform had refused; a draining primary could not be asked for its status.

Change: the candidate is announced before it is ordered; daemons acknowledge a commit of another upstream only when the candidate's log has it (INDOUBT if that can't be known); the order waits until the candidate has what was acknowledged before the announcement; a silent replica is waited for while the primary is silent too (30 s).

Why it works: each acknowledgement after the announcement is of a commit that the candidate has, and each one before it lies before a position that the candidate has reached when it is ordered.

--- a/src/amaranthhall/catalog/configuration.hpp
+++ b/src/amaranthhall/catalog/configuration.hpp
@@ -35,6 +35,7 @@
 struct ServiceSpec {
     std::string name;
     std::uint32_t maximumConnections { 0 }; ///< Connections to each upstream, from all daemons together.
+    std::uint32_t synchronousReplicas { 0 }; ///< Replicas that have received a commit when the primary confirms it.
 
     friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
@@ -54,6 +55,13 @@
         const auto found = this->routes.find(database);
         return found == this->routes.end() ? nullptr : &found->second;
     }
+
+    /// @brief Returns the limits of a service, or nullptr if it is not configured.
+    [[nodiscard]] const ServiceSpec* findService(std::string_view name) const noexcept
+    {
+        const auto found = this->services.find(name);
+        return found == this->services.end() ? nullptr : &found->second;
+    }
 };
 
 }
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -333,7 +333,7 @@
             .idle = pool->idle(scopeOf(requirements)),
             .canOpen = pool->canOpen(requirements.organisation),
             .isLeader = leader == id,
-            .isDraining = entry.draining,
+            .isDraining = entry.draining && requirements.requiredUpstream.empty(), // one that is asked for by name is asked while it drains, too
             .isLagging = requirements.after && leader != id && !freshness::isExpectedToHold(service.lags[id], service.samples, *requirements.after, now),
             .wasTried = std::find(requirements.tried.begin(), requirements.tried.end(), id) != requirements.tried.end(),
             .isSameZone = entry.zone == this->options.zone,
--- a/src/amaranthhall/engine/fwd.hpp
+++ b/src/amaranthhall/engine/fwd.hpp
@@ -3,6 +3,7 @@
 namespace amaranthhall::engine {
 
 class CallerChannel;
+class CommitGuard;
 class Dispatcher;
 class Link;
 class LinkFactory;
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -239,6 +239,10 @@
     ++this->generation; // ignore late replies
     this->ticket = {};
     this->retryTimer.reset();
+    if (execution.isCommitHeld) {
+        this->sendError(ReplyCode::InDoubt, reason);
+        return;
+    }
     if (this->transaction) {
         const bool isCommit = execution.request.kind == RequestKind::Commit;
         const bool isUnknown = isCommit && execution.isSent && this->transaction->hasWritten;
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/engine/caller_channel.hpp"
+#include "amaranthhall/engine/commit_guard.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/engine/operation_limiter.hpp"
 #include "amaranthhall/engine/relay.hpp"
@@ -26,6 +27,7 @@
     RequestLog& log;
     retry::Budget budget;
     OperationLimiter* limiter { nullptr }; ///< Limits the operations of organisations; nullptr if there are no limits.
+    CommitGuard* commitGuard { nullptr }; ///< Holds back acknowledgements while a promotion is expected; nullptr if none are.
     RelayRouter* relays { nullptr }; ///< Routes statements to other daemons; nullptr if there are none.
 };
 
@@ -108,6 +110,7 @@
         Time sentAt;
         freshness::Micros sentBootTime { 0 };
         bool isAdmitted { false }; ///< It was counted towards the limit of its organisation.
+        bool isCommitHeld { false }; ///< It is committed at an upstream, and waits until the one that is to be promoted has it.
         bool isSent { false }; ///< The statement may have reached an upstream or another daemon.
         unsigned retries { 0 };
         unsigned unconfirmedAttempts { 0 }; ///< Attempts on a leader that may not have caught up in its term.
@@ -145,7 +148,7 @@
     void onBeginReply(Reply reply);
     void onTransactionReply(Reply reply);
     void onCommitReply(Reply reply);
-    void settle(Reply reply);
+    void acknowledgeCommit(Reply reply, const std::string& service, const std::string& upstream);
     void retryOrReply(Reply reply, bool wasLost);
     void retryLater(const Reply& reply);
     void watchForStall();
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -289,14 +289,17 @@
 {
     if (reply.succeeded()) {
         const bool isWrite = this->writes(this->execution->request);
-        if (isWrite) {
+        if (isWrite)
             this->noteProof(reply);
-            this->lastCommit = reply.point ? reply.point : this->lastCommit;
-        }
         retry::deposit(this->context.budget);
-        this->context.dispatcher.noteWork(this->execution->route.service, kindOf(this->execution->route), this->context.loop.now() - this->execution->sentAt, this->currentLink);
+        const auto service = this->execution->route.service;
+        this->context.dispatcher.noteWork(service, kindOf(this->execution->route), this->context.loop.now() - this->execution->sentAt, this->currentLink);
+        const auto upstream = this->currentLink.upstream();
         this->currentLink.reset();
-        this->sendReply({ .rows = std::move(reply.rows), .digest = std::move(reply.digest) });
+        if (isWrite)
+            this->acknowledgeCommit(std::move(reply), service, upstream);
+        else
+            this->sendReply({ .rows = std::move(reply.rows), .digest = std::move(reply.digest) });
         return;
     }
     const bool wasLost = reply.lost;
--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -64,12 +64,15 @@
         return;
     }
     if (reply.succeeded()) {
-        if (hasWritten) {
+        if (hasWritten)
             this->noteProof(reply);
-            this->lastCommit = reply.point ? reply.point : this->lastCommit;
-        }
+        const auto service = this->transaction->route.service;
+        const auto upstream = this->transaction->link.upstream();
         this->transaction.reset();
-        this->sendReply({ .rows = std::move(reply.rows), .digest = std::move(reply.digest) });
+        if (hasWritten)
+            this->acknowledgeCommit(std::move(reply), service, upstream);
+        else
+            this->sendReply({ .rows = std::move(reply.rows), .digest = std::move(reply.digest) });
         return;
     }
     if (reply.lost)
@@ -81,4 +84,30 @@
         this->sendError(hasWritten ? ReplyCode::InDoubt : ReplyCode::Aborted, "the connection to the upstream was lost during the commit");
 }
 
+/// Tells the caller of a commit that an upstream has confirmed, as soon as the one that is to be promoted, if any, has it too.
+void Session::acknowledgeCommit(Reply reply, const std::string& service, const std::string& upstream)
+{
+    const auto acknowledge = [this](Reply confirmed) {
+        this->lastCommit = confirmed.point ? confirmed.point : this->lastCommit;
+        this->sendReply({ .rows = std::move(confirmed.rows), .digest = std::move(confirmed.digest) });
+    };
+    auto* guard = this->context.commitGuard;
+    if (!guard || !guard->mustHold(service, upstream)) {
+        acknowledge(std::move(reply));
+        return;
+    }
+    constexpr std::string_view droppedReason = "the upstream that was promoted may not have received the commit";
+    if (!reply.point) {
+        this->sendError(ReplyCode::InDoubt, droppedReason);
+        return;
+    }
+    this->execution->isCommitHeld = true;
+    guard->hold(service, { .point = *reply.point, .deadline = this->execution->deadline, .done = this->guarded([this, acknowledge, reply](bool isIncluded) {
+                              if (isIncluded)
+                                  acknowledge(reply);
+                              else
+                                  this->sendError(ReplyCode::InDoubt, droppedReason);
+                          }) });
+}
+
 }
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -66,7 +66,8 @@
     , settings(usedSettings)
     , platform(usedPlatform)
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
-    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {} }
+    , commitGuard(usedLoop, this->catalog, this->dispatcher)
+    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard }
     , listDelay(chooseListDelay(usedSettings))
     , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
     , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
@@ -167,6 +168,7 @@
         .fleet = this->fleetWatch,
         .peers = this->gossip.peers(),
         .promoter = this->platform.promoter,
+        .commitGuard = &this->commitGuard,
         .group = [this](const auto& service) -> const std::vector<std::string>& { return this->homes.homes(service); },
         .served = [this]() -> const std::vector<std::string>& { return this->homes.localServices(); },
     };
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -110,6 +110,7 @@
     PlatformAdapters platform;
     catalog::Catalog catalog;
     engine::Dispatcher dispatcher;
+    engine::CommitGuard commitGuard;
     telemetry::Metrics metrics;
     engine::RequestLog requestLog { this->metrics };
     engine::SessionContext context;
--- a/src/amaranthhall/succession/failover_policy.hpp
+++ b/src/amaranthhall/succession/failover_policy.hpp
@@ -70,6 +70,8 @@
     group::LogPoint point; ///< Last log entry received.
     group::Position applied { 0 }; ///< Last applied position; the rest of the log must be applied before it serves.
     bool isSameZone { false }; ///< In the zone of this daemon.
+    bool isDraining { false }; ///< It announced that it will leave.
+    bool wasRefused { false }; ///< The platform refused to promote it a short time ago.
 };
 
 /**
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -118,6 +118,7 @@
     }
     if (cause == FailoverCause::None) {
         state.supersededSince.reset();
+        state.unselectedSince.reset();
         state.failedSelections = 0;
     }
     if (cause == FailoverCause::None || !this->shouldAct(service, state))
@@ -211,7 +212,7 @@
 void SuccessionService::queryRequestedCandidate(const std::string& service, ServiceState& state)
 {
     const auto now = this->parts.loop.now();
-    const bool isAwaitingLeader = state.promotion && state.promotion->isOwn && !state.promotion->isLeading && now - state.promotion->at < promotionTimeout;
+    const bool isAwaitingLeader = state.stage != Stage::Preparing && state.promotion && state.promotion->isOwn && !state.promotion->isLeading && now - state.promotion->at < promotionTimeout;
     if (!isAwaitingLeader || now - std::max(state.promotion->at, state.candidateQueriedAt) < candidateQueryInterval || this->parts.dispatcher.leader(service) == state.promotion->candidate)
         return;
     state.candidateQueriedAt = now;
@@ -308,35 +309,55 @@
 }
 
 void SuccessionService::queryCandidates(const std::string& service, store::Version leaseVersion)
+{
+    this->serviceStates[service].stage = Stage::QueryingCandidates;
+    this->queryPositions(service, [this, service, leaseVersion] {
+        if (this->hasSynchronousReplicas(service))
+            this->selectSynchronousCandidate(service, leaseVersion);
+        else
+            this->requestPromotion(service, leaseVersion);
+    });
+}
+
+/// Asks the replicas of a service for their log positions; for one with synchronous replicas also those that are not to be promoted, and the primary.
+void SuccessionService::queryPositions(const std::string& service, std::function<void()> onAnswered)
 {
     auto& state = this->serviceStates[service];
     const auto now = this->parts.loop.now();
-    state.stage = Stage::QueryingCandidates;
+    const bool asksAll = this->hasSynchronousReplicas(service);
     state.candidates.clear();
+    state.queriedCandidates = 0;
+    state.primaryStatus.reset();
     state.statusQueries.clear();
     for (const auto* known : this->parts.catalog.upstreamsOf(service)) {
         const auto& id = known->entry.id;
         const auto refused = state.refusedCandidates.find(id);
         const bool wasRefused = refused != state.refusedCandidates.end() && now - refused->second < refusalLifetime;
         const bool isMissing = known->missingSince && *known->missingSince <= now;
-        if (id == state.observedPrimary || known->entry.draining || isMissing || wasRefused)
+        const bool isPrimary = id == state.observedPrimary;
+        if (isMissing || (!asksAll && (isPrimary || known->entry.draining || wasRefused)))
             continue;
-        const PromotionCandidate candidate { .upstream = id, .isSameZone = known->entry.zone == this->options.zone };
-        state.statusQueries.push_back(this->parts.dispatcher.queryStatus(service, id, now + statusTimeout, [this, service, candidate](std::optional<engine::UpstreamStatus> status) {
+        const PromotionCandidate candidate { .upstream = id, .isSameZone = known->entry.zone == this->options.zone, .isDraining = known->entry.draining, .wasRefused = wasRefused };
+        state.queriedCandidates += isPrimary ? 0 : 1;
+        state.statusQueries.push_back(this->parts.dispatcher.queryStatus(service, id, now + statusTimeout, [this, service, candidate, isPrimary](std::optional<engine::UpstreamStatus> status) {
             if (!status)
                 return;
             logEvent(LogLevel::Info, "succession.heir_answered", { { "service", service }, { "upstream", candidate.upstream }, { "primary", status->isPrimary }, { "term", status->term }, { "last_entry_term", status->received.term }, { "position", status->received.position } });
             this->parts.dispatcher.noteTerm(service, status->term);
-            auto& candidates = this->serviceStates[service].candidates;
-            candidates.push_back(candidate);
-            candidates.back().term = status->term;
-            candidates.back().point = status->received;
-            candidates.back().applied = status->applied.position;
+            auto& current = this->serviceStates[service];
+            if (isPrimary) {
+                current.primaryStatus = status;
+                return;
+            }
+            current.candidates.push_back(candidate);
+            current.candidates.back().term = status->term;
+            current.candidates.back().point = status->received;
+            current.candidates.back().applied = status->applied.position;
         }));
     }
-    state.queryTimer = this->parts.loop.after(statusTimeout, [this, service, leaseVersion] {
+    state.queryTimer = this->parts.loop.after(statusTimeout, [this, service, onAnswered = std::move(onAnswered)] {
         this->serviceStates[service].statusQueries.clear();
-        this->requestPromotion(service, leaseVersion);
+        onAnswered();
     });
 }
 
@@ -396,9 +417,15 @@
         return;
     }
     state.failedSelections = 0;
+    this->sendOrder(service, *chosen, leaseVersion);
+}
+
+void SuccessionService::sendOrder(const std::string& service, const std::string& candidate, const store::Version& leaseVersion)
+{
+    auto& state = this->serviceStates[service];
     state.stage = Stage::Promoting;
-    PromotionRequest request { .service = service, .candidate = *chosen, .holder = this->options.self.vm, .fencingToken = fencingTokenOf(leaseVersion) };
-    logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", state.observedPrimary }, { "heir", *chosen }, { "fence", request.fencingToken }, { "asked", state.candidates.size() }, { "cause", nameOf(state.cause) } });
+    PromotionRequest request { .service = service, .candidate = candidate, .holder = this->options.self.vm, .fencingToken = fencingTokenOf(leaseVersion) };
+    logEvent(LogLevel::Warning, "succession.ordering", { { "service", service }, { "upstream", state.observedPrimary }, { "heir", candidate }, { "fence", request.fencingToken }, { "asked", state.candidates.size() }, { "cause", nameOf(state.cause) } });
     this->parts.promoter.promote(request, [this, service, request, leaseVersion](PromotionOutcome outcome) { this->onPromotionResult(service, request, leaseVersion, outcome); });
 }
 
@@ -410,16 +437,17 @@
     logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", request.candidate }, { "fence", request.fencingToken }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case PromotionOutcome::Accepted:
-        state.promotion = KnownPromotion { .candidate = request.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true };
-        this->requestGossip();
+        this->announce(service, { .candidate = request.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
         return;
     case PromotionOutcome::Refused:
+        this->withdrawAnnouncement(service);
         state.refusedCandidates[request.candidate] = now;
         state.needsNewToken = true;
         state.retryAt = this->parts.loop.now() + retryDelay;
         return;
     case PromotionOutcome::NotDone:
     case PromotionOutcome::Unknown:
+        this->withdrawAnnouncement(service);
         state.retryAt = this->parts.loop.now() + retryDelay;
         return;
     }
@@ -450,11 +478,14 @@
         if (report.isLeading)
             this->parts.dispatcher.noteClaim(report.service, report.candidate, report.fence);
         auto& state = this->serviceStates[report.service];
+        if (state.preparation && state.preparation->candidate == report.candidate && state.preparation->leaseVersion == report.fence)
+            state.preparation->confirmedBy.insert(digest.vm);
         const auto boot = freshness::bootNow();
         const auto local = clock.earliestLocalTime(report.at, boot);
         const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
         // The holder may send another request with the same fencing token.
-        const bool isKnown = state.promotion && (state.promotion->leaseVersion > report.fence || (state.promotion->leaseVersion == report.fence && now - age <= state.promotion->at + samePromotionTolerance));
+        const auto tolerance = state.promotion && state.promotion->candidate == report.candidate ? samePromotionTolerance : Duration::zero();
+        const bool isKnown = state.promotion && (state.promotion->leaseVersion > report.fence || (state.promotion->leaseVersion == report.fence && now - age <= state.promotion->at + tolerance));
         if (isKnown) {
             if (report.isLeading && state.promotion->leaseVersion == report.fence) {
                 state.promotion->isLeading = true;
@@ -463,7 +494,10 @@
             continue;
         }
         state.promotion = KnownPromotion { .candidate = report.candidate, .leaseVersion = report.fence, .at = now - age, .isLeading = report.isLeading, .term = report.term };
+        this->expectPromotion(report.service, *state.promotion);
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", report.service }, { "heir", report.candidate }, { "fence", fencingTokenOf(report.fence) }, { "from", digest.vm } });
+        if (this->hasSynchronousReplicas(report.service))
+            this->requestGossip(); // the holder waits for the confirmation
     }
 }
 
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "amaranthhall/catalog/catalog.hpp"
+#include "amaranthhall/engine/commit_guard.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/freshness/store_clock.hpp"
 #include "amaranthhall/gossip/digest.hpp"
 #include "amaranthhall/gossip/peer_registry.hpp"
 #include "amaranthhall/store/store.hpp"
 #include "amaranthhall/store/table_watch.hpp"
+#include "amaranthhall/succession/candidate_selection.hpp"
 #include "amaranthhall/succession/failover_lease.hpp"
 #include "amaranthhall/succession/failover_policy.hpp"
 #include "amaranthhall/succession/promoter.hpp"
@@ -14,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +44,7 @@
         store::TableWatch& fleet; ///< Table that contains the lease rows.
         gossip::PeerRegistry& peers;
         Promoter& promoter;
+        engine::CommitGuard* commitGuard { nullptr }; ///< Told of expected promotions; may be left out.
         std::function<const std::vector<std::string>&(const std::string& service)> group; ///< Daemons with connections to a service, including this one.
         std::function<const std::vector<std::string>&()> served; ///< Sorted names of the services to which this daemon has connections.
     };
@@ -66,6 +70,7 @@
         Monitoring, ///< No operation is in progress.
         AcquiringLease, ///< A conditional write of the lease row is in progress.
         QueryingCandidates, ///< Candidates are queried for their log positions.
+        Preparing, ///< The candidate of a service with synchronous replicas is announced, and catches up.
         Promoting, ///< A promotion request is in progress.
     };
 
@@ -79,6 +84,16 @@
         group::Term term { 0 }; ///< Term in which it leads; 0 while it does not.
     };
 
+    /// What happens between the choice of a candidate and its promotion, for a service with synchronous replicas.
+    struct Preparation {
+        std::string candidate;
+        store::Version leaseVersion;
+        Time startedAt;
+        std::set<std::string> confirmedBy; ///< Daemons that have told that they know of the candidate, and hold back commits that it lacks.
+        std::optional<group::LogPoint> required; ///< Position that the candidate must reach; known once the daemons hold back commits.
+        bool givesUpReplicas { false }; ///< As decided when the candidate was chosen.
+    };
+
     /// Failover state of one service.
     struct ServiceState {
         Holder holder { Holder::None }; ///< Last observed holder; retained from the previous era until the current row names one.
@@ -90,7 +105,11 @@
         std::optional<KnownPromotion> promotion;
         engine::Dispatcher::Ticket candidateQuery; ///< Set while the requested candidate is queried whether it leads.
         Time candidateQueriedAt;
-        std::vector<PromotionCandidate> candidates;
+        std::vector<PromotionCandidate> candidates; ///< That answered.
+        std::size_t queriedCandidates { 0 }; ///< Number of those that were asked.
+        std::optional<engine::UpstreamStatus> primaryStatus; ///< Answer of the primary, which is asked for services with synchronous replicas.
+        std::optional<Time> unselectedSince; ///< Since when no candidate of a service with synchronous replicas could be chosen.
+        std::optional<Preparation> preparation;
         std::vector<engine::Dispatcher::Ticket> statusQueries;
         std::map<std::string, Time> refusedCandidates; ///< Time of the platform's refusal by candidate.
         bool needsNewToken { false }; ///< The platform refused a request with the current fencing token.
@@ -128,6 +147,19 @@
     void onNoCandidate(const std::string& service, ServiceState& state) const;
     void takeOver(const std::string& service);
     void queryCandidates(const std::string& service, store::Version leaseVersion);
+    void queryPositions(const std::string& service, std::function<void()> onAnswered);
+    [[nodiscard]] bool hasSynchronousReplicas(const std::string& service) const;
+    [[nodiscard]] SelectionInput selectionInput(const std::string& service, const ServiceState& state, std::span<const PromotionCandidate> answered) const;
+    void selectSynchronousCandidate(const std::string& service, store::Version leaseVersion);
+    void announce(const std::string& service, KnownPromotion promotion);
+    void withdrawAnnouncement(const std::string& service);
+    void expectPromotion(const std::string& service, const KnownPromotion& promotion) const;
+    void awaitConfirmations(const std::string& service);
+    void determineRequiredPoint(const std::string& service);
+    void awaitCandidate(const std::string& service);
+    void orderPrepared(const std::string& service);
+    void cancelPreparation(const std::string& service, std::string_view reason);
+    void sendOrder(const std::string& service, const std::string& candidate, const store::Version& leaseVersion);
     void requestPromotion(const std::string& service, store::Version leaseVersion);
     void onPromotionResult(const std::string& service, const PromotionRequest& request, const store::Version& leaseVersion, PromotionOutcome outcome);
     void addFallbackCandidates(const std::string& service, ServiceState& state) const;
--- /dev/null
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -0,0 +1,168 @@
+// Promotions of services with synchronous replicas: no commit that a caller was told of may be missing in the log of the promoted upstream.
+
+#include "amaranthhall/retry/backoff.hpp"
+#include "amaranthhall/succession/succession_service.hpp"
+#include "amaranthhall/telemetry/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranthhall::succession {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using telemetry::logEvent;
+    using telemetry::LogLevel;
+
+    constexpr Duration expectationLifetime = 10s; // an order without an answer may still be carried out seconds later
+    constexpr Duration confirmationTimeout = 250ms; // for the other daemons to tell that they know of the candidate
+    constexpr Duration catchUpTimeout = 1s; // for a candidate to receive what its primary had when the daemons knew of it
+    constexpr Duration pollInterval = 20ms;
+    constexpr Duration statusTimeout = 80ms;
+    constexpr retry::BackoffOptions failedSelectionBackoff { .first = 100ms, .limit = 800ms };
+
+}
+
+bool SuccessionService::hasSynchronousReplicas(const std::string& service) const
+{
+    const auto configuration = this->parts.catalog.configuration();
+    const auto* spec = configuration ? configuration->findService(service) : nullptr;
+    return spec && spec->synchronousReplicas > 0;
+}
+
+/// Collects what the last queries of positions have shown.
+SelectionInput SuccessionService::selectionInput(const std::string& service, const ServiceState& state, std::span<const PromotionCandidate> answered) const
+{
+    const auto& status = state.primaryStatus;
+    const bool isLeading = status && status->isPrimary && status->term >= this->newestTerm(service);
+    return {
+        .answered = answered,
+        .silentReplicas = state.queriedCandidates - state.candidates.size(),
+        .primary = isLeading ? std::optional(status->received) : std::nullopt,
+        .waiting = state.unselectedSince ? this->parts.loop.now() - *state.unselectedSince : Duration::zero(),
+    };
+}
+
+void SuccessionService::selectSynchronousCandidate(const std::string& service, store::Version leaseVersion)
+{
+    auto& state = this->serviceStates[service];
+    const auto eligible = this->eligibleCandidates(service, state);
+    const auto input = this->selectionInput(service, state, eligible);
+    const auto selection = selectWithSynchronousReplicas(input);
+    if (!selection.candidate) {
+        state.unselectedSince = state.unselectedSince.value_or(this->parts.loop.now());
+        logEvent(LogLevel::Warning, "succession.replicas_awaited", { { "service", service }, { "silent", input.silentReplicas }, { "primary_answers", input.primary.has_value() } });
+        this->onNoCandidate(service, state);
+        return;
+    }
+    if (selection.givesUpReplicas)
+        logEvent(LogLevel::Error, "succession.replicas_given_up", { { "service", service }, { "heir", *selection.candidate }, { "silent", input.silentReplicas } });
+    state.failedSelections = 0;
+    state.stage = Stage::Preparing;
+    const auto now = this->parts.loop.now();
+    state.preparation = Preparation { .candidate = *selection.candidate, .leaseVersion = leaseVersion, .startedAt = now, .givesUpReplicas = selection.givesUpReplicas };
+    logEvent(LogLevel::Info, "succession.preparing", { { "service", service }, { "heir", *selection.candidate } });
+    this->announce(service, { .candidate = *selection.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
+    this->awaitConfirmations(service);
+}
+
+/// Takes note of a promotion of this daemon, and tells the other daemons.
+void SuccessionService::announce(const std::string& service, KnownPromotion promotion)
+{
+    this->expectPromotion(service, promotion);
+    this->serviceStates[service].promotion = std::move(promotion);
+    this->requestGossip();
+}
+
+/// Lets this daemon try again: what it announced was not ordered, or not accepted.
+void SuccessionService::withdrawAnnouncement(const std::string& service)
+{
+    auto& promotion = this->serviceStates[service].promotion;
+    if (promotion && promotion->isOwn)
+        promotion.reset();
+}
+
+void SuccessionService::expectPromotion(const std::string& service, const KnownPromotion& promotion) const
+{
+    if (this->parts.commitGuard)
+        this->parts.commitGuard->expectPromotion(service, promotion.candidate, promotion.at + expectationLifetime);
+}
+
+/// Waits until the other daemons hold back commits that the candidate lacks, or the time for that is over.
+void SuccessionService::awaitConfirmations(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    const auto& confirmedBy = state.preparation->confirmedBy;
+    const auto peers = this->livePeersOf(service);
+    const bool isConfirmed = std::all_of(peers.begin(), peers.end(), [&](const auto& vm) { return confirmedBy.contains(vm); });
+    const bool isOver = this->parts.loop.now() - state.preparation->startedAt >= confirmationTimeout;
+    if (!isConfirmed && !isOver) {
+        state.queryTimer = this->parts.loop.after(pollInterval, [this, service] { this->awaitConfirmations(service); });
+        return;
+    }
+    if (!isConfirmed)
+        logEvent(LogLevel::Warning, "succession.not_confirmed", { { "service", service }, { "peers", peers.size() }, { "confirmed", confirmedBy.size() } });
+    this->queryPositions(service, [this, service] { this->determineRequiredPoint(service); });
+}
+
+/// Determines the position that the candidate must reach: what was acknowledged before the daemons knew of it lies before that.
+void SuccessionService::determineRequiredPoint(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    const auto eligible = this->eligibleCandidates(service, state);
+    state.preparation->required = requiredPoint(this->selectionInput(service, state, eligible));
+    if (!state.preparation->required) {
+        this->cancelPreparation(service, "a replica is silent");
+        return;
+    }
+    const auto found = std::find_if(eligible.begin(), eligible.end(), [&](const auto& candidate) { return candidate.upstream == state.preparation->candidate; });
+    const bool isThere = found != eligible.end() && hasReached(found->point, *state.preparation->required);
+    if (isThere || state.preparation->givesUpReplicas)
+        this->orderPrepared(service);
+    else
+        this->awaitCandidate(service);
+}
+
+void SuccessionService::awaitCandidate(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    const auto now = this->parts.loop.now();
+    if (now - state.preparation->startedAt >= confirmationTimeout + statusTimeout + catchUpTimeout) {
+        this->cancelPreparation(service, "the candidate is behind");
+        return;
+    }
+    state.queryTimer = this->parts.loop.after(pollInterval, [this, service] { this->awaitCandidate(service); });
+    state.candidateQuery = this->parts.dispatcher.queryStatus(service, state.preparation->candidate, now + statusTimeout, [this, service](const auto& status) {
+        const auto& preparation = this->serviceStates[service].preparation;
+        if (status && preparation && hasReached(status->received, *preparation->required))
+            this->orderPrepared(service);
+    });
+}
+
+/// Orders the promotion of the candidate, unless the lease was lost meanwhile.
+void SuccessionService::orderPrepared(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    if (this->heldLeaseVersion(service) != state.preparation->leaseVersion) {
+        this->cancelPreparation(service, "the lease is lost");
+        return;
+    }
+    state.queryTimer.reset();
+    state.unselectedSince.reset();
+    const auto preparation = *std::exchange(state.preparation, std::nullopt);
+    this->sendOrder(service, preparation.candidate, preparation.leaseVersion);
+}
+
+void SuccessionService::cancelPreparation(const std::string& service, std::string_view reason)
+{
+    auto& state = this->serviceStates[service];
+    logEvent(LogLevel::Warning, "succession.preparation_cancelled", { { "service", service }, { "heir", state.preparation->candidate }, { "reason", reason } });
+    state.preparation.reset();
+    state.unselectedSince = state.unselectedSince.value_or(this->parts.loop.now());
+    state.stage = Stage::Monitoring;
+    state.retryAt = this->parts.loop.now() + retry::backoffDelay(failedSelectionBackoff, state.failedSelections++);
+    this->withdrawAnnouncement(service);
+}
+
+}
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -264,6 +264,83 @@
     LONGS_EQUAL(2, nlohmann::json::parse(this->storage.lastPut.value).at("term").get<int>());
 }
 
+// A service whose primary confirms a commit once one replica has it. The primary drains, and still answers.
+TEST_GROUP_BASE(SynchronousReplicas, TEST_GROUP_CppUTestGroupSuccessionService) {
+    void setup() override {
+        TEST_GROUP_CppUTestGroupSuccessionService::setup();
+this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
+this->links.upstreams["p"].point = { .term = 1, .position = 97 };
+this->links.upstreams["a"].isReplica = this->links.upstreams["b"].isReplica = true;
+this->putLease("me", 1, longAgo);
+}
+
+/// Runs until an order is sent; returns false if none is within the limit.
+bool awaitOrder(Duration limit)
+{
+    const auto end = this->loop.now() + limit;
+    while (this->promoter.requests.empty() && this->loop.now() < end)
+        this->runFor(10ms);
+    return !this->promoter.requests.empty();
+}
+}
+;
+
+// Failure: commits that only the other replica had received were acknowledged until the promotion took effect.
+TEST(SynchronousReplicas, TheCandidateIsToldBeforeItsPromotionIsOrdered)
+{
+    this->runFor(850ms); // 600 ms after the start, the primary is judged
+    CHECK(this->promoter.requests.empty());
+    gossip::Digest digest;
+    this->service->fill(digest, this->storage.clock());
+    LONGS_EQUAL(1, digest.orders.size());
+    CHECK_EQUAL(std::string("b"), digest.orders.front().candidate);
+}
+
+// Failure: as above; what was acknowledged before the daemons knew of the candidate may lie beyond its log.
+TEST(SynchronousReplicas, TheCandidateIsPromotedOnceItHasWhatThePrimaryHad)
+{
+    CHECK_FALSE(this->awaitOrder(1500ms));
+    this->links.upstreams["b"].point.position = 97;
+    CHECK_TRUE(this->awaitOrder(600ms));
+    CHECK_EQUAL(std::string("b"), this->promoter.requests.front().candidate);
+}
+
+TEST(SynchronousReplicas, AConfirmationOfAllDaemonsEndsTheWait)
+{
+    this->links.upstreams["b"].point.position = 97;
+    gossip::Digest digest { .vm = "other" };
+    const auto startedAt = this->loop.now();
+    const auto confirm = this->loop.every(5ms, [&] {
+        gossip::Digest own;
+        this->service->fill(own, this->storage.clock());
+        digest.orders = own.orders;
+        this->service->mergeDigest(digest, this->storage.clock());
+    });
+    CHECK_TRUE(this->awaitOrder(1s));
+    CHECK(this->loop.now() - startedAt < 950ms); // 1010 ms at least without it
+}
+
+// Failure: a replica that did not answer in 80 ms was passed over, also if it alone had acknowledged commits.
+TEST(SynchronousReplicas, ASilentReplicaIsAwaitedIfThePrimaryIsSilentToo)
+{
+    this->links.upstreams["p"].isSilent = true;
+    this->links.upstreams["a"].isSilent = true;
+    CHECK_FALSE(this->awaitOrder(2500ms));
+    this->links.upstreams["a"].isSilent = false;
+    this->links.upstreams["a"].point.position = 99;
+    CHECK_TRUE(this->awaitOrder(2500ms));
+    CHECK_EQUAL(std::string("a"), this->promoter.requests.front().candidate);
+}
+
+TEST(SynchronousReplicas, AReplicaWhoseRegistrationIsGoneIsNotAwaited)
+{
+    this->links.upstreams["p"].isSilent = true;
+    this->links.upstreams["a"].isSilent = true;
+    this->known.markMissing("a", { .number = 9 }, this->loop.now());
+    CHECK_TRUE(this->awaitOrder(2500ms));
+    CHECK_EQUAL(std::string("b"), this->promoter.requests.front().candidate);
+}
+
 // The store is restored from a backup: its rows may be outdated, and it reuses version numbers.
 TEST_GROUP_BASE(SuccessionAfterRestore, TEST_GROUP_CppUTestGroupSuccessionService)
 {
