Silent connections between daemons: writes and transactions notice them, and no transaction keeps its link

What callers would see: a connection between two daemons goes silent for good; callers that write wait for their whole time limit and get INDOUBT, and the next write takes the same connection. A transaction that runs at another daemon is never ended there and keeps a link to the upstream for as long as the process runs.

Cause: only statements that may be repeated looked for a stalled way; the idle limit of a transaction that runs for another daemon was left to that daemon.

Why it works: the way is avoided after 150 ms without a sign whatever runs on it, and a transaction is rolled back a second after the idle limit.

--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+    constexpr Duration relayedIdleMargin = std::chrono::seconds(1);
     constexpr std::string_view unknownKeyReason = "no organisation holds this key";
 
 }
@@ -269,12 +270,13 @@
 
 void Session::watchIdleTransaction()
 {
-    // The idle timeout of a relayed transaction is enforced by the daemon that owns the caller's session.
-    if (this->state() != TransactionState::Open || this->relayedRoute)
+    if (this->state() != TransactionState::Open)
         return;
+    // The daemon that owns the caller's session ends a relayed transaction in time; this one does if it hears nothing of that, as when their connection has gone silent.
+    const auto margin = this->relayedRoute ? relayedIdleMargin : Duration::zero();
     const auto configuration = this->context.catalog.configuration();
     if (configuration)
-        this->idleTimer = this->context.loop.after(configuration->transactionIdleLimit, [this] { this->abortTransaction("idle"); });
+        this->idleTimer = this->context.loop.after(configuration->transactionIdleLimit + margin, [this] { this->abortTransaction("idle"); });
 }
 
 void Session::sendError(ReplyCode code, std::string_view detail)
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -152,6 +152,7 @@
     void retryOrReply(Reply reply, bool wasLost);
     void retryLater(const Reply& reply);
     void watchForStall();
+    [[nodiscard]] bool noteSilentStream(Time now);
     void onDeadline();
     void giveUp(std::string_view reason);
     void failTransaction(Reply reply);
@@ -162,6 +163,7 @@
     void sendReply(Reply reply);
     void sendError(ReplyCode code, std::string_view detail);
     [[nodiscard]] AcquiredLink& activeLink() noexcept { return this->transaction ? this->transaction->link : this->currentLink; }
+    [[nodiscard]] RelayStream* activeStream() const noexcept { return this->transaction ? this->transaction->stream.get() : this->currentStream.get(); }
     [[nodiscard]] bool writes(const Request& request) const;
     void watchIdleTransaction();
 
--- a/src/amaranthhall/engine/session_relay.cpp
+++ b/src/amaranthhall/engine/session_relay.cpp
@@ -39,7 +39,6 @@
     this->currentStream = this->context.relays->open({ .service = execution.route.service, .organisation = execution.identity.organisation, .needsLeader = execution.needsLeader, .tried = execution.triedDaemons });
     if (!this->currentStream)
         return false;
-    this->watchForStall();
     this->runRelayed();
     return true;
 }
@@ -47,7 +46,7 @@
 void Session::runRelayed()
 {
     auto& execution = *this->execution;
-    auto& stream = this->transaction ? *this->transaction->stream : *this->currentStream;
+    auto& stream = *this->activeStream();
     execution.isSent = true;
     execution.sentAt = this->context.loop.now();
     execution.upstream = stream.vm();
@@ -57,6 +56,7 @@
     RelayedRequest relayed { .request = execution.request, .route = execution.route, .identity = execution.identity, .settings = this->settings, .lastCommit = this->lastCommit, .timeLeft = remaining };
     if (execution.request.kind == RequestKind::Execute)
         relayed.prepared = this->statements.find(execution.request.name)->second;
+    this->watchForStall();
     stream.send(relayed, this->guarded([this](RelayedReply reply) { this->onRelayed(std::move(reply)); }));
 }
 
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -364,28 +364,41 @@
     this->retryTimer = this->context.loop.after(delay, [this] { this->attempt(); });
 }
 
-/// Abandons an attempt that stalls, if a retry is safe because the statement does not write.
+/// Abandons an attempt that stalls, if a retry is safe because the statement does not write. The way to another daemon that stalls is avoided in any case.
 void Session::watchForStall()
 {
     this->stallTimer = this->context.loop.after(stallTimeout, [this] {
-        const bool isWaiting = this->currentLink || this->currentStream;
-        if (!this->execution || this->transaction || !isWaiting || this->writes(this->execution->request))
+        if (!this->execution)
             return;
         const auto now = this->context.loop.now();
-        const bool isStalled = this->currentLink ? this->currentLink.isStalled(this->execution->sentAt, now) : this->currentStream->silence(now) >= stallTimeout;
-        if (!isStalled) {
+        const bool isStreamSilent = this->noteSilentStream(now);
+        const bool isWaiting = this->currentLink || this->activeStream();
+        if (!isWaiting)
+            return;
+        const bool mayRetry = !this->transaction && !this->writes(this->execution->request);
+        const bool isStalled = this->currentLink ? this->currentLink.isStalled(this->execution->sentAt, now) : isStreamSilent;
+        if (!mayRetry || !isStalled) {
             this->watchForStall();
             return;
         }
         ++this->generation;
         if (this->currentLink)
             this->currentLink.discardStalled();
-        if (this->currentStream) {
-            this->currentStream->noteStall();
+        if (this->currentStream)
             this->onRelayLost();
-        } else
+        else
             this->retryOrReply(Reply { .lost = true }, true);
     });
 }
 
+/// Records a stall of the daemon that runs the current statement if it has been silent; returns whether it has.
+bool Session::noteSilentStream(Time now)
+{
+    auto* stream = this->activeStream();
+    const bool isSilent = stream && stream->silence(now) >= stallTimeout;
+    if (isSilent)
+        stream->noteStall();
+    return isSilent;
+}
+
 }
