A cancelled opening of a link that ends in the same turn of the loop is ignored

Cause: UpstreamPool::closeAll() empties its list of openings and destroys them on a later turn; an opening whose time limit was due in the same turn still called onOpened(), which erased the end of the list. After the replacement of an upstream the pool itself was gone.

Why it works: a result is passed on only to a pool that lives and has the opening in its list.

--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -196,8 +196,13 @@
     link->organisation = organisation;
     handle->handle = this->factory.open(
         this->upstream, organisation, openTimeout,
-        [this, handle, link](OpenResult result) {
-            this->onOpened(handle, link, std::move(result));
+        [&usedLoop = this->loop, pool = this->weak_from_this(), handle, link](OpenResult result) {
+            if (const auto self = pool.lock(); self && self->isOpening(handle)) {
+                self->onOpened(handle, link, std::move(result));
+                return;
+            }
+            // Cancelled, but ended before it was destroyed. The new link may be the caller, so it is destroyed on a later turn of the loop.
+            usedLoop.post([keepAlive = std::shared_ptr<Link>(std::move(result.link))] {});
         },
         [pool = this->weak_from_this(), weak = std::weak_ptr(link)] {
             const auto self = pool.lock();
@@ -207,6 +212,11 @@
         });
 }
 
+bool UpstreamPool::isOpening(const Opening* opening) const noexcept
+{
+    return std::any_of(this->openings.begin(), this->openings.end(), [opening](const auto& candidate) { return candidate.get() == opening; });
+}
+
 void UpstreamPool::onOpened(const Opening* opening, const std::shared_ptr<PooledLink>& link, OpenResult result)
 {
     const auto now = this->loop.now();
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -107,6 +107,7 @@
     struct Opening;
 
     [[nodiscard]] std::shared_ptr<PooledLink> findReplaceable(std::string_view organisation) const noexcept;
+    [[nodiscard]] bool isOpening(const Opening* opening) const noexcept;
     void onOpened(const Opening* opening, const std::shared_ptr<PooledLink>& link, OpenResult result);
     void onClosed(const std::shared_ptr<PooledLink>& link);
     void onReply(const std::shared_ptr<PooledLink>& link, Time sentAt, bool isWork, const Reply& reply);
