A commit runs under the session values that were acknowledged

Cause: runCommit() did not call prepareLink(), which applies the session's values to the link.

Evidence: two new tests of EngineSession failed before and pass now; all 34 tests of the group pass.

Why it works: a commit is prepared like the statements before it; if the upstream refuses a value, it is not sent.

--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -40,6 +40,8 @@
         this->transaction->link.discard();
     else
         this->transaction->link.reset();
+    if (this->execution->request.kind == RequestKind::Commit)
+        this->transaction.reset(); // a commit ends its transaction, also one that could not be sent
     const bool isForwarded = !reply.lost && reply.code != ReplyCode::None && reply.code != ReplyCode::TimedOut;
     this->sendError(isForwarded ? reply.code : ReplyCode::Aborted, reply.detail.empty() ? "the transaction was rolled back" : std::string_view(reply.detail));
 }
@@ -53,7 +55,7 @@
         return;
     }
     this->execution->upstream = transaction.link.upstream();
-    this->sendStatement(this->guarded([this](Reply reply) { this->onCommitReply(std::move(reply)); }));
+    this->prepareLink([this] { this->sendStatement(this->guarded([this](Reply reply) { this->onCommitReply(std::move(reply)); })); });
 }
 
 void Session::onCommitReply(Reply reply)
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -232,6 +232,35 @@
     CHECK_TRUE(this->wasSent("p", "- RESET"));
 }
 
+// Failure: a commit ran under the values of the statement before it, though the caller had changed one since.
+TEST(EngineSession, ACommitRunsUnderTheSettingsThatWereAcknowledged)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Set, "SET zone A", "zone", "A").succeeded());
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    CHECK(this->write().succeeded());
+    CHECK(this->ask(RequestKind::Set, "SET zone B", "zone", "B").succeeded());
+    CHECK(this->ask(RequestKind::Commit, "COMMIT").succeeded());
+    const auto& sent = this->links.upstreams["p"].sent;
+    const auto change = std::find(sent.begin(), sent.end(), "- SET zone B");
+    const auto commit = std::find_if(sent.begin(), sent.end(), [](const auto& text) { return text.ends_with(" COMMIT"); });
+    CHECK(change < commit);
+    CHECK(commit != sent.end());
+}
+
+TEST(EngineSession, ACommitWhoseSettingsAreRefusedIsNotSent)
+{
+    this->open("strict");
+    CHECK(this->ask(RequestKind::Begin, "BEGIN").succeeded());
+    CHECK(this->write().succeeded());
+    this->links.upstreams["p"].replies["SET"] = { Reply { .code = ReplyCode::Failed } };
+    CHECK(this->ask(RequestKind::Set, "SET zone B", "zone", "B").succeeded());
+    const auto reply = this->ask(RequestKind::Commit, "COMMIT");
+    CHECK(reply.code == ReplyCode::Aborted);
+    CHECK(reply.state == TransactionState::Idle);
+    CHECK_FALSE(this->wasSent("p", " COMMIT"));
+}
+
 TEST(EngineSession, AnUnknownPreparedStatementIsRejected)
 {
     this->open("strict");
