A holder renews an old lease on condition before it requests a promotion

Cause: the holder tells of its request once it is accepted, the row of its lease is as old as its acquisition, and a peer takes over 0.4 s after it has seen the cause; its conditional write succeeds, as nothing has changed in the store.

Why it works: of a renewal and a takeover that were made from the same version of the row, the store takes one. The renewal runs while the candidates tell their positions, so it costs no time; while the store is away the holder acts as before; after a request that failed the lease is left to expire.

--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -124,10 +124,55 @@
     if (cause == FailoverCause::None || !this->shouldAct(service, state))
         return;
     const auto leaseVersion = this->heldLeaseVersion(service);
-    if (leaseVersion && !state.needsNewToken)
-        this->queryCandidates(service, *leaseVersion);
-    else
+    if (!leaseVersion || state.needsNewToken) {
         this->takeOver(service);
+        return;
+    }
+    this->renewLease(service, *leaseVersion);
+    this->queryCandidates(service, *leaseVersion);
+}
+
+/// Writes the row of an old lease anew while the candidates are queried: a daemon that takes the lease over at the same time then fails, as its condition does not hold.
+void SuccessionService::renewLease(const std::string& service, const store::Version& leaseVersion)
+{
+    auto& state = this->serviceStates[service];
+    state.renewal = LeaseRenewal::NotNeeded;
+    if (state.hasOrderFailed)
+        return; // another daemon may reach the platform
+    auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
+    const auto& clock = this->parts.store.clock();
+    const auto earliest = clock.earliestStoreTime(freshness::bootNow());
+    const auto latest = clock.latestStoreTime(freshness::bootNow());
+    if (!lease || !earliest || !latest || *latest - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration / 2).count())
+        return;
+    state.renewal = LeaseRenewal::Pending;
+    lease->takenAt = *earliest;
+    const store::Row put { .key = { .table = this->options.table, .key = leaseKey(service) }, .value = encodeLease(*lease), .version = leaseVersion };
+    this->parts.store.commit({ .conditions = { { .key = put.key, .version = leaseVersion } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
+        const bool isRenewed = result && result->era == put.version.era;
+        logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", isRenewed ? "written" : result ? "committed in another era"
+                                                                                                                             : store::nameOf(result.error()) } });
+        const bool isLost = !result && result.error() == store::StoreError::Conflict;
+        this->serviceStates[service].renewal = isRenewed ? LeaseRenewal::Renewed : isLost ? LeaseRenewal::Lost
+                                                                                          : LeaseRenewal::Failed;
+        if (isRenewed) {
+            auto row = put;
+            row.version = *result;
+            this->parts.fleet.merge({ row });
+        }
+        if (isRenewed || isLost)
+            this->parts.fleet.poll();
+    });
+}
+
+/// Returns the version of the lease to act under: the renewed one, or the earlier one while the store does not answer; std::nullopt if the lease was lost.
+std::optional<store::Version> SuccessionService::renewedVersion(const std::string& service, const store::Version& leaseVersion)
+{
+    auto& state = this->serviceStates[service];
+    const auto renewal = std::exchange(state.renewal, LeaseRenewal::NotNeeded);
+    if (renewal == LeaseRenewal::Renewed)
+        return this->heldLeaseVersion(service);
+    return renewal == LeaseRenewal::Lost ? std::nullopt : std::optional(leaseVersion);
 }
 
 /// Collects the input of the failover decision and reports a changed suspicion.
@@ -299,6 +344,7 @@
             return;
         }
         current.needsNewToken = false;
+        current.hasOrderFailed = false;
         auto row = put;
         row.version = *result;
         this->parts.fleet.merge({ row });
@@ -312,10 +358,15 @@
 {
     this->serviceStates[service].stage = Stage::QueryingCandidates;
     this->queryPositions(service, [this, service, leaseVersion] {
-        if (this->hasSynchronousReplicas(service))
-            this->selectSynchronousCandidate(service, leaseVersion);
+        const auto version = this->renewedVersion(service, leaseVersion);
+        if (!version) {
+            auto& state = this->serviceStates[service];
+            state.stage = Stage::Monitoring;
+            state.retryAt = this->parts.loop.now() + retryDelay;
+        } else if (this->hasSynchronousReplicas(service))
+            this->selectSynchronousCandidate(service, *version);
         else
-            this->requestPromotion(service, leaseVersion);
+            this->requestPromotion(service, *version);
     });
 }
 
@@ -437,6 +488,7 @@
     logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", request.candidate }, { "fence", request.fencingToken }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case PromotionOutcome::Accepted:
+        state.hasOrderFailed = false;
         this->announce(service, { .candidate = request.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
         return;
     case PromotionOutcome::Refused:
@@ -448,7 +500,9 @@
     case PromotionOutcome::NotDone:
     case PromotionOutcome::Unknown:
         this->withdrawAnnouncement(service);
-        state.retryAt = this->parts.loop.now() + retryDelay;
+        state.hasOrderFailed = true;
+        // The others have been told of the candidate and wait for this daemon, which may be the only one that does not reach the platform.
+        state.retryAt = now + (this->hasSynchronousReplicas(service) ? leaseDuration + leaseDuration / 4 : retryDelay);
         return;
     }
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -94,6 +94,15 @@
         bool givesUpReplicas { false }; ///< As decided when the candidate was chosen.
     };
 
+    /// Whether the lease was written anew before it is acted under.
+    enum class LeaseRenewal : std::uint8_t {
+        NotNeeded,
+        Pending,
+        Renewed,
+        Lost, ///< Another daemon has changed the row.
+        Failed, ///< The store did not confirm the write.
+    };
+
     /// Failover state of one service.
     struct ServiceState {
         Holder holder { Holder::None }; ///< Last observed holder; retained from the previous era until the current row names one.
@@ -112,6 +121,8 @@
         std::optional<Preparation> preparation;
         std::vector<engine::Dispatcher::Ticket> statusQueries;
         std::map<std::string, Time> refusedCandidates; ///< Time of the platform's refusal by candidate.
+        LeaseRenewal renewal { LeaseRenewal::NotNeeded };
+        bool hasOrderFailed { false }; ///< The last request got no answer or was not accepted; the lease is then left to expire.
         bool needsNewToken { false }; ///< The platform refused a request with the current fencing token.
         unsigned failedSelections { 0 }; ///< Number of consecutive selections without an eligible candidate.
         std::optional<Time> supersededSince; ///< Start of the period in which only upstreams that missed the last term have answered.
@@ -146,6 +157,8 @@
     [[nodiscard]] std::vector<PromotionCandidate> eligibleCandidates(const std::string& service, ServiceState& state);
     void onNoCandidate(const std::string& service, ServiceState& state) const;
     void takeOver(const std::string& service);
+    void renewLease(const std::string& service, const store::Version& leaseVersion);
+    [[nodiscard]] std::optional<store::Version> renewedVersion(const std::string& service, const store::Version& leaseVersion);
     void queryCandidates(const std::string& service, store::Version leaseVersion);
     void queryPositions(const std::string& service, std::function<void()> onAnswered);
     [[nodiscard]] bool hasSynchronousReplicas(const std::string& service) const;
