--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -4,6 +4,12 @@
 
 namespace amaranthhall::engine {
 
+namespace {
+
+    constexpr std::string_view droppedReason = "the upstream that was promoted may not have received the commit";
+
+}
+
 void Session::runInTransaction()
 {
     auto& transaction = *this->transaction;
@@ -98,18 +104,18 @@
         acknowledge(std::move(reply));
         return;
     }
-    constexpr std::string_view droppedReason = "the upstream that was promoted may not have received the commit";
     if (!reply.point) {
         this->sendError(ReplyCode::InDoubt, droppedReason);
         return;
     }
     this->execution->isCommitHeld = true;
-    guard->hold(service, { .point = *reply.point, .deadline = this->execution->deadline, .done = this->guarded([this, acknowledge, reply](bool isIncluded) {
-                              if (isIncluded)
-                                  acknowledge(reply);
-                              else
-                                  this->sendError(ReplyCode::InDoubt, droppedReason);
-                          }) });
+    auto done = this->guarded([this, acknowledge, reply](bool isIncluded) {
+        if (isIncluded)
+            acknowledge(reply);
+        else
+            this->sendError(ReplyCode::InDoubt, droppedReason);
+    });
+    guard->hold(service, { .point = *reply.point, .deadline = this->execution->deadline, .done = std::move(done) });
 }
 
 }
--- a/test/engine/test_commit_guard.cpp
+++ b/test/engine/test_commit_guard.cpp
@@ -6,7 +6,6 @@
 using namespace std::chrono_literals;
 using engine::CommitInclusion;
 using engine::inclusionOf;
-using engine::Reply;
 using engine::ReplyCode;
 using engine::RequestKind;
 
--- a/test/fleet/test_line_server.cpp
+++ b/test/fleet/test_line_server.cpp
@@ -20,6 +20,11 @@
     }
 
     void send(const std::string& line) { this->stream.write(line + "\r\n"); }
+    void pauseReading() { this->stream.pauseReading(); }
+    void resumeReading() { this->stream.resumeReading(); }
+
+    /// Returns the number of bytes that the connection has not taken.
+    [[nodiscard]] std::size_t unsent() const noexcept { return this->stream.buffered(); }
 
     std::vector<std::string> lines;
     std::function<void()> onReady { [] {} }; ///< Called for each READY line.
@@ -149,3 +154,32 @@
     LONGS_EQUAL(1, late.lines.size());
     CHECK_TRUE(late.lines.front().starts_with("ERROR BUSY"));
 }
+
+// Failure: what a caller sent while a request was in progress was kept without a limit.
+TEST(LineServer, ACallerThatDoesNotWaitForRepliesIsReadOnlyAsFastAsItIsServed)
+{
+    this->silenceUpstream();
+    const std::string request = "QUERY q READ " + std::string(1000, 'x');
+    constexpr std::size_t count = 40'000;
+    this->caller->send("QUERY q1 WRITE a b");
+    for (std::size_t i = 0; i < count; ++i)
+        this->caller->send(request);
+    this->runFor(100ms);
+    // Most of the 40 MB are still with the caller, beside what the two ends of the connection hold.
+    CHECK(this->caller->unsent() > count * request.size() / 2);
+}
+
+// Failure: as above, for replies that their caller does not read.
+TEST(LineServer, ACallerThatDoesNotReadItsRepliesIsNotServedOn)
+{
+    this->caller->pauseReading();
+    constexpr std::size_t count = 800'000;
+    const std::string request = "QUERY q SET a " + std::string(46, 'x');
+    for (std::size_t i = 0; i < count; ++i)
+        this->caller->send(request);
+    this->runFor(2s);
+    CHECK(this->caller->unsent() > 0);
+    this->caller->resumeReading();
+    this->runWhile([this] { return this->countReceived("COMPLETE") < static_cast<long>(count); }, 20s);
+    LONGS_EQUAL(count, this->countReceived("COMPLETE"));
+}
--- a/test/relay/test_silent_connections.cpp
+++ b/test/relay/test_silent_connections.cpp
@@ -7,7 +7,6 @@
 
 using namespace amaranthhall;
 using namespace std::chrono_literals;
-using engine::Reply;
 using engine::ReplyCode;
 using engine::RequestKind;
 
@@ -65,7 +64,7 @@
         engine::fakes::SessionFixture::teardown();
     }
 
-    void silence() { this->proxy->addRule({ .route = "home", .toTarget = { .drop = true }, .toSource = { .drop = true } }); }
+    void silence() const { this->proxy->addRule({ .route = "home", .toTarget = { .drop = true }, .toSource = { .drop = true } }); }
 };
 
 // Failure: only reads noticed the silence, so callers that write were sent to the silent connection again and again.
