A lease is renewed only once there is a candidate

Read before the landing: the renewal of the commit on two orders ran while the candidates were asked, so a holder that reaches the store but no replica would have kept all others from the lease for 3.2 s, again and again. Now the row is written between the choice and the order, which costs one write to the store (60 ms at most), and not at all without a candidate.

--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -19,6 +19,7 @@
     constexpr Duration stalledTickThreshold = 400ms; // a longer gap between two ticks means that the process was suspended
     constexpr Duration resumeGracePeriod = 600ms; // after a resume, until observed silence can be attributed to the primary rather than to this process
     constexpr Duration statusTimeout = 80ms; // for candidates to report their log positions
+    constexpr Duration renewalTimeout = 60ms; // for the store to take the row of a renewed lease
     constexpr Duration retryDelay = 100ms; // after a failed lease write or promotion request
     constexpr Duration termWriteInterval = 200ms; // between two writes of a term to the lease row
     constexpr Duration promotionTimeout = 2500ms; // for an accepted request to take effect
@@ -128,33 +129,39 @@
         this->takeOver(service);
         return;
     }
-    this->renewLease(service, *leaseVersion);
     this->queryCandidates(service, *leaseVersion);
 }
 
-/// Writes the row of an old lease anew while the candidates are queried: a daemon that takes the lease over at the same time then fails, as its condition does not hold.
-void SuccessionService::renewLease(const std::string& service, const store::Version& leaseVersion)
+/// Writes the row of an old lease anew, then goes on: a daemon that takes the lease over at the same time fails, as its condition does not hold.
+/// While the store does not answer, the holder goes on under the lease that it has.
+void SuccessionService::renewLease(const std::string& service, const store::Version& leaseVersion, std::function<void(const store::Version&)> onHeld)
 {
     auto& state = this->serviceStates[service];
-    state.renewal = LeaseRenewal::NotNeeded;
-    if (state.hasOrderFailed)
-        return; // another daemon may reach the platform
     auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
     const auto& clock = this->parts.store.clock();
     const auto earliest = clock.earliestStoreTime(freshness::bootNow());
     const auto latest = clock.latestStoreTime(freshness::bootNow());
-    if (!lease || !earliest || !latest || *latest - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration / 2).count())
+    const bool isFresh = lease && latest && *latest - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration / 2).count();
+    // After a request that failed the lease is left to expire, as another daemon may reach the platform.
+    if (!lease || !earliest || isFresh || state.hasOrderFailed) {
+        onHeld(leaseVersion);
         return;
-    state.renewal = LeaseRenewal::Pending;
+    }
     lease->takenAt = *earliest;
     const store::Row put { .key = { .table = this->options.table, .key = leaseKey(service) }, .value = encodeLease(*lease), .version = leaseVersion };
-    this->parts.store.commit({ .conditions = { { .key = put.key, .version = leaseVersion } }, .puts = { put } }, [this, service, put](store::StoreResult<store::Version> result) {
+    const auto renewal = ++state.lastRenewal;
+    state.queryTimer = this->parts.loop.after(renewalTimeout, [this, service, leaseVersion, onHeld] {
+        ++this->serviceStates[service].lastRenewal;
+        onHeld(leaseVersion);
+    });
+    this->parts.store.commit({ .conditions = { { .key = put.key, .version = leaseVersion } }, .puts = { put } }, [this, service, put, renewal, onHeld](store::StoreResult<store::Version> result) {
+        auto& current = this->serviceStates[service];
+        const bool isAwaited = current.lastRenewal == renewal;
         const bool isRenewed = result && result->era == put.version.era;
-        logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", isRenewed ? "written" : result ? "committed in another era"
-                                                                                                                             : store::nameOf(result.error()) } });
         const bool isLost = !result && result.error() == store::StoreError::Conflict;
-        this->serviceStates[service].renewal = isRenewed ? LeaseRenewal::Renewed : isLost ? LeaseRenewal::Lost
-                                                                                          : LeaseRenewal::Failed;
+        logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", isRenewed ? "written" : result ? "committed in another era"
+                                                                                                                             : store::nameOf(result.error()) },
+                                                           { "in_time", isAwaited } });
         if (isRenewed) {
             auto row = put;
             row.version = *result;
@@ -162,19 +169,18 @@
         }
         if (isRenewed || isLost)
             this->parts.fleet.poll();
+        if (!isAwaited)
+            return;
+        current.queryTimer.reset();
+        if (!isLost) {
+            onHeld(isRenewed ? *result : put.version);
+            return;
+        }
+        current.stage = Stage::Monitoring;
+        current.retryAt = this->parts.loop.now() + retryDelay;
     });
 }
 
-/// Returns the version of the lease to act under: the renewed one, or the earlier one while the store does not answer; std::nullopt if the lease was lost.
-std::optional<store::Version> SuccessionService::renewedVersion(const std::string& service, const store::Version& leaseVersion)
-{
-    auto& state = this->serviceStates[service];
-    const auto renewal = std::exchange(state.renewal, LeaseRenewal::NotNeeded);
-    if (renewal == LeaseRenewal::Renewed)
-        return this->heldLeaseVersion(service);
-    return renewal == LeaseRenewal::Lost ? std::nullopt : std::optional(leaseVersion);
-}
-
 /// Collects the input of the failover decision and reports a changed suspicion.
 FailoverInput SuccessionService::collectInput(const std::string& service, const std::string& leader, ServiceState& state) const
 {
@@ -358,15 +364,10 @@
 {
     this->serviceStates[service].stage = Stage::QueryingCandidates;
     this->queryPositions(service, [this, service, leaseVersion] {
-        const auto version = this->renewedVersion(service, leaseVersion);
-        if (!version) {
-            auto& state = this->serviceStates[service];
-            state.stage = Stage::Monitoring;
-            state.retryAt = this->parts.loop.now() + retryDelay;
-        } else if (this->hasSynchronousReplicas(service))
-            this->selectSynchronousCandidate(service, *version);
+        if (this->hasSynchronousReplicas(service))
+            this->selectSynchronousCandidate(service, leaseVersion);
         else
-            this->requestPromotion(service, *version);
+            this->requestPromotion(service, leaseVersion);
     });
 }
 
@@ -468,7 +469,7 @@
         return;
     }
     state.failedSelections = 0;
-    this->sendOrder(service, *chosen, leaseVersion);
+    this->renewLease(service, leaseVersion, [this, service, candidate = *chosen](const auto& version) { this->sendOrder(service, candidate, version); });
 }
 
 void SuccessionService::sendOrder(const std::string& service, const std::string& candidate, const store::Version& leaseVersion)
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -94,15 +94,6 @@
         bool givesUpReplicas { false }; ///< As decided when the candidate was chosen.
     };
 
-    /// Whether the lease was written anew before it is acted under.
-    enum class LeaseRenewal : std::uint8_t {
-        NotNeeded,
-        Pending,
-        Renewed,
-        Lost, ///< Another daemon has changed the row.
-        Failed, ///< The store did not confirm the write.
-    };
-
     /// Failover state of one service.
     struct ServiceState {
         Holder holder { Holder::None }; ///< Last observed holder; retained from the previous era until the current row names one.
@@ -121,7 +112,7 @@
         std::optional<Preparation> preparation;
         std::vector<engine::Dispatcher::Ticket> statusQueries;
         std::map<std::string, Time> refusedCandidates; ///< Time of the platform's refusal by candidate.
-        LeaseRenewal renewal { LeaseRenewal::NotNeeded };
+        std::uint64_t lastRenewal { 0 }; ///< Number of the renewal of the lease that is awaited, if any.
         bool hasOrderFailed { false }; ///< The last request got no answer or was not accepted; the lease is then left to expire.
         bool needsNewToken { false }; ///< The platform refused a request with the current fencing token.
         unsigned failedSelections { 0 }; ///< Number of consecutive selections without an eligible candidate.
@@ -157,13 +148,13 @@
     [[nodiscard]] std::vector<PromotionCandidate> eligibleCandidates(const std::string& service, ServiceState& state);
     void onNoCandidate(const std::string& service, ServiceState& state) const;
     void takeOver(const std::string& service);
-    void renewLease(const std::string& service, const store::Version& leaseVersion);
-    [[nodiscard]] std::optional<store::Version> renewedVersion(const std::string& service, const store::Version& leaseVersion);
+    void renewLease(const std::string& service, const store::Version& leaseVersion, std::function<void(const store::Version&)> onHeld);
     void queryCandidates(const std::string& service, store::Version leaseVersion);
     void queryPositions(const std::string& service, std::function<void()> onAnswered);
     [[nodiscard]] bool hasSynchronousReplicas(const std::string& service) const;
     [[nodiscard]] SelectionInput selectionInput(const std::string& service, const ServiceState& state, std::span<const PromotionCandidate> answered) const;
     void selectSynchronousCandidate(const std::string& service, store::Version leaseVersion);
+    void prepare(const std::string& service, Preparation preparation);
     void announce(const std::string& service, KnownPromotion promotion);
     void withdrawAnnouncement(const std::string& service);
     void expectPromotion(const std::string& service, const KnownPromotion& promotion) const;
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -59,11 +59,19 @@
     if (selection.givesUpReplicas)
         logEvent(LogLevel::Error, "succession.replicas_given_up", { { "service", service }, { "heir", *selection.candidate }, { "silent", input.silentReplicas } });
     state.failedSelections = 0;
+    this->renewLease(service, leaseVersion, [this, service, selection](const auto& version) {
+        this->prepare(service, { .candidate = *selection.candidate, .leaseVersion = version, .startedAt = this->parts.loop.now(), .givesUpReplicas = selection.givesUpReplicas });
+    });
+}
+
+/// Announces the candidate, and has its promotion ordered once it has what was acknowledged.
+void SuccessionService::prepare(const std::string& service, Preparation preparation)
+{
+    auto& state = this->serviceStates[service];
+    logEvent(LogLevel::Info, "succession.preparing", { { "service", service }, { "heir", preparation.candidate } });
     state.stage = Stage::Preparing;
-    const auto now = this->parts.loop.now();
-    state.preparation = Preparation { .candidate = *selection.candidate, .leaseVersion = leaseVersion, .startedAt = now, .givesUpReplicas = selection.givesUpReplicas };
-    logEvent(LogLevel::Info, "succession.preparing", { { "service", service }, { "heir", *selection.candidate } });
-    this->announce(service, { .candidate = *selection.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
+    state.preparation = std::move(preparation);
+    this->announce(service, { .candidate = state.preparation->candidate, .leaseVersion = state.preparation->leaseVersion, .at = state.preparation->startedAt, .isOwn = true });
     this->awaitConfirmations(service);
 }
 
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -168,6 +168,14 @@
     CHECK(this->promoter.requests.empty());
 }
 
+TEST(SuccessionService, AHolderWithoutACandidateDoesNotKeepOthersFromTheLease)
+{
+    this->links.upstreams["a"].isSilent = this->links.upstreams["b"].isSilent = true;
+    this->putLease("me", 1, longAgo);
+    this->runFor(1200ms);
+    LONGS_EQUAL(0, this->storage.commits);
+}
+
 TEST(SuccessionService, AHolderActsUnderItsLeaseWhileTheStoreIsAway)
 {
     this->storage.error = store::StoreError::Unreachable;
