Keep reads away from replicas that do not hold their position

Cause: the estimate took a reported lag as constant, so a replica that receives nothing was expected to hold the next position a few milliseconds after each refusal, and a lag that was not reported for 3 s counted as none. placement gave a lagging replica a handicap of 100 ms only, so reads went to it whenever the leader was saturated or slow.

Change: freshness measures progress (0 for a replica that receives nothing) and expects none after a refusal until a measurement shows some. placement::chooseRead never sends a read to a lagging replica: it goes to another upstream or the leader at once, waits for a replica that will hold the position before the timeout or for a leader that is being replaced, or is refused at once. A lagging replica that a read would have used is asked for its status after 50 ms, then after up to 400 ms while it shows no progress, over an idle link and with a timeout.

Test ALaggingReplicaIsUsedLast required a read to be sent to a lagging replica while the leader is saturated, which is the fault; it is replaced by ALaggingReplicaIsNotUsed, which requires it to wait or to be refused.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -119,9 +119,11 @@
 std::shared_ptr<UpstreamPool> Dispatcher::makePool(const catalog::UpstreamEntry& entry)
 {
     auto& service = this->serviceOf(entry.service);
+    service.lags.erase(entry.id); // a restarted upstream has another log
     UpstreamPool::Callbacks callbacks {
         .available = [this, &service] { this->scheduleQueueProcessing(service); },
         .logPointReported = [&service, upstream = entry.id](const auto& point) { freshness::updateLag(service.lags[upstream], service.samples, point, freshness::bootNow()); },
+        .lagRefused = [&service, upstream = entry.id] { freshness::noteLagRefusal(service.lags[upstream], freshness::bootNow()); },
     };
     return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
 }
@@ -249,7 +251,7 @@
     using Step = placement::Choice::Step;
     const auto now = this->loop.now();
     if (!requirements.needsLeader)
-        return placement::chooseAny(candidates, now);
+        return this->chooseForRead(service, requirements, candidates);
     auto choice = placement::chooseLeader(candidates, now);
     if (choice.step == Step::Serve)
         return choice;
@@ -315,7 +317,7 @@
 std::vector<placement::Candidate> Dispatcher::candidatesFor(Service& service, const LinkRequirements& requirements)
 {
     const auto leader = this->leaderOf(service);
-    const auto now = freshness::bootNow();
+    const auto reachedAt = requirements.after ? service.samples.reachedAt(*requirements.after) : std::nullopt;
     std::vector<placement::Candidate> candidates;
     candidates.reserve(service.pools.size());
     for (const auto& pool : service.pools) {
@@ -324,6 +326,8 @@
         const bool isEligible = requirements.requiredUpstream.empty() || requirements.requiredUpstream == id;
         if (!isEligible || this->isDrained(id))
             continue;
+        const bool holdsAll = !requirements.after || leader == id;
+        const auto holdsIn = holdsAll ? std::optional(Duration::zero()) : replicaHoldsIn(service, id, *requirements.after, reachedAt);
         candidates.push_back({
             .id = id,
             .health = &pool->health(),
@@ -334,7 +338,8 @@
             .canOpen = pool->canOpen(requirements.organisation),
             .isLeader = leader == id,
             .isDraining = entry.draining && requirements.requiredUpstream.empty(), // one that is asked for by name is asked while it drains, too
-            .isLagging = requirements.after && leader != id && !freshness::isExpectedToHold(service.lags[id], service.samples, *requirements.after, now),
+            .isLagging = !holdsIn || *holdsIn > Duration::zero(),
+            .holdsIn = holdsIn,
             .wasTried = std::find(requirements.tried.begin(), requirements.tried.end(), id) != requirements.tried.end(),
             .isSameZone = entry.zone == this->options.zone,
         });
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -185,6 +185,7 @@
         std::optional<Time> lastUsedAt; ///< When a statement last asked for a link.
         std::optional<Time> leaderlessSince; ///< Set while no leader is usable.
         std::optional<Time> lastLeaderReplyAt; ///< When this daemon last received a reply from a leader.
+        kernel::Registration replicaTimer; ///< Until a lagging replica is expected to hold the position that a waiting read needs.
         Ticket leaderCheck; ///< Set while a status query checks whether the leader has caught up.
         kernel::Registration leaderCheckTimer;
         unsigned leaderCheckAttempts { 0 }; ///< Status queries since the leader was last confirmed.
@@ -200,6 +201,9 @@
     void serve(Service& service, Waiter& waiter);
     [[nodiscard]] bool mustCheckLeader(Service& service);
     [[nodiscard]] placement::Choice chooseFor(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates);
+    [[nodiscard]] placement::Choice chooseForRead(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates);
+    [[nodiscard]] static std::optional<Duration> replicaHoldsIn(Service& service, const std::string& replica, const group::LogPoint& wanted, std::optional<freshness::Micros> reachedAt);
+    void probeReplica(Service& service, const std::string& replica);
     [[nodiscard]] static bool needsAnotherOpening(const Service& service, std::string_view organisation);
     static void countAsWaiting(Service& service, Waiter& waiter);
     void grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
--- /dev/null
+++ b/src/amaranthhall/engine/dispatcher_reads.cpp
@@ -0,0 +1,78 @@
+// Reads that need a log position: which upstreams hold it, and probes of replicas that are not expected to.
+
+#include "amaranthhall/engine/dispatcher.hpp"
+#include "amaranthhall/freshness/boot_clock.hpp"
+
+#include <algorithm>
+#include <memory>
+
+namespace amaranthhall::engine {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration probeTimeout = 1s; // a reply may have to wait for statements on the upstream
+
+}
+
+/// Returns when a replica is expected to hold a position, as a time from now; std::nullopt if that cannot be predicted.
+std::optional<Duration> Dispatcher::replicaHoldsIn(Service& service, const std::string& replica, const group::LogPoint& wanted, std::optional<freshness::Micros> reachedAt)
+{
+    const auto now = freshness::bootNow();
+    const auto holdsAt = freshness::expectedToHoldAt(service.lags[replica], wanted, reachedAt, now);
+    return holdsAt ? std::optional<Duration>(std::chrono::microseconds(*holdsAt - now)) : std::nullopt;
+}
+
+placement::Choice Dispatcher::chooseForRead(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates)
+{
+    const auto now = this->loop.now();
+    auto choice = placement::chooseRead(candidates, now, requirements.deadline - now);
+    bool isAnyLagging = false;
+    bool mayLeaderReturn = true; // this statement has not been tried on it, and it is not usable now
+    for (const auto& candidate : candidates) {
+        isAnyLagging = isAnyLagging || candidate.isLagging;
+        if (candidate.isLagging)
+            this->probeReplica(service, std::string(candidate.id));
+        if (!candidate.isLeader)
+            continue;
+        const bool isUsable = candidate.health->avoidUntil <= now;
+        mayLeaderReturn = !isUsable && !candidate.wasTried;
+        if (isUsable)
+            service.leaderlessSince.reset();
+    }
+    // A leader that is being replaced will hold the position.
+    if (choice.step == placement::Choice::Step::Refuse && isAnyLagging && mayLeaderReturn && this->mayWaitForLeader(service))
+        choice.step = placement::Choice::Step::Wait;
+    if (choice.retryAfter)
+        service.replicaTimer = this->loop.after(*choice.retryAfter, [this, &service] { this->scheduleQueueProcessing(service); });
+    return choice;
+}
+
+/// Asks a lagging replica for its position if a probe is due and a link is idle; the reply updates the estimate like any other.
+void Dispatcher::probeReplica(Service& service, const std::string& replica)
+{
+    static const SessionSettings anySettings;
+    auto& lag = service.lags[replica];
+    const auto now = freshness::bootNow();
+    const auto pool = this->pool(replica);
+    const bool isAnswering = pool && pool->health().avoidUntil <= this->loop.now() && pool->silence(this->loop.now()) < probeTimeout;
+    if (!isAnswering || pool->idle({ .isAny = true }) == 0 || !freshness::isProbeDue(lag, now))
+        return;
+    freshness::noteProbe(lag, now);
+    const auto link = std::make_shared<AcquiredLink>(pool, pool->acquire({ .isAny = true }, anySettings));
+    const auto timer = std::make_shared<kernel::Registration>(this->loop.after(probeTimeout, [link = std::weak_ptr(link)] {
+        if (const auto probing = link.lock(); probing && *probing)
+            probing->discardStalled();
+    }));
+    link->send({ .kind = Command::Kind::Status }, [this, &service, link, timer](const Reply& reply) {
+        timer->reset();
+        if (reply.lost)
+            link->discard();
+        else
+            link->reset();
+        this->scheduleQueueProcessing(service);
+    });
+}
+
+}
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -150,6 +150,8 @@
         this->lastPoint = reply.point;
         this->callbacks.logPointReported(*reply.point);
     }
+    if (reply.code == ReplyCode::Lagging)
+        this->callbacks.lagRefused();
     if (reply.code == ReplyCode::Busy)
         placement::noteOverload(this->upstreamHealth, now);
     else if (isWork) {
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -46,6 +46,7 @@
     struct Callbacks {
         std::function<void()> available; ///< A link became idle or closed, opening one failed, or a pacing delay ended.
         std::function<void(const group::LogPoint&)> logPointReported; ///< A reply reported the position of the upstream's log.
+        std::function<void()> lagRefused { [] {} }; ///< The upstream refused a read, as its log has not reached the required position.
     };
 
     UpstreamPool(kernel::Loop& loop, LinkFactory& factory, catalog::UpstreamEntry entry, Callbacks callbacks);
--- a/src/amaranthhall/freshness/sample_window.cpp
+++ b/src/amaranthhall/freshness/sample_window.cpp
@@ -51,10 +51,10 @@
     return found == this->samples.end() ? std::nullopt : std::optional(*found);
 }
 
-std::optional<Sample> SampleWindow::newestNotAfter(Micros moment) const noexcept
+std::optional<Micros> SampleWindow::reachedAt(const group::LogPoint& point) const noexcept
 {
-    const auto found = std::find_if(this->samples.rbegin(), this->samples.rend(), [moment](const Sample& sample) { return sample.at <= moment; });
-    return found == this->samples.rend() ? std::nullopt : std::optional(*found);
+    const auto found = std::find_if(this->samples.begin(), this->samples.end(), [&point](const Sample& sample) { return sample.point >= point; });
+    return found == this->samples.end() ? std::nullopt : std::optional(found->at);
 }
 
 }
--- a/src/amaranthhall/freshness/sample_window.hpp
+++ b/src/amaranthhall/freshness/sample_window.hpp
@@ -40,8 +40,8 @@
     /// @brief Returns the first sample after a position.
     [[nodiscard]] std::optional<Sample> firstAfter(const group::LogPoint& point) const noexcept;
 
-    /// @brief Returns the newest sample taken at or before `moment`.
-    [[nodiscard]] std::optional<Sample> newestNotAfter(Micros moment) const noexcept;
+    /// @brief Returns when the leader's log had reached a position: the time of the first sample at or after it.
+    [[nodiscard]] std::optional<Micros> reachedAt(const group::LogPoint& point) const noexcept;
 
 private:
     std::deque<Sample> samples;
--- a/src/amaranthhall/placement/placement.cpp
+++ b/src/amaranthhall/placement/placement.cpp
@@ -1,5 +1,7 @@
 #include "amaranthhall/placement/placement.hpp"
 
+#include <algorithm>
+
 namespace amaranthhall::placement {
 
 namespace {
@@ -9,7 +11,6 @@
     constexpr int leaderLatencyFactor = 2; // multiplies its latency, as only the leader serves writes
     constexpr Duration connectionSetupTime = 12ms; // opening a connection occupies a slot for about this long
     constexpr Duration crossZonePenalty = 1ms; // round trip between two zones
-    constexpr Duration lagPenalty = 100ms; // it will probably refuse the statement for lag, so a slower upstream goes first
     constexpr Duration overloadPenalty = 30ms;
     constexpr Duration faultPenalty = 40ms; // per remembered fault: the cost of a second attempt and of the wait before it
 
@@ -18,6 +19,12 @@
         return candidate.health->avoidUntil <= now;
     }
 
+    /// Returns whether a statement that is not bound to the leader may be sent there, apart from the position of its log.
+    bool isEligible(const Candidate& candidate, Time now)
+    {
+        return !candidate.isDraining && !candidate.wasTried && isUsable(candidate, now);
+    }
+
     Duration expectedLatency(const Candidate& candidate, Time now)
     {
         const auto slots = candidate.slots == 0 ? 1 : candidate.slots;
@@ -28,8 +35,6 @@
             expected += crossZonePenalty;
         if (candidate.idle == 0)
             expected += connectionSetupTime;
-        if (candidate.isLagging)
-            expected += lagPenalty;
         expected += std::chrono::duration_cast<Duration>(faultPenalty * candidate.health->faults);
         if (candidate.health->overloadedUntil > now)
             expected += overloadPenalty;
@@ -54,7 +59,7 @@
     bool isAnySaturated = false;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& candidate = candidates[i];
-        if (candidate.isDraining || candidate.wasTried || !isUsable(candidate, now))
+        if (!isEligible(candidate, now) || candidate.isLagging)
             continue;
         if (stepFor(candidate, now) == Choice::Step::Wait) {
             isAnySaturated = true;
@@ -71,6 +76,20 @@
     return { .step = isAnySaturated ? Choice::Step::Wait : Choice::Step::Refuse };
 }
 
+Choice chooseRead(std::span<const Candidate> candidates, Time now, Duration timeLeft)
+{
+    auto choice = chooseAny(candidates, now);
+    if (choice.step == Choice::Step::Serve || choice.step == Choice::Step::Open)
+        return choice;
+    for (const auto& candidate : candidates) {
+        if (!isEligible(candidate, now) || !candidate.isLagging || !candidate.holdsIn || *candidate.holdsIn + candidate.health->latency > timeLeft)
+            continue;
+        choice.step = Choice::Step::Wait;
+        choice.retryAfter = std::min(choice.retryAfter.value_or(*candidate.holdsIn), *candidate.holdsIn);
+    }
+    return choice;
+}
+
 Choice chooseLeader(std::span<const Candidate> candidates, Time now)
 {
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/src/amaranthhall/placement/placement.hpp
+++ b/src/amaranthhall/placement/placement.hpp
@@ -22,6 +22,7 @@
     bool isLeader { false };
     bool isDraining { false };
     bool isLagging { false }; ///< It is not expected to have reached the required log position yet.
+    std::optional<Duration> holdsIn; ///< When a lagging one is expected to reach it; std::nullopt if that cannot be predicted.
     bool wasTried { false }; ///< An earlier attempt of the same statement failed on it.
     bool isSameZone { false }; ///< It is in this daemon's zone.
 };
@@ -37,6 +38,7 @@
 
     Step step { Step::Refuse };
     std::size_t candidate { 0 }; ///< Index of the candidate; set for Serve and Open.
+    std::optional<Duration> retryAfter; ///< For Wait: when a lagging replica is expected to hold the required position.
 };
 
 /**
@@ -44,9 +46,16 @@
  *
  * Chooses the candidate with the lowest expected latency: its average latency, scaled up by the statements that this daemon has
  * running there relative to its slots. The leader gets a handicap, so that it is left to writes while others are fast enough.
+ * Lagging candidates are left out, as they would refuse the statement.
  */
 [[nodiscard]] Choice chooseAny(std::span<const Candidate> candidates, Time now);
 
+/**
+ * @brief Chooses the next step for a read that needs a log position: an upstream that holds it, or to wait until one does.
+ * @param timeLeft Until the statement times out; no read waits for a replica that holds the position too late for that.
+ */
+[[nodiscard]] Choice chooseRead(std::span<const Candidate> candidates, Time now, Duration timeLeft);
+
 /// @brief Chooses the next step for a statement that only the leader may serve.
 [[nodiscard]] Choice chooseLeader(std::span<const Candidate> candidates, Time now);
 
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -70,6 +70,25 @@
     CHECK_TRUE(this->wasSent("p", "AFTER 1.7 READ a"));
 }
 
+// Guards against reads that go again to a replica that has just refused one, and against a recovered replica that stays unused.
+TEST(EngineSession, AReplicaThatRefusedAReadIsUsedAgainOnceAProbeShowsThatItRecovered)
+{
+    this->open("stale");
+    this->dispatcher->confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
+    this->dispatcher->noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 7 }, .at = this->loop.now() }, freshness::bootNow());
+    this->links.upstreams["r"].replies["READ"] = { Reply { .code = ReplyCode::Lagging }, Reply {} };
+    this->links.upstreams["r"].point = { .term = 1, .position = 1 };
+    for (int i = 0; i < 5; ++i)
+        CHECK(this->read().succeeded());
+    LONGS_EQUAL(1, this->countSent("r", "READ"));
+    this->links.upstreams["r"].point = { .term = 1, .position = 7 };
+    this->runFor(60ms);
+    CHECK(this->read().succeeded());
+    this->runFor(20ms);
+    CHECK(this->read().succeeded());
+    CHECK(this->countSent("r", "READ") > 1);
+}
+
 TEST(EngineSession, AWriteWithALostReplyIsInDoubtAndNotRetried)
 {
     this->open("strict");
--- a/test/freshness/test_sample_window.cpp
+++ b/test/freshness/test_sample_window.cpp
@@ -93,6 +93,43 @@
     CHECK_TRUE(freshness::isExpectedToHold(this->lag, this->window, { .term = 1, .position = 30 }, 1 * second + freshness::ReplicaLag::maximumAge + 1));
 }
 
+// Guards against reads that are sent again and again to a replica that receives nothing, after each as much later as its lag was.
+TEST(ReplicaLag, AReplicaThatReceivesNothingIsNotExpectedToAdvance)
+{
+    for (int i = 10; i <= 20; ++i)
+        freshness::updateLag(this->lag, this->window, { .term = 1, .position = 10 }, i * second / 10);
+    CHECK_FALSE(freshness::expectedToHoldAt(this->lag, { .term = 1, .position = 11 }, 11 * second / 10, 3 * second).has_value());
+    freshness::updateLag(this->lag, this->window, { .term = 1, .position = 30 }, 3 * second);
+    CHECK_TRUE(freshness::isExpectedToHold(this->lag, this->window, { .term = 1, .position = 30 }, 3 * second));
+}
+
+TEST(ReplicaLag, AfterARefusalOnlyMeasuredProgressIsExpected)
+{
+    freshness::updateLag(this->lag, this->window, { .term = 1, .position = 20 }, 2 * second + second / 2);
+    freshness::noteLagRefusal(this->lag, 2 * second + second / 2);
+    CHECK_FALSE(freshness::isExpectedToHold(this->lag, this->window, { .term = 1, .position = 21 }, 3 * second));
+    freshness::updateLag(this->lag, this->window, { .term = 1, .position = 23 }, 2 * second + 8 * second / 10);
+    const auto holdsAt = freshness::expectedToHoldAt(this->lag, { .term = 1, .position = 26 }, 26 * second / 10, 3 * second);
+    CHECK_TRUE(holdsAt.has_value());
+    LONGS_EQUAL(3 * second + freshness::ReplicaLag::safetyMargin, *holdsAt);
+}
+
+TEST(ReplicaLag, ProbesBecomeRarerUntilThePositionAdvances)
+{
+    freshness::updateLag(this->lag, this->window, { .term = 1, .position = 1 }, second);
+    int probes = 0;
+    for (Micros now = second; now < 3 * second; now += 1000) {
+        if (!freshness::isProbeDue(this->lag, now))
+            continue;
+        freshness::noteProbe(this->lag, now);
+        freshness::updateLag(this->lag, this->window, { .term = 1, .position = 1 }, now);
+        ++probes;
+    }
+    LONGS_EQUAL(7, probes); // after 50, 100 and 200 ms, then every 400 ms
+    freshness::updateLag(this->lag, this->window, { .term = 1, .position = 2 }, 3 * second);
+    CHECK_TRUE(freshness::isProbeDue(this->lag, 3 * second + freshness::ReplicaLag::firstProbeInterval));
+}
+
 TEST(ReplicaLag, ReportedPositionIsHeld)
 {
     freshness::updateLag(this->lag, this->window, { .term = 2, .position = 5 }, 3 * second);
--- a/test/placement/test_placement.cpp
+++ b/test/placement/test_placement.cpp
@@ -36,13 +36,34 @@
     LONGS_EQUAL(0, this->choose().candidate);
 }
 
-TEST(Placement, ALaggingReplicaIsUsedLast)
+// Guards against reads that go to lagging replicas, which refuse them, as soon as the leader is saturated or slow.
+TEST(Placement, ALaggingReplicaIsNotUsed)
 {
     this->candidates[1].isLagging = true;
     this->candidates[2].isLagging = true;
+    this->health[0].latency = 900ms;
     LONGS_EQUAL(0, this->choose().candidate);
     this->candidates[0].limit = 0;
-    LONGS_EQUAL(1, this->choose().candidate);
+    CHECK(this->choose().step == Step::Wait);
+    this->health[0].avoidUntil = this->now + 10ms;
+    CHECK(this->choose().step == Step::Refuse);
+}
+
+TEST(Placement, AReadWaitsForALaggingReplicaOnlyIfItHoldsThePositionInTime)
+{
+    this->candidates[0].limit = 0;
+    this->candidates[1].isLagging = true;
+    this->candidates[1].holdsIn = 200ms;
+    this->candidates[2].isLagging = true;
+    const auto read = [this](Duration timeLeft) { return placement::chooseRead(this->candidates, this->now, timeLeft); };
+    CHECK(read(500ms).step == Step::Wait);
+    CHECK(read(500ms).retryAfter == Duration(200ms));
+    CHECK_FALSE(read(200ms).retryAfter.has_value());
+    this->health[0].avoidUntil = this->now + 10ms;
+    CHECK(read(500ms).step == Step::Wait);
+    CHECK(read(200ms).step == Step::Refuse);
+    this->candidates[2].isLagging = false;
+    LONGS_EQUAL(2, read(200ms).candidate);
 }
 
 TEST(Placement, FailedDrainingAndTriedUpstreamsAreSkipped)
