Account of bytes and round-trip times by zone

Connections to upstreams and to homes, datagrams of gossip and of limits and fetched rows now count their bytes by zone in two integers kept by the connection; they are added to amaranthhall_zone_bytes_total when the metrics are read. Each byte is counted by one daemon. The round-trip time to a zone is taken from the connections that exist (TCP_INFO, shortest time) and published as amaranthhall_zone_round_trip_seconds.

--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -72,11 +72,12 @@
     , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
     , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
     , fleetWatch(usedLoop, usedPlatform.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero(), fleetMaximumAge), this->fleetCallbacks())
-    , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
-    , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
+    , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks(), usedPlatform.traffic)
+    , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port, .traffic = &usedPlatform.traffic })
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
     , relays(usedLoop, usedSettings.relay, this->context)
-    , rowExchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); })
+    , rowExchange(
+          usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); }, &usedPlatform.traffic)
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.sendUrgently(); })
     , metricsServer(usedLoop, { .listen = usedSettings.metrics })
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
@@ -190,6 +191,7 @@
         .listen = this->settings.relay,
         .cores = this->settings.cores,
         .bound = { .window = this->settings.quotaWindow, .excess = this->settings.quotaExcess, .slack = this->settings.quotaSlack },
+        .traffic = &this->platform.traffic,
     };
 }
 
@@ -246,6 +248,7 @@
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
     this->configurationVersion.Set(configuration ? static_cast<double>(configuration->version) : 0);
     this->relayedStreams.Set(static_cast<double>(this->relays.streamCount()));
+    this->platform.traffic.publish(this->metrics, this->settings.zone);
     for (const auto& [watch, gauge] : { std::pair(&this->configurationWatch, &this->configurationAge), { &this->upstreamWatch, &this->upstreamsAge }, { &this->fleetWatch, &this->fleetAge } })
         gauge->Set(watch->age() ? std::chrono::duration<double>(*watch->age()).count() : std::numeric_limits<double>::infinity());
 }
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "amaranthhall/store/table_watch.hpp"
 #include "amaranthhall/succession/succession_service.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
+#include "amaranthhall/telemetry/zone_traffic.hpp"
 
 #include <functional>
 #include <limits>
@@ -33,6 +34,7 @@
     engine::LinkFactory& links;
     succession::Promoter& promoter;
     const catalog::RowReader& rows;
+    telemetry::ZoneTraffic& traffic; ///< Counts the bytes to each zone, those of the links included.
 };
 
 /// @brief The gateway daemon without its caller protocol: holds the catalog and routes statements to upstreams.
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -26,10 +26,11 @@
 
 }
 
-GossipNode::GossipNode(kernel::Loop& usedLoop, Options usedOptions, Callbacks usedCallbacks)
+GossipNode::GossipNode(kernel::Loop& usedLoop, Options usedOptions, Callbacks usedCallbacks, telemetry::ZoneTraffic& usedTraffic)
     : loop(usedLoop)
     , options(std::move(usedOptions))
     , callbacks(std::move(usedCallbacks))
+    , traffic(usedTraffic)
     , random(this->options.seed)
     , socket(usedLoop, this->options.profile.address, [this](auto bytes) { this->receive(bytes); })
     , timer(usedLoop.every(gossipInterval, [this] { this->sendRound(this->registry.size() > PeerRegistry::largeFleetSize ? largeFleetFanOut : fanOut); }))
@@ -64,6 +65,7 @@
         auto& bytes = encoded[format];
         if (bytes.empty())
             bytes = encodeDigest(digest, format);
+        this->traffic.bytesOfHost(telemetry::TrafficKind::Gossip, target.host).sent += bytes.size();
         this->socket.send(target, bytes);
     }
 }
@@ -184,6 +186,7 @@
         return;
     const auto now = this->loop.now();
     this->noteFormat(*digest);
+    this->traffic.noteHost(digest->profile.address.host, digest->profile.zone);
     this->registry.noteActivity(digest->vm, digest->profile, now);
     for (const auto& entry : digest->activityAges)
         this->registry.noteIndirectActivity(entry.shortId, now - entry.age);
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -5,6 +5,7 @@
 #include "amaranthhall/kernel/datagram_socket.hpp"
 #include "amaranthhall/kernel/loop.hpp"
 #include "amaranthhall/kernel/random.hpp"
+#include "amaranthhall/telemetry/zone_traffic.hpp"
 
 #include <functional>
 #include <map>
@@ -46,7 +47,7 @@
         std::uint64_t seed { 0 }; ///< Seed of the random choice of peers.
     };
 
-    GossipNode(kernel::Loop& loop, Options options, Callbacks callbacks);
+    GossipNode(kernel::Loop& loop, Options options, Callbacks callbacks, telemetry::ZoneTraffic& traffic);
 
     /// @brief Requests digests and peer addresses from the seeds every 40 ms until stopDiscovery() is called.
     void startDiscovery();
@@ -82,6 +83,7 @@
     PeerRegistry registry;
     std::map<std::string, freshness::Micros, std::less<>> lastSentEvidence; ///< By service: time of the leader evidence that was last sent to an audience.
     unsigned audienceRound { 0 };
+    telemetry::ZoneTraffic& traffic;
     std::set<kernel::Address> plainPeers; ///< Daemons that read WireFormat::PlainVersions only.
     Random random;
     kernel::DatagramSocket socket;
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -87,8 +87,9 @@
     return std::nullopt;
 }
 
-RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource)
+RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, telemetry::ZoneTraffic* usedTraffic)
     : source(std::move(usedSource))
+    , traffic(usedTraffic)
     , server(loop, { .listen = listen })
     , client(loop)
 {
@@ -111,7 +112,12 @@
 void RowExchange::fetch(const kernel::Address& peer, const std::string& table, store::Version after, FetchCallback onFetched)
 {
     const http::Request request { .path = "/rows", .query = "table=" + http::encodeQueryValue(table) + "&after=" + store::formatVersion(after) };
-    this->client.send(peer, request, fetchTimeout, [onFetched = std::move(onFetched)](const http::HttpResult& result) {
+    auto* bytes = this->traffic ? &this->traffic->bytesOfHost(telemetry::TrafficKind::Rows, peer.host) : nullptr;
+    if (bytes)
+        bytes->sent += request.path.size() + request.query.size();
+    this->client.send(peer, request, fetchTimeout, [bytes, onFetched = std::move(onFetched)](const http::HttpResult& result) {
+        if (bytes && result)
+            bytes->received += result->body.size();
         onFetched(result && result->status == 200 ? decodeRows(result->body) : std::nullopt);
     });
 }
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/http/client.hpp"
 #include "amaranthhall/http/server.hpp"
 #include "amaranthhall/store/store.hpp"
+#include "amaranthhall/telemetry/zone_traffic.hpp"
 
 #include <functional>
 #include <map>
@@ -19,7 +20,7 @@
     using Source = std::function<std::vector<store::Row>(const std::string& table, store::Version after)>;
     using FetchCallback = std::function<void(const std::optional<std::vector<store::Row>>&)>;
 
-    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource);
+    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, telemetry::ZoneTraffic* traffic = nullptr);
 
     /// @brief Requests the rows of a table that are newer than a version from a peer; the callback is called once, with std::nullopt on failure.
     void fetch(const kernel::Address& peer, const std::string& table, store::Version after, FetchCallback onFetched);
@@ -39,6 +40,7 @@
     [[nodiscard]] const std::string& encodedRows(const std::string& table, store::Version after, WireFormat format);
 
     Source source;
+    telemetry::ZoneTraffic* traffic; ///< Counts the bytes of requests and responses; may be null.
     std::map<std::string, CachedAnswer> cachedAnswers; ///< By table.
     http::Server server;
     http::Client client;
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -18,10 +18,11 @@
 {
     kernel::Loop loop;
     fleet::StoreClient store(loop, settings.store);
-    fleet::LineLinkFactory links(loop);
+    telemetry::ZoneTraffic traffic;
+    fleet::LineLinkFactory links(loop, traffic);
     fleet::PlatformPromoter promoter(loop, settings.promotionEndpoint);
     const fleet::PlatformRowReader rows;
-    gateway::Gateway gateway(loop, settings, { .store = store, .links = links, .promoter = promoter, .rows = rows });
+    gateway::Gateway gateway(loop, settings, { .store = store, .links = links, .promoter = promoter, .rows = rows, .traffic = traffic });
     fleet::LineServer callers(loop, settings.callers, gateway.sessionContext());
     gateway.onConfigurationApplied([&callers] { callers.reviewSessions(); });
     const fleet::ReadinessEndpoint readinessEndpoint(loop, settings.ready, [&gateway] { return gateway.isReady(); });
--- a/src/amaranthhall/quota/io/quota_service.cpp
+++ b/src/amaranthhall/quota/io/quota_service.cpp
@@ -96,7 +96,10 @@
         });
         return;
     }
-    this->socket.send(to, encodeMessage(message));
+    const auto bytes = encodeMessage(message);
+    if (this->options.traffic)
+        this->options.traffic->bytesOfHost(telemetry::TrafficKind::Quota, to.host).sent += bytes.size();
+    this->socket.send(to, bytes);
 }
 
 void QuotaService::receive(std::string_view bytes)
--- a/src/amaranthhall/quota/io/quota_service.hpp
+++ b/src/amaranthhall/quota/io/quota_service.hpp
@@ -6,6 +6,7 @@
 #include "amaranthhall/kernel/datagram_socket.hpp"
 #include "amaranthhall/quota/io/quota_holder.hpp"
 #include "amaranthhall/quota/io/quota_owner.hpp"
+#include "amaranthhall/telemetry/zone_traffic.hpp"
 
 #include <map>
 #include <memory>
@@ -28,6 +29,7 @@
         kernel::Address listen; ///< UDP; all daemons use the same port.
         double cores { 1 }; ///< Of this VM.
         WindowBound bound;
+        telemetry::ZoneTraffic* traffic { nullptr }; ///< Counts the bytes of the messages; may be null.
     };
 
     QuotaService(kernel::Loop& loop, const catalog::Catalog& catalog, const gossip::PeerRegistry& peers, Options options, telemetry::Metrics& metrics);
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -17,7 +17,7 @@
     , catalog(usedCatalog)
     , peers(usedPeers)
     , options(std::move(usedOptions))
-    , client(usedLoop)
+    , client(usedLoop, this->options.traffic)
 {
 }
 
@@ -251,11 +251,8 @@
     const auto chosenHome = chooseHomeForStatement(states, { .vm = this->options.vm, .zone = this->options.zone, .needsLeader = want.needsLeader, .affinityKey = affinityKey, .prefersProvenReach = prefersProvenReach });
     if (!chosenHome)
         return nullptr;
-    const std::string home(states[*chosenHome].vm);
-    const auto address = this->peers.addressOf(home);
-    if (!address)
-        return nullptr;
-    return this->client.open(home, { .host = address->host, .port = this->options.relayPort });
+    const auto home = this->peers.all().find(states[*chosenHome].vm);
+    return this->client.open(home->first, { .host = home->second.profile.address.host, .port = this->options.relayPort }, home->second.profile.zone);
 }
 
 }
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -29,6 +29,7 @@
         std::string zone;
         double cores { 1 }; ///< Of this VM.
         std::uint16_t relayPort { 0 }; ///< All daemons listen on the same port.
+        telemetry::ZoneTraffic* traffic { nullptr }; ///< Counts the bytes of relayed statements; may be null.
     };
 
     HomeRouter(kernel::Loop& loop, const catalog::Catalog& catalog, gossip::PeerRegistry& peers, Options options);
--- a/src/amaranthhall/relay/relay_client.cpp
+++ b/src/amaranthhall/relay/relay_client.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/relay/relay_client.hpp"
 
 #include "amaranthhall/kernel/byte_stream.hpp"
+#include "amaranthhall/kernel/round_trip.hpp"
 #include "amaranthhall/relay/frame.hpp"
 #include "amaranthhall/retry/backoff.hpp"
 #include "amaranthhall/telemetry/log.hpp"
@@ -19,6 +20,7 @@
     constexpr Duration connectTimeout = 300ms; // connecting takes about 2 ms within a zone or between two
     constexpr retry::BackoffOptions stallBackoff { .first = 1s, .limit = 4s }; // grows with consecutive stalls
     constexpr retry::BackoffOptions reconnectBackoff { .first = 200ms, .limit = 1s };
+    constexpr Duration roundTripInterval = 1s; // reading it takes a system call
     constexpr Duration reconnectInterest = 10s; // no reconnection to a daemon that was not asked for within this time
 
 }
@@ -31,10 +33,12 @@
  */
 class RelayConnection : public std::enable_shared_from_this<RelayConnection> {
 public:
-    RelayConnection(kernel::Loop& usedLoop, std::string usedVm, kernel::Address usedAddress)
+    RelayConnection(kernel::Loop& usedLoop, std::string usedVm, kernel::Address usedAddress, std::string_view usedZone, telemetry::ZoneTraffic* usedTraffic)
         : vm(std::move(usedVm))
         , address(std::move(usedAddress))
+        , zone(usedZone)
         , loop(usedLoop)
+        , traffic(usedTraffic)
     {
     }
 
@@ -100,6 +104,7 @@
 
     std::string vm;
     kernel::Address address;
+    std::string zone;
 
 private:
     /// Returns whether no reply is outstanding and no transaction is open. Closing the connection would lose an idle transaction.
@@ -165,6 +170,8 @@
     {
         std::string bytes;
         appendFrame(bytes, frame);
+        if (this->traffic)
+            this->traffic->bytes(telemetry::TrafficKind::Relay, this->zone).sent += bytes.size();
         if (this->stream)
             this->stream->write(bytes);
         else
@@ -173,6 +180,7 @@
 
     void receive(std::string_view bytes)
     {
+        this->measure(bytes.size());
         this->lastReceivedAt = this->loop.now();
         this->isStalled = false;
         this->consecutiveStalls = 0;
@@ -193,6 +201,20 @@
             this->fail();
     }
 
+    /// Counts received bytes, and takes the round-trip time from the connection from time to time.
+    void measure(std::size_t received)
+    {
+        if (!this->traffic)
+            return;
+        this->traffic->bytes(telemetry::TrafficKind::Relay, this->zone).received += received;
+        const auto now = this->loop.now();
+        if (now - this->measuredAt < roundTripInterval)
+            return;
+        this->measuredAt = now;
+        if (const auto roundTrip = kernel::minimumRoundTrip(this->stream->connection()))
+            this->traffic->noteRoundTrip(this->zone, *roundTrip);
+    }
+
     void fail()
     {
         telemetry::logEvent(telemetry::LogLevel::Info, "relay.lost", { { "vm", this->vm }, { "outstanding", this->pendingReplies.size() } });
@@ -213,6 +235,7 @@
     }
 
     kernel::Loop& loop;
+    telemetry::ZoneTraffic* traffic;
     kernel::Socket socket;
     kernel::Registration watch;
     kernel::Registration timer;
@@ -227,6 +250,7 @@
     std::uint64_t lostConnections { 0 };
     Time lastReceivedAt;
     Time avoidUntil;
+    Time measuredAt; ///< When the round-trip time was last read.
     Time lastRequestedAt;
     unsigned consecutiveStalls { 0 }; ///< Since data was last received.
     unsigned reconnectAttempts { 0 }; ///< Since the last successful connection.
@@ -280,18 +304,19 @@
 
 }
 
-RelayClient::RelayClient(kernel::Loop& usedLoop)
+RelayClient::RelayClient(kernel::Loop& usedLoop, telemetry::ZoneTraffic* usedTraffic)
     : loop(usedLoop)
+    , traffic(usedTraffic)
 {
 }
 
 RelayClient::~RelayClient() = default;
 
-std::unique_ptr<engine::RelayStream> RelayClient::open(const std::string& vm, const kernel::Address& address)
+std::unique_ptr<engine::RelayStream> RelayClient::open(const std::string& vm, const kernel::Address& address, std::string_view zone)
 {
     auto& connection = this->connections[vm];
-    if (!connection || connection->address != address)
-        connection = std::make_shared<RelayConnection>(this->loop, vm, address);
+    if (!connection || connection->address != address || connection->zone != zone)
+        connection = std::make_shared<RelayConnection>(this->loop, vm, address, zone, this->traffic);
     return std::make_unique<ClientStream>(connection);
 }
 
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -60,7 +60,7 @@
         return false;
     })
     , proxy(this->loop, { .listen = { .host = "127.0.0.1" }, .seed = this->options.seed })
-    , links(this->loop)
+    , links(this->loop, this->traffic)
     , context { .loop = this->loop, .links = this->links, .databases = {}, .daemons = {}, .keys = {}, .organisations = this->organisationOracle, .oracle = this->oracle, .commits = [this](const auto& service) { return this->commitsOf(service); } }
 {
     std::filesystem::create_directories(this->options.folder);
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -93,6 +93,7 @@
     std::vector<std::unique_ptr<fleet::standin::LineGroup>> groups;
     fleet::standin::FleetStore store;
     standin::FaultProxy proxy;
+    telemetry::ZoneTraffic traffic;
     fleet::LineLinkFactory links;
     Oracle oracle;
     OrganisationOracle organisationOracle;
