Prefer upstreams of the own zone for reads

One more running statement raised the estimate for an upstream by more than the constant 1 ms that another zone cost, and the noise of the average latencies did so without any load, so most reads of an idle service left the zone. A candidate now carries what the way to it costs: the measured round trip plus the price of its bytes (zones.byte_price, 0 by default) and, while an upstream of the own zone is fit for the statement, the time of a statement there. Lag, faults, overload, draining and a full upstream go before the zone; the leader is never preferred for its zone.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -336,9 +336,11 @@
             .isDraining = entry.draining && requirements.requiredUpstream.empty(), // one that is asked for by name is asked while it drains, too
             .isLagging = requirements.after && leader != id && !freshness::isExpectedToHold(service.lags[id], service.samples, *requirements.after, now),
             .wasTried = std::find(requirements.tried.begin(), requirements.tried.end(), id) != requirements.tried.end(),
-            .isSameZone = entry.zone == this->options.zone,
+            .zone = entry.zone,
+            .crossingCost = this->crossingCost(entry.zone),
         });
     }
+    placement::preferZone(candidates, this->options.zone, this->loop.now());
     return candidates;
 }
 
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -10,6 +10,8 @@
 #include "amaranthhall/leadership/leader_record.hpp"
 #include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/placement.hpp"
+#include "amaranthhall/placement/zones.hpp"
+#include "amaranthhall/telemetry/zone_traffic.hpp"
 
 #include <array>
 #include <functional>
@@ -90,6 +92,8 @@
         std::string zone; ///< Availability zone of this daemon.
         Duration upstreamDrainLimit { std::chrono::seconds(6) }; ///< How long a draining upstream still receives statements.
         std::function<std::optional<std::size_t>(std::string_view service)> sharers; ///< Number of daemons that share the connections of a service; 0 if this one keeps none, nullopt if not yet known.
+        const telemetry::ZoneTraffic* traffic { nullptr }; ///< Round-trip times to the zones and bytes of statements; may be null.
+        Duration bytePrice {}; ///< Latency that a statement may gain for each kilobyte that does not leave the zone.
     };
 
     Dispatcher(kernel::Loop& loop, LinkFactory& factory, catalog::Catalog& catalog, Options options);
@@ -207,6 +211,7 @@
     void completeWaiter(Service& service, std::uint64_t ticketId, tl::expected<AcquiredLink, Refusal> result);
     void removeWaiter(Service& service, std::list<Waiter>::iterator waiter) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const LinkRequirements& requirements);
+    [[nodiscard]] Duration crossingCost(std::string_view zone) const;
     [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
     [[nodiscard]] placement::ConnectionShare shareOf(const catalog::UpstreamEntry& entry) const;
     void maintainWarmLinks(const Service& service, UpstreamPool& pool);
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -103,6 +103,8 @@
         .zone = this->settings.zone,
         .upstreamDrainLimit = this->settings.upstreamDrainLimit - drainMargin,
         .sharers = [this](auto service) { return this->isFleetKnown() ? std::optional(this->homes.sharers(service)) : std::nullopt; },
+        .traffic = &this->platform.traffic,
+        .bytePrice = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->settings.bytePrice)),
     };
 }
 
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -27,6 +27,7 @@
             mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
             mapKey("configuration", { durationKey("limit", settings.configurationLimit) }),
             mapKey("limits", { durationKey("window", settings.quotaWindow), nonNegativeKey("excess", settings.quotaExcess), nonNegativeKey("slack", settings.quotaSlack) }),
+            mapKey("zones", { nonNegativeKey("byte_price", settings.bytePrice) }),
             mapKey("log", { { "level", [&settings](const auto& node, const auto& path) { settings.logLevel = readChoice(node, path, logLevels); } } }),
         };
     }
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -30,6 +30,7 @@
     std::chrono::milliseconds quotaWindow { 5000 }; ///< Window in which the limits of organisations are checked.
     double quotaExcess { 0 }; ///< Fraction by which the operations within a window may exceed the limit.
     double quotaSlack { 0 }; ///< Operations by which they may exceed it beyond that.
+    double bytePrice { 0 }; ///< Latency in milliseconds that a statement may gain for each kilobyte that does not leave its zone.
     std::string logLevel { "info" };
 };
 
--- a/src/amaranthhall/placement/placement.cpp
+++ b/src/amaranthhall/placement/placement.cpp
@@ -8,7 +8,6 @@
 
     constexpr int leaderLatencyFactor = 2; // multiplies its latency, as only the leader serves writes
     constexpr Duration connectionSetupTime = 12ms; // opening a connection occupies a slot for about this long
-    constexpr Duration crossZonePenalty = 1ms; // round trip between two zones
     constexpr Duration lagPenalty = 100ms; // it will probably refuse the statement for lag, so a slower upstream goes first
     constexpr Duration overloadPenalty = 30ms;
     constexpr Duration faultPenalty = 40ms; // per remembered fault: the cost of a second attempt and of the wait before it
@@ -24,8 +23,7 @@
         auto expected = candidate.health->latency * (slots + candidate.running) / slots;
         if (candidate.isLeader)
             expected *= leaderLatencyFactor;
-        if (!candidate.isSameZone)
-            expected += crossZonePenalty;
+        expected += candidate.crossingCost;
         if (candidate.idle == 0)
             expected += connectionSetupTime;
         if (candidate.isLagging)
--- a/src/amaranthhall/placement/placement.hpp
+++ b/src/amaranthhall/placement/placement.hpp
@@ -23,7 +23,8 @@
     bool isDraining { false };
     bool isLagging { false }; ///< It is not expected to have reached the required log position yet.
     bool wasTried { false }; ///< An earlier attempt of the same statement failed on it.
-    bool isSameZone { false }; ///< It is in this daemon's zone.
+    std::string_view zone;
+    Duration crossingCost {}; ///< Latency that the way to its zone adds, and what else keeps the statement from it; see preferZone().
 };
 
 /// @brief The next step for a statement.
--- /dev/null
+++ b/src/amaranthhall/placement/zones.cpp
@@ -0,0 +1,47 @@
+#include "amaranthhall/placement/zones.hpp"
+
+#include <algorithm>
+
+namespace amaranthhall::placement {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration unmeasuredCrossing = 1ms; // round trip between two zones of one region
+    constexpr double kilobyte = 1000;
+    constexpr double maximumFaults = 1; // an upstream with more remembered faults is not preferred
+
+    /// Returns whether nothing but the zone speaks for or against an upstream. The leader is left to the statements that only it may serve.
+    bool isFit(const Candidate& candidate, Time now)
+    {
+        const auto& health = *candidate.health;
+        const bool isAccepting = health.avoidUntil <= now && health.overloadedUntil <= now && health.paceUntil <= now && health.faults < maximumFaults;
+        const bool hasRoom = candidate.running < candidate.limit && (candidate.idle > 0 || candidate.canOpen);
+        return isAccepting && hasRoom && !candidate.isLeader && !candidate.isDraining && !candidate.isLagging && !candidate.wasTried;
+    }
+
+}
+
+Duration crossingCost(const CrossingCosts& costs) noexcept
+{
+    const auto price = std::chrono::duration_cast<Duration>(costs.pricePerKilobyte * (costs.bytes / kilobyte));
+    if (!costs.roundTrip)
+        return unmeasuredCrossing + price;
+    return std::max(Duration::zero(), *costs.roundTrip - costs.ownRoundTrip.value_or(Duration::zero())) + price;
+}
+
+void preferZone(std::span<Candidate> candidates, std::string_view zone, Time now)
+{
+    Duration cost {};
+    for (const auto& candidate : candidates) {
+        if (candidate.zone == zone && isFit(candidate, now))
+            cost = std::max(cost, candidate.health->latency);
+    }
+    for (auto& candidate : candidates) {
+        if (candidate.zone != zone)
+            candidate.crossingCost += cost;
+    }
+}
+
+}
--- a/src/amaranthhall/telemetry/zone_traffic.cpp
+++ b/src/amaranthhall/telemetry/zone_traffic.cpp
@@ -59,6 +59,18 @@
     return found == this->zones.end() ? std::nullopt : found->second.roundTrip;
 }
 
+double ZoneTraffic::bytesPerExchange(TrafficKind kind) const noexcept
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t exchanges = 0;
+    for (const auto& [name, zone] : this->zones) {
+        const auto& counted = zone.bytes.at(indexOf(kind));
+        bytes += counted.sent + counted.received;
+        exchanges += counted.exchanges;
+    }
+    return exchanges == 0 ? 0 : static_cast<double>(bytes) / static_cast<double>(exchanges);
+}
+
 void ZoneTraffic::publish(Metrics& metrics, std::string_view ownZone)
 {
     constexpr std::string_view metric = "amaranthhall_zone_bytes_total";
--- a/src/amaranthhall/telemetry/zone_traffic.hpp
+++ b/src/amaranthhall/telemetry/zone_traffic.hpp
@@ -36,6 +36,7 @@
     struct Bytes {
         std::uint64_t sent { 0 };
         std::uint64_t received { 0 };
+        std::uint64_t exchanges { 0 }; ///< Completed requests with their replies, where they are counted.
     };
 
     /// @brief Returns the bytes of a kind exchanged with a zone; the reference stays valid, so that connections keep it. An empty zone is an unknown one.
@@ -53,6 +54,9 @@
     /// @brief Returns the average round-trip time of connections to a zone; std::nullopt if none was measured.
     [[nodiscard]] std::optional<Duration> roundTrip(std::string_view zone) const;
 
+    /// @brief Returns the average size of a request with its reply of a kind, in bytes; 0 if none was counted.
+    [[nodiscard]] double bytesPerExchange(TrafficKind kind) const noexcept;
+
     /// @brief Adds what was counted since the last call to the metrics.
     void publish(Metrics& metrics, std::string_view ownZone);
 
--- a/test/gateway/test_gateway_settings.cpp
+++ b/test/gateway/test_gateway_settings.cpp
@@ -28,6 +28,8 @@
   window: "5s"
   excess: 0.1
   slack: 0
+zones:
+  byte_price: 2.5
 )";
 
 std::string errorFor(std::string_view from, std::string_view to)
@@ -54,6 +56,7 @@
     LONGS_EQUAL(5000, read->quotaWindow.count());
     DOUBLES_EQUAL(0.1, read->quotaExcess, 1e-9);
     DOUBLES_EQUAL(0, read->quotaSlack, 1e-9);
+    DOUBLES_EQUAL(2.5, read->bytePrice, 1e-9);
 }
 
 TEST(GatewaySettings, AnErrorNamesFileLineAndKey)
@@ -64,5 +67,6 @@
     STRCMP_CONTAINS("f:4: vm.cores: a number above 0", errorFor("0.17", "0").c_str());
     STRCMP_CONTAINS("f:4: vm.cores: a number above 0", errorFor("0.17", "many").c_str());
     STRCMP_CONTAINS("limits.excess: a number of 0 or more", errorFor("0.1\n", "-1\n").c_str());
+    STRCMP_CONTAINS("zones.byte_price: a number of 0 or more", errorFor("2.5\n", "-1\n").c_str());
     STRCMP_CONTAINS("vm.zone: is required", errorFor("\"a\"", "\"\"").c_str());
 }
--- a/test/placement/test_placement.cpp
+++ b/test/placement/test_placement.cpp
@@ -14,9 +14,9 @@
     Time now { 100s };
     std::array<placement::UpstreamHealth, 3> health;
     std::vector<Candidate> candidates {
-        { .id = "a", .health = &this->health[0], .slots = 2, .limit = 2, .idle = 1, .isLeader = true, .isSameZone = true },
-        { .id = "b", .health = &this->health[1], .slots = 2, .limit = 2, .idle = 1, .isSameZone = true },
-        { .id = "c", .health = &this->health[2], .slots = 2, .limit = 2, .idle = 1 },
+        { .id = "a", .health = &this->health[0], .slots = 2, .limit = 2, .idle = 1, .isLeader = true, .zone = "x" },
+        { .id = "b", .health = &this->health[1], .slots = 2, .limit = 2, .idle = 1, .zone = "x" },
+        { .id = "c", .health = &this->health[2], .slots = 2, .limit = 2, .idle = 1, .zone = "y", .crossingCost = 1ms },
     };
 
     placement::Choice choose() { return placement::chooseAny(this->candidates, this->now); }
