Gossip of medium-sized fleets mostly within the zone

Fleets of up to 30 peers drew the five receivers of each round from all zones, so two thirds of the datagrams crossed; homes also told those of other zones of leaders as often as those of their own. From 13 peers on, one of five receivers is in another zone, and datagrams within the zone carry the ages of other daemons' signs of life, as in large fleets. Where seven or more homes tell of a service, those of other zones do so half as often; a home still hears from two of them in each round.

--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -18,6 +18,7 @@
     constexpr Duration audienceInterval = 400ms; // shorter than the time for which evidence of a leader counts as recent
     constexpr unsigned roundsPerHeartbeat = 2; // an audience receives a digest in every second of its rounds even if nothing has changed
     constexpr unsigned sendersPerRound = 4; // senders that report on a service to a daemon in the same round
+    constexpr std::size_t minimumSendersForPause = 7; // with as many, a home hears from two of them in each round although those of other zones send half as often
     constexpr std::size_t minimumActivityAges = 16; // per datagram
     constexpr std::size_t maximumActivityAges = 64; // per datagram; each takes about 8 bytes
     constexpr std::size_t peersPerActivityAge = 4; // one in four peers is reported per datagram, so that activity of each peer is received about four times a second
@@ -45,10 +46,10 @@
     return digest;
 }
 
-/// Adds the activity ages of other daemons in a large fleet, where each of them sends too few datagrams directly.
+/// Adds the activity ages of other daemons, unless the fleet is so small that each of them sends enough datagrams directly.
 void GossipNode::addActivityAges(Digest& digest)
 {
-    if (this->registry.size() <= PeerRegistry::largeFleetSize)
+    if (this->registry.size() <= PeerRegistry::zonedFleetSize)
         return;
     const auto count = std::clamp(this->registry.size() / peersPerActivityAge, minimumActivityAges, maximumActivityAges);
     for (const auto& [shortId, age] : this->registry.sampleActivityAges(count, this->loop.now(), this->random))
@@ -84,13 +85,19 @@
     this->registry.removeInactive(this->loop.now());
     auto targets = this->registry.samplePeers(count, this->options.profile.zone, this->random);
     auto digest = this->makeDigest();
-    if (targets.empty()) {
-        targets = this->options.seeds;
+    if (targets.sameZone.empty() && targets.otherZones.empty()) {
+        targets.sameZone = this->options.seeds;
         digest.requestsPeers = true;
     }
-    this->addActivityAges(digest);
     this->excludeAudienceLeaders(digest);
-    this->send(targets, digest);
+    // In a medium-sized fleet each zone hears directly from every daemon several times a second, so ages do not have to cross.
+    const bool isLarge = this->registry.size() > PeerRegistry::largeFleetSize;
+    if (!isLarge)
+        this->send(targets.otherZones, digest);
+    this->addActivityAges(digest);
+    this->send(targets.sameZone, digest);
+    if (isLarge)
+        this->send(targets.otherZones, digest);
 }
 
 /// Removes leader reports that are sent to their audiences separately; other daemons cannot use them.
@@ -138,7 +145,8 @@
 
 unsigned GossipNode::roundsPerSend(const Audience& audience) noexcept
 {
-    return 1 + static_cast<unsigned>(audience.senders - 1) / sendersPerRound;
+    const auto rounds = 1 + static_cast<unsigned>(audience.senders - 1) / sendersPerRound;
+    return audience.isOtherZone && audience.senders >= minimumSendersForPause ? rounds * 2 : rounds;
 }
 
 bool GossipNode::isDue(const Audience& audience, const Digest& filtered) const
@@ -193,7 +201,9 @@
     if (digest->requestsPeers) {
         auto answer = this->makeDigest();
         this->addActivityAges(answer);
-        answer.peers = this->registry.samplePeers(maximumPeersInReply, digest->profile.zone, this->random);
+        auto sampled = this->registry.samplePeers(maximumPeersInReply, digest->profile.zone, this->random);
+        answer.peers = std::move(sampled.sameZone);
+        answer.peers.insert(answer.peers.end(), sampled.otherZones.begin(), sampled.otherZones.end());
         this->send({ &digest->profile.address, 1 }, answer);
     }
     if (!digest->peers.empty())
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -24,6 +24,7 @@
         std::vector<std::string> peers;
         std::vector<std::string> services; ///< Sorted.
         std::size_t senders { 1 }; ///< Number of daemons that send reports of these services to these peers, including this one.
+        bool isOtherZone { false }; ///< The peers are in other zones than this daemon.
     };
 
     /**
--- a/src/amaranthhall/gossip/peer_registry.cpp
+++ b/src/amaranthhall/gossip/peer_registry.cpp
@@ -52,20 +52,20 @@
         this->remove(vm);
 }
 
-std::vector<kernel::Address> PeerRegistry::samplePeers(std::size_t count, std::string_view zone, Random& random) const
+PeerRegistry::Sample PeerRegistry::samplePeers(std::size_t count, std::string_view zone, Random& random) const
 {
-    const bool isLarge = this->peers.size() > largeFleetSize;
+    const bool isZoned = this->peers.size() > zonedFleetSize;
     std::vector<kernel::Address> sameZone;
     std::vector<kernel::Address> otherZones;
     for (const auto& [vm, peer] : this->peers) {
-        const bool isSameZone = !isLarge || peer.profile.zone == zone;
+        const bool isSameZone = !isZoned || peer.profile.zone == zone;
         (isSameZone ? sameZone : otherZones).push_back(peer.profile.address);
     }
     const auto wantedOtherZones = sameZone.size() < count ? count - sameZone.size() : count / otherZonesDivisor;
-    const auto otherZonesCount = std::min(otherZones.size(), std::max(isLarge ? std::size_t { 1 } : 0, wantedOtherZones));
-    std::vector<kernel::Address> sampled;
-    std::sample(otherZones.begin(), otherZones.end(), std::back_inserter(sampled), otherZonesCount, random);
-    std::sample(sameZone.begin(), sameZone.end(), std::back_inserter(sampled), count - otherZonesCount, random);
+    const auto otherZonesCount = std::min(otherZones.size(), std::max(isZoned ? std::size_t { 1 } : 0, wantedOtherZones));
+    Sample sampled;
+    std::sample(otherZones.begin(), otherZones.end(), std::back_inserter(sampled.otherZones), otherZonesCount, random);
+    std::sample(sameZone.begin(), sameZone.end(), std::back_inserter(sampled.sameZone), count - otherZonesCount, random);
     return sampled;
 }
 
--- a/src/amaranthhall/gossip/peer_registry.hpp
+++ b/src/amaranthhall/gossip/peer_registry.hpp
@@ -29,7 +29,8 @@
     static constexpr Duration livenessTimeout = std::chrono::milliseconds(1500); ///< A peer with activity within this time is live.
     static constexpr Duration largeFleetLivenessTimeout = std::chrono::milliseconds(4000); ///< The same in a large fleet, where activity of most peers is reported by others.
     static constexpr std::size_t largeFleetSize = 30; ///< With more peers than this, few datagrams come directly from each of them.
-    static constexpr std::size_t otherZonesDivisor = 5; ///< In a large fleet one of five sampled peers is in another zone.
+    static constexpr std::size_t zonedFleetSize = 12; ///< With more peers than this, most sampled peers are in the own zone, which passes on what it learns of the others.
+    static constexpr std::size_t otherZonesDivisor = 5; ///< One of five sampled peers is then in another zone.
     static constexpr Duration removalTimeout = std::chrono::seconds(10); ///< A peer without activity for this time is removed.
     static constexpr std::size_t hugeFleetSize = 500; ///< With more peers than this, activity of each of them is rarely reported.
     static constexpr Duration hugeFleetRemovalTimeout = std::chrono::seconds(30); ///< Removal timeout in such a fleet.
@@ -52,8 +53,14 @@
     /// @brief Removes peers without activity for the removal timeout.
     void removeInactive(Time now);
 
-    /// @brief Returns the addresses of a random sample of peers, live or not; in a large fleet most of them are in the given zone.
-    [[nodiscard]] std::vector<kernel::Address> samplePeers(std::size_t count, std::string_view zone, Random& random) const;
+    /// @brief Addresses of peers; in a small fleet, zones are not distinguished and all are in `sameZone`.
+    struct Sample {
+        std::vector<kernel::Address> sameZone;
+        std::vector<kernel::Address> otherZones;
+    };
+
+    /// @brief Returns a random sample of peers, live or not; unless the fleet is small, most of them are in the given zone.
+    [[nodiscard]] Sample samplePeers(std::size_t count, std::string_view zone, Random& random) const;
 
     /// @brief Returns the names of the live peers.
     [[nodiscard]] std::vector<std::string> liveNames(Time now) const;
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -140,15 +140,16 @@
             servicesOf[home].push_back(service);
     }
     servicesOf.erase(this->options.vm);
-    std::map<std::vector<std::string>, std::vector<std::string>> peersOf; ///< By the services in common.
+    std::map<std::pair<std::vector<std::string>, bool>, std::vector<std::string>> peersOf; ///< By the services in common and whether the peers are in another zone.
     for (const auto& [peer, services] : servicesOf)
-        peersOf[services].push_back(peer);
+        peersOf[{ services, this->daemons.find(peer)->second.zone != this->options.zone }].push_back(peer);
     this->audienceList.clear();
-    for (const auto& [services, others] : peersOf) {
+    for (const auto& [key, others] : peersOf) {
+        const auto& [services, isOtherZone] = key;
         std::size_t senders = 1;
         for (const auto& service : services)
             senders = std::max(senders, this->choiceFor(service).homes.size() - 1);
-        this->audienceList.push_back({ .peers = others, .services = services, .senders = senders });
+        this->audienceList.push_back({ .peers = others, .services = services, .senders = senders, .isOtherZone = isOtherZone });
     }
 }
 
--- a/test/gossip/test_peer_registry.cpp
+++ b/test/gossip/test_peer_registry.cpp
@@ -56,18 +56,17 @@
     std::set<std::uint16_t> otherZones;
     for (int round = 0; round < 200; ++round) {
         const auto sampled = this->registry.samplePeers(5, "a", random);
-        LONGS_EQUAL(5, sampled.size());
-        std::size_t sameZone = 0;
-        for (const auto& address : sampled) {
-            sameZone += address.port % 3 == 0 ? 1 : 0;
-            if (address.port % 3 != 0)
-                otherZones.insert(address.port);
-        }
-        LONGS_EQUAL(4, sameZone);
+        LONGS_EQUAL(4, sampled.sameZone.size());
+        LONGS_EQUAL(1, sampled.otherZones.size());
+        for (const auto& address : sampled.sameZone)
+            LONGS_EQUAL(0, address.port % 3);
+        CHECK(sampled.otherZones.front().port % 3 != 0);
+        otherZones.insert(sampled.otherZones.front().port);
     }
     // All daemons of other zones are sampled eventually.
     LONGS_EQUAL(40, otherZones.size());
-    LONGS_EQUAL(60, this->registry.samplePeers(60, "a", random).size());
+    const auto all = this->registry.samplePeers(60, "a", random);
+    LONGS_EQUAL(60, all.sameZone.size() + all.otherZones.size());
 }
 
 TEST(PeerRegistry, InASmallFleetSamplingIgnoresZones)
@@ -75,6 +74,6 @@
     for (std::uint16_t number = 0; number < 6; ++number)
         this->registry.add(std::to_string(number), { .address = { .host = "10.0.0.1", .port = number }, .zone = number == 0 ? "a" : "b" }, this->now);
     Random random(1);
-    LONGS_EQUAL(5, this->registry.samplePeers(5, "a", random).size());
-    LONGS_EQUAL(6, this->registry.samplePeers(40, "a", random).size());
+    LONGS_EQUAL(5, this->registry.samplePeers(5, "a", random).sameZone.size());
+    LONGS_EQUAL(6, this->registry.samplePeers(40, "a", random).sameZone.size());
 }
