--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -341,9 +341,11 @@
             .isLagging = !holdsIn || *holdsIn > Duration::zero(),
             .holdsIn = holdsIn,
             .wasTried = std::find(requirements.tried.begin(), requirements.tried.end(), id) != requirements.tried.end(),
-            .isSameZone = entry.zone == this->options.zone,
+            .zone = entry.zone,
+            .crossingCost = this->crossingCost(entry.zone),
         });
     }
+    placement::preferZone(candidates, this->options.zone, this->loop.now());
     return candidates;
 }
 
--- a/src/amaranthhall/placement/placement.hpp
+++ b/src/amaranthhall/placement/placement.hpp
@@ -24,7 +24,8 @@
     bool isLagging { false }; ///< It is not expected to have reached the required log position yet.
     std::optional<Duration> holdsIn; ///< When a lagging one is expected to reach it; std::nullopt if that cannot be predicted.
     bool wasTried { false }; ///< An earlier attempt of the same statement failed on it.
-    bool isSameZone { false }; ///< It is in this daemon's zone.
+    std::string_view zone;
+    Duration crossingCost {}; ///< Latency that the way to its zone adds, and what else keeps the statement from it; see preferZone().
 };
 
 /// @brief The next step for a statement.
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -17,7 +17,7 @@
     , catalog(usedCatalog)
     , peers(usedPeers)
     , options(std::move(usedOptions))
-    , client(usedLoop)
+    , client(usedLoop, this->options.traffic)
 {
 }
 
@@ -140,15 +140,16 @@
             servicesOf[home].push_back(service);
     }
     servicesOf.erase(this->options.vm);
-    std::map<std::vector<std::string>, std::vector<std::string>> peersOf; ///< By the services in common.
+    std::map<std::pair<std::vector<std::string>, bool>, std::vector<std::string>> peersOf; ///< By the services in common and whether the peers are in another zone.
     for (const auto& [peer, services] : servicesOf)
-        peersOf[services].push_back(peer);
+        peersOf[{ services, this->daemons.find(peer)->second.zone != this->options.zone }].push_back(peer);
     this->audienceList.clear();
-    for (const auto& [services, others] : peersOf) {
+    for (const auto& [key, others] : peersOf) {
+        const auto& [services, isOtherZone] = key;
         std::size_t senders = 1;
         for (const auto& service : services)
             senders = std::max(senders, this->choiceFor(service).homes.size() - 1);
-        this->audienceList.push_back({ .peers = others, .services = services, .senders = senders });
+        this->audienceList.push_back({ .peers = others, .services = services, .senders = senders, .isOtherZone = isOtherZone });
     }
 }
 
@@ -251,11 +252,8 @@
     const auto chosenHome = chooseHomeForStatement(states, { .vm = this->options.vm, .zone = this->options.zone, .needsLeader = want.needsLeader, .affinityKey = affinityKey, .prefersProvenReach = prefersProvenReach });
     if (!chosenHome)
         return nullptr;
-    const std::string home(states[*chosenHome].vm);
-    const auto address = this->peers.addressOf(home);
-    if (!address)
-        return nullptr;
-    return this->client.open(home, { .host = address->host, .port = this->options.relayPort });
+    const auto home = this->peers.all().find(states[*chosenHome].vm);
+    return this->client.open(home->first, { .host = home->second.profile.address.host, .port = this->options.relayPort }, home->second.profile.zone);
 }
 
 }
