quota: a release is applied once, and an adopting daemon asks its successor

A daemon that adopts a bucket asks the likely predecessors every 10 ms, and each repetition is answered with the same tokens. Releases now carry a number, and a receiver applies each number once; without a number (previous build), a release from a daemon that was asked within the last second is taken for a reply.

QuotaOwner.ACopyOfAReleaseIsIgnoredAfterTheBucketWasHandedOn fails without the numbers.

--- a/src/amaranthhall/quota/io/quota_owner.cpp
+++ b/src/amaranthhall/quota/io/quota_owner.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/quota/io/quota_owner.hpp"
 
+#include "amaranthhall/kernel/random_seed.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
@@ -29,6 +30,7 @@
     , grantedTokens(metrics.counter("amaranthhall_quota_granted_total", "Operations granted by this daemon as owner of organisations' limits"))
     , startedBuckets(metrics.counter("amaranthhall_quota_buckets_started_total", "Limits taken over without the state of the previous owner"))
     , adoptedBuckets(metrics.counter("amaranthhall_quota_buckets_adopted_total", "Limits taken over with the state of the previous owner"))
+    , lastRelease(kernel::randomSeed())
 {
 }
 
@@ -95,13 +97,15 @@
     std::vector<std::string> predecessors;
     const auto add = [&](const std::string& vm) {
         const bool isAsked = vm.empty() || vm == this->transport.self() || std::find(predecessors.begin(), predecessors.end(), vm) != predecessors.end();
-        const bool isUnreachable = std::find(unreachable.begin(), unreachable.end(), vm) != unreachable.end();
-        if (!isAsked && !isUnreachable && predecessors.size() < predecessorsAsked && this->transport.addressOf(vm))
+        if (!isAsked && predecessors.size() < predecessorsAsked && this->transport.addressOf(vm))
             predecessors.push_back(vm);
     };
+    // The successor is asked even if the holder does not reach it: it may own the bucket all the same, for instance because it was restarted a moment ago.
     add(entry.ownership.successor);
-    for (const auto& vm : this->transport.ranking(organisation))
-        add(vm);
+    for (const auto& vm : this->transport.ranking(organisation)) {
+        if (std::find(unreachable.begin(), unreachable.end(), vm) == unreachable.end())
+            add(vm);
+    }
     beginAdoption(entry.ownership, predecessors, this->roomOf(entry), this->transport.now());
     if (entry.ownership.state == OwnerState::Active) {
         this->startedBuckets.Increment();
@@ -145,7 +149,7 @@
 void QuotaOwner::onReleaseRequest(const Message& message)
 {
     auto& entry = this->entries[message.organisation];
-    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation) }, entry.limit, this->transport.now());
+    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->transport.now());
     this->transport.send(message.replyTo, message.organisation, ReleaseMessage { .release = release });
     if (release.wasHeld)
         logEvent(LogLevel::Info, "quota.released", { { "organisation", message.organisation }, { "to", message.sender }, { "tokens", release.tokens } });
@@ -156,10 +160,7 @@
 {
     auto& entry = this->entries[message.organisation];
     const auto now = this->transport.now();
-    const bool isUnasked = entry.ownership.state == OwnerState::None || entry.ownership.state == OwnerState::Released;
-    if (isUnasked && content.release.wasHeld) {
-        // The sender stops; its limit arrives with the first request.
-        entry.ownership = { .state = OwnerState::Active, .owned = { .bucket = { .tokens = content.release.tokens, .refilledAt = now }, .lastUsedAt = now }, .changedAt = now };
+    if (applyUnaskedRelease(entry.ownership, message.sender, content.release, now)) {
         this->adoptedBuckets.Increment();
         return;
     }
@@ -192,7 +193,7 @@
         const auto address = next == ranking.end() ? std::nullopt : this->transport.addressOf(*next);
         if (entry.ownership.state != OwnerState::Active || !address)
             continue;
-        const auto release = releaseBucket(entry.ownership, { .vm = *next, .ranksFirst = true }, entry.limit, now);
+        const auto release = releaseBucket(entry.ownership, { .vm = *next, .ranksFirst = true, .releaseNumber = ++this->lastRelease }, entry.limit, now);
         this->transport.send(*address, organisation, ReleaseMessage { .release = release });
     }
 }
@@ -200,7 +201,7 @@
 void QuotaOwner::dropAll()
 {
     for (auto& [organisation, entry] : this->entries)
-        entry.ownership = {};
+        dropBucket(entry.ownership, this->transport.now());
 }
 
 void QuotaOwner::removeUnused()
--- a/src/amaranthhall/quota/io/quota_owner.hpp
+++ b/src/amaranthhall/quota/io/quota_owner.hpp
@@ -6,6 +6,7 @@
 #include "amaranthhall/quota/ownership.hpp"
 #include "amaranthhall/telemetry/metrics.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -62,6 +63,7 @@
     prometheus::Counter& grantedTokens;
     prometheus::Counter& startedBuckets;
     prometheus::Counter& adoptedBuckets;
+    std::uint64_t lastRelease; ///< Number of the last release; starts at random, as a restarted daemon must not repeat one.
     std::map<std::string, Entry, std::less<>> entries; ///< By organisation.
 };
 
--- a/src/amaranthhall/quota/messages.cpp
+++ b/src/amaranthhall/quota/messages.cpp
@@ -24,7 +24,7 @@
     using PackedLimit = std::tuple<double, double>;
     using PackedRequest = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::uint32_t, PackedLimit, std::uint64_t, std::vector<std::string>>;
     using PackedGrant = std::tuple<std::uint64_t, std::uint32_t, std::int64_t, std::int64_t, std::string, PackedAddress>;
-    using PackedRelease = std::tuple<bool, double, bool>;
+    using PackedRelease = std::tuple<bool, double, bool, std::uint64_t>;
     /// Each message has all parts; those that its type does not use are empty.
     using PackedMessage = std::tuple<PackedHeader, PackedRequest, PackedGrant, PackedRelease>;
 
@@ -60,7 +60,7 @@
 
     MessageType fill(const ReleaseMessage& message, PackedMessage& packed)
     {
-        std::get<PackedRelease>(packed) = { message.release.wasHeld, message.release.tokens, message.release.isClaimed };
+        std::get<PackedRelease>(packed) = { message.release.wasHeld, message.release.tokens, message.release.isClaimed, message.release.number };
         return MessageType::Release;
     }
 
@@ -91,10 +91,10 @@
 
     std::optional<ReleaseMessage> unpackRelease(const PackedRelease& packed)
     {
-        const auto [wasHeld, tokens, isClaimed] = packed;
+        const auto [wasHeld, tokens, isClaimed, number] = packed;
         if (!std::isfinite(tokens))
             return std::nullopt;
-        return ReleaseMessage { .release = { .wasHeld = wasHeld, .tokens = tokens, .isClaimed = isClaimed } };
+        return ReleaseMessage { .release = { .wasHeld = wasHeld, .tokens = tokens, .isClaimed = isClaimed, .number = number } };
     }
 
     /// Sets the content of a message; returns false if it is malformed.
--- a/src/amaranthhall/quota/ownership.hpp
+++ b/src/amaranthhall/quota/ownership.hpp
@@ -3,6 +3,7 @@
 #include "amaranthhall/quota/owner.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,10 @@
     std::optional<double> adoptedTokens; ///< Received from a predecessor; absent if the bucket starts without one.
     std::string successor; ///< While Released.
     double releasedTokens { 0 }; ///< While Released: told to the successor.
+    std::uint64_t releaseNumber { 0 }; ///< While Released: of the release that the successor was told.
+    std::deque<std::uint64_t> appliedReleases; ///< Numbers of the last releases that this daemon received.
+    std::set<std::string> asked; ///< Daemons that the last adoption asked for the bucket.
+    Time askedAt; ///< When the last adoption ended.
     Time changedAt; ///< Of the state.
 };
 
@@ -35,6 +40,7 @@
     bool wasHeld { false };
     double tokens { 0 }; ///< In the bucket, if it was held.
     bool isClaimed { false }; ///< The daemon is adopting the bucket itself and ranks before the one that asked.
+    std::uint64_t number { 0 }; ///< The same in all copies and repetitions of a release; 0 from a daemon of a build without numbers.
 };
 
 /// @brief Time within which a repeated request of the successor gets the same reply again.
@@ -49,6 +55,13 @@
 /// @brief Applies the reply of a predecessor; the bucket is active once one has handed it over or all have replied.
 void applyRelease(Ownership& ownership, std::string_view predecessor, const Release& reply, const catalog::OperationLimit& limit, const Room& room, Time now);
 
+/**
+ * @brief Applies a release that was not asked for, as a daemon sends it that stops. Returns whether this daemon owns the bucket because of it.
+ *
+ * A copy of an earlier release is ignored: its tokens may have been handed on already, and a second owner would grant them again.
+ */
+[[nodiscard]] bool applyUnaskedRelease(Ownership& ownership, std::string_view sender, const Release& release, Time now);
+
 /// @brief Ends an adoption whose predecessors have not replied in time; the bucket starts with the initial tokens of the room.
 void endAdoption(Ownership& ownership, const catalog::OperationLimit& limit, const Room& room, Time now);
 
@@ -56,6 +69,7 @@
 struct Successor {
     std::string_view vm;
     bool ranksFirst { false }; ///< It ranks before the daemon that it asks.
+    std::uint64_t releaseNumber { 0 }; ///< Number for the release, if this is not a repetition of an earlier one.
 };
 
 /**
@@ -65,6 +79,9 @@
  */
 [[nodiscard]] Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, Time now);
 
+/// @brief Drops the bucket, as another daemon may own it by now; copies of earlier releases are still known.
+void dropBucket(Ownership& ownership, Time now);
+
 /// @brief Returns whether requests for the bucket must be sent to its successor.
 [[nodiscard]] bool isRedirecting(const Ownership& ownership, Time now) noexcept;
 
--- a/test/quota/test_messages.cpp
+++ b/test/quota/test_messages.cpp
@@ -34,7 +34,8 @@
     CHECK(grant.grant.retryAfter == 60s); // the longest that is sent
     STRCMP_EQUAL("y", grant.redirectVm.c_str());
     static_cast<void>(this->roundTrip(quota::ReleaseRequestMessage {}));
-    const auto release = this->roundTrip(quota::ReleaseMessage { .release = { .wasHeld = true, .tokens = 2.5 } });
+    const auto release = this->roundTrip(quota::ReleaseMessage { .release = { .wasHeld = true, .tokens = 2.5, .number = 99 } });
+    LONGS_EQUAL(99, release.release.number);
     CHECK_TRUE(release.release.wasHeld);
     DOUBLES_EQUAL(2.5, release.release.tokens, 0);
 }
--- a/test/quota/test_owner.cpp
+++ b/test/quota/test_owner.cpp
@@ -127,6 +127,26 @@
     DOUBLES_EQUAL(7, to.owned.bucket.tokens, 1e-9);
 }
 
+// Guards against two owners: a bucket that was handed on came back to life when the reply that had brought it arrived a second time.
+TEST(QuotaOwner, ACopyOfAReleaseIsIgnoredAfterTheBucketWasHandedOn)
+{
+    quota::Ownership owner;
+    const quota::Release release { .wasHeld = true, .tokens = 7, .number = 41 };
+    quota::beginAdoption(owner, { "stopping" }, this->room, this->now);
+    quota::applyRelease(owner, "stopping", release, this->limit, this->room, this->now);
+    static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 5ms));
+    CHECK_FALSE(quota::applyUnaskedRelease(owner, "stopping", release, this->now + 20ms));
+    CHECK(owner.state == OwnerState::Released);
+    CHECK_FALSE(quota::applyUnaskedRelease(owner, "stopping", { .wasHeld = true, .tokens = 7 }, this->now + 20ms)); // of a build without numbers
+    quota::beginAdoption(owner, { "stopping" }, this->room, this->now + 25ms);
+    quota::applyRelease(owner, "stopping", release, this->limit, this->room, this->now + 26ms);
+    DOUBLES_EQUAL(this->room.initialTokens, owner.owned.bucket.tokens, 1e-9); // as if the reply had said that there is no bucket
+    static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 27ms));
+    CHECK_TRUE(quota::applyUnaskedRelease(owner, "back", { .wasHeld = true, .tokens = 3, .number = 42 }, this->now + 30ms));
+    static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 40ms));
+    CHECK_FALSE(quota::applyUnaskedRelease(owner, "back", { .wasHeld = true, .tokens = 3, .number = 42 }, this->now + 50ms));
+}
+
 TEST(QuotaOwner, WithoutAPredecessorTheBucketStartsWithItsPartOfTheRoom)
 {
     quota::Ownership alone;
--- a/test/quota/test_quota_simulation.cpp
+++ b/test/quota/test_quota_simulation.cpp
@@ -118,8 +118,10 @@
         auto& victim = this->daemons[this->random() % 2];
         const auto span = std::chrono::milliseconds(50 + this->random() % 900);
         if (this->random() % 2 == 0) {
-            const auto limit = victim.knownLimit;
-            static_cast<Daemon&>(victim) = Daemon { .downUntil = this->now + span, .knownLimit = limit };
+            Daemon restarted;
+            restarted.downUntil = this->now + span;
+            restarted.knownLimit = victim.knownLimit;
+            static_cast<Daemon&>(victim) = std::move(restarted);
         } else {
             victim.suspendedUntil = this->now + span;
             victim.wasSuspended = true;
@@ -199,10 +201,10 @@
     }
 
     /// A daemon that was suspended drops its buckets.
-    static void notice(Daemon& daemon)
+    void notice(Daemon& daemon) const
     {
         if (std::exchange(daemon.wasSuspended, false))
-            daemon.ownership = {};
+            quota::dropBucket(daemon.ownership, this->now);
     }
 
     void runDaemon(std::size_t vm)
