Queue waiting statements by priority and slack, with shares

Cause: each arrival walked the list of waiters, processing copied it, and one estimate per lane decided for all classes of work: cheap statements were refused behind expensive ones, and statements with a distant target were refused at once although they could wait.

Change: admission::WaitQueue holds the waiting statements and decides which goes next and which is refused; the dispatcher keeps callbacks by ticket. The wait is estimated per lane and class, in work rather than statements: what is ahead, at the measured speed less the arrivals that overtake. A pass stops at a saturated lane in place of trying each waiter.

--- a/src/amaranthhall/admission/fwd.hpp
+++ b/src/amaranthhall/admission/fwd.hpp
@@ -5,5 +5,7 @@
 struct Arrival;
 struct QueueState;
 struct Shed;
+struct WaitingStatement;
+class WaitQueue;
 
 }
--- a/src/amaranthhall/admission/service_times.cpp
+++ b/src/amaranthhall/admission/service_times.cpp
@@ -9,11 +9,6 @@
     constexpr std::uint32_t averagingWindow = 64;
     constexpr std::uint32_t minimumSamples = 16;
 
-    std::size_t indexOf(const StatementClass& statementClass) noexcept
-    {
-        return statementClass.consistency * StatementClass::priorityCount + std::min<std::size_t>(statementClass.priority, StatementClass::priorityCount - 1);
-    }
-
     void addSample(ServiceTimes::Average& average, Duration serviceTime) noexcept
     {
         average.samples = std::min(average.samples + 1, averagingWindow);
@@ -35,4 +30,12 @@
     return isReliable ? std::chrono::duration<double>(classAverage.mean) / std::chrono::duration<double>(times.all.mean) : 1;
 }
 
+Duration expectedServiceTime(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept
+{
+    const auto& classAverage = times.byClass[indexOf(statementClass)];
+    if (classAverage.samples < minimumSamples)
+        return latency;
+    return classAverage.mean + std::max(Duration::zero(), latency - times.all.mean);
+}
+
 }
--- a/src/amaranthhall/admission/service_times.hpp
+++ b/src/amaranthhall/admission/service_times.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/kernel/time.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -17,6 +18,13 @@
     unsigned priority { 0 };
 };
 
+/// @brief Returns the index of a class, less than `ServiceTimes::classCount`.
+[[nodiscard]] constexpr std::size_t indexOf(const StatementClass& statementClass) noexcept
+{
+    constexpr auto lastPriority = static_cast<unsigned>(StatementClass::priorityCount - 1);
+    return statementClass.consistency * StatementClass::priorityCount + std::min(statementClass.priority, lastPriority);
+}
+
 /// @brief Average service time of each statement class on an uncongested upstream.
 struct ServiceTimes {
     static constexpr std::size_t classCount = StatementClass::consistencyCount * StatementClass::priorityCount;
@@ -39,4 +47,10 @@
  */
 [[nodiscard]] double relativeCost(const ServiceTimes& times, const StatementClass& statementClass) noexcept;
 
+/**
+ * @brief Returns how long a statement is expected to take at an upstream: the average of its class, and the excess of the current latency over the average of all.
+ * @param latency Current latency of the upstream, over all statements.
+ */
+[[nodiscard]] Duration expectedServiceTime(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept;
+
 }
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -16,18 +16,33 @@
     constexpr Duration serviceIdleTimeout = 30s; // a service without statements for this long only needs one link per upstream, to detect whether it is alive
     constexpr std::uint32_t idleServiceWarmLinks = 1;
     constexpr Duration linkIdleTimeout = 5s; // links beyond the warm ones are closed after this long without use
-    constexpr Duration typicalStatementTime = 30ms; // duration of a statement on an upstream with a short queue
     constexpr std::string_view queueTooLongReason = "the queue is too long to be served in time";
+    constexpr std::string_view timeoutReason = "the statement timeout leaves no time to run it";
     constexpr std::string_view queueFullReason = "the queue is full";
     constexpr std::string_view noUpstreamReason = "no upstream can serve now";
     constexpr std::string_view leaderUnreachableReason = "this daemon does not reach the primary";
-    constexpr std::uint32_t maximumWaiters = 256; // limit of queued statements per service on this daemon
 
     LinkScope scopeOf(const LinkRequirements& requirements)
     {
         return { .organisation = requirements.organisation, .isAny = requirements.acceptsAnyLink };
     }
 
+    admission::Lane laneOf(const LinkRequirements& requirements)
+    {
+        return requirements.needsLeader ? admission::Lane::Leader : admission::Lane::Any;
+    }
+
+    /// Returns a text that is equal for statements that the same links of the same upstreams can serve.
+    std::string flowOf(const LinkRequirements& requirements)
+    {
+        constexpr char separator = '\n';
+        std::string flow = requirements.organisation;
+        flow.append({ separator, requirements.acceptsAnyLink ? 'a' : 'o', requirements.needsLeader ? 'l' : 'u', requirements.mayRelay ? 'r' : 'h' }).append(requirements.requiredUpstream);
+        for (const auto& upstream : requirements.tried)
+            flow.append(1, separator).append(upstream);
+        return flow;
+    }
+
 }
 
 Dispatcher::Ticket& Dispatcher::Ticket::operator=(Ticket&& other) noexcept
@@ -158,21 +173,27 @@
     const bool isFirst = !std::exchange(service.lastUsedAt, this->loop.now());
     if (isFirst && service.pools.empty())
         this->onCatalogChanged();
-    auto& waiters = service.waiters;
-    // Ordered by priority, then by the time the reply is due.
-    const auto position = std::find_if(waiters.begin(), waiters.end(), [&](const Waiter& other) {
-        return std::pair(requirements.priority, requirements.target) < std::pair(other.requirements.priority, other.requirements.target);
-    });
-    auto lane = service.lanes[requirements.needsLeader ? 1 : 0];
-    lane.waiting = static_cast<std::uint32_t>(std::count_if(waiters.begin(), position, [&](const Waiter& other) { return other.requirements.needsLeader == requirements.needsLeader; }));
-    const admission::Arrival arrival { .now = this->loop.now(), .deadline = requirements.target, .serviceWaiting = static_cast<std::uint32_t>(waiters.size()), .serviceLimit = maximumWaiters, .expectedServiceTime = this->latencyFor(service, requirements), .relativeCost = admission::relativeCost(service.work, requirements.kind) };
-    if (const auto shed = admission::admit(lane, arrival)) {
-        const auto reason = shed->reason == admission::ShedReason::TooSlow ? queueTooLongReason : queueFullReason;
-        waiters.push_back(Waiter { .ticketId = ticketId, .requirements = std::move(requirements), .callback = std::move(callback), .refusal = reason });
-        this->scheduleQueueProcessing(service);
-        return { *this, service, ticketId };
+    const auto expected = requirements.requiredUpstream.empty() ? admission::expectedServiceTime(service.work, requirements.kind, this->latencyFor(service, requirements)) : Duration::zero();
+    const auto flow = flowOf(requirements);
+    const admission::WaitingStatement statement {
+        .id = ticketId,
+        .kind = requirements.kind,
+        .priority = requirements.priority,
+        .organisation = requirements.organisation,
+        .flow = flow,
+        .target = requirements.target,
+        .deadline = requirements.deadline,
+        .expectedServiceTime = expected,
+        .attempt = static_cast<unsigned>(requirements.tried.size()),
+        .needsLeader = requirements.needsLeader,
+    };
+    Waiter waiter { .ticketId = ticketId, .callback = std::move(callback) };
+    if (const auto pushed = service.queue.push(statement, this->loop.now()); !pushed) {
+        waiter.refusal = pushed.error().reason == admission::ShedReason::TooSlow ? queueTooLongReason : queueFullReason;
+        service.refused.push_back(ticketId);
     }
-    waiters.insert(position, Waiter { .ticketId = ticketId, .requirements = std::move(requirements), .callback = std::move(callback) });
+    waiter.requirements = std::move(requirements);
+    service.waiters.emplace(ticketId, std::move(waiter));
     this->scheduleQueueProcessing(service);
     return { *this, service, ticketId };
 }
@@ -191,9 +212,7 @@
 
 void Dispatcher::cancel(Service& service, std::uint64_t ticketId) noexcept
 {
-    const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [ticketId](const Waiter& waiter) { return waiter.ticketId == ticketId; });
-    if (found != service.waiters.end())
-        this->removeWaiter(service, found);
+    removeWaiter(service, ticketId);
 }
 
 void Dispatcher::scheduleQueueProcessing(Service& service)
@@ -208,40 +227,61 @@
 
 void Dispatcher::processQueue(Service& service)
 {
-    // A callback may change the queue, so each waiter is looked up again by its ticket.
+    const auto refused = std::exchange(service.refused, {});
+    for (const auto ticketId : refused) {
+        const auto found = service.waiters.find(ticketId);
+        if (found != service.waiters.end())
+            this->refuse(service, ticketId, found->second.refusal);
+    }
+    // A callback may add statements and cancel others; those added are left to the pass that they schedule.
     const auto now = this->loop.now();
-    std::vector<std::uint64_t> servingOrder;
-    std::vector<std::uint64_t> lateTickets;
-    for (const auto& waiter : service.waiters)
-        (waiter.requirements.target >= now + typicalStatementTime ? servingOrder : lateTickets).push_back(waiter.ticketId);
-    // Statements that can no longer meet their target only get links that the others leave over.
-    servingOrder.insert(servingOrder.end(), lateTickets.begin(), lateTickets.end());
-    for (const auto ticketId : servingOrder) {
-        const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [ticketId](const Waiter& waiter) { return waiter.ticketId == ticketId; });
-        if (found == service.waiters.end())
-            continue;
-        this->serve(service, *found);
+    service.queue.beginPass();
+    for (auto remaining = service.queue.size(); remaining > 0;) {
+        const auto next = service.queue.next(now);
+        if (!next)
+            return;
+        auto& waiter = service.waiters.at(next->id);
+        const auto lane = laneOf(waiter.requirements);
+        const auto served = next->isHopeless ? Served::Completed : this->serveWhileOpening(service, waiter);
+        if (next->isHopeless)
+            this->refuse(service, next->id, timeoutReason);
+        if (served == Served::LaneBlocked)
+            service.queue.block(lane);
+        else if (served == Served::Completed)
+            --remaining;
+        else
+            service.queue.block(next->id);
     }
 }
 
-void Dispatcher::serve(Service& service, Waiter& waiter)
+/// Serves a statement, again after a link is being opened: once for each statement that waits for the same links, as each of them may need one.
+Dispatcher::Served Dispatcher::serveWhileOpening(Service& service, Waiter& waiter)
+{
+    auto served = Served::Opening;
+    for (auto attempts = service.queue.waitingInFlowOf(waiter.ticketId); attempts > 0 && served == Served::Opening; --attempts)
+        served = this->serve(service, waiter);
+    return served;
+}
+
+Dispatcher::Served Dispatcher::serve(Service& service, Waiter& waiter)
 {
-    if (!waiter.refusal.empty()) {
-        this->completeWaiter(service, waiter.ticketId, tl::unexpected(Refusal { .reason = waiter.refusal }));
-        return;
-    }
     if (waiter.requirements.needsLeader && this->mustCheckLeader(service))
-        return;
+        return Served::LaneBlocked;
     const auto candidates = this->candidatesFor(service, waiter.requirements);
     const auto choice = this->chooseFor(service, waiter.requirements, candidates);
     using Step = placement::Choice::Step;
     if (choice.step == Step::Wait)
-        this->countAsWaiting(service, waiter);
-    else if (choice.step == Step::Refuse) {
-        const bool isLeaderUnreachable = waiter.requirements.needsLeader && this->isLeaderUnreachable(service);
-        this->completeWaiter(service, waiter.ticketId, tl::unexpected(Refusal { .reason = isLeaderUnreachable ? leaderUnreachableReason : noUpstreamReason, .isLeaderUnreachable = isLeaderUnreachable }));
-    } else
-        this->grantOrOpen(service, waiter, *this->pool(candidates[choice.candidate].id), choice.step);
+        return this->countAsWaiting(service, waiter, candidates);
+    if (choice.step != Step::Refuse)
+        return this->grantOrOpen(service, waiter, *this->pool(candidates[choice.candidate].id), choice.step);
+    const bool isLeaderUnreachable = waiter.requirements.needsLeader && this->isLeaderUnreachable(service);
+    this->completeWaiter(service, waiter.ticketId, tl::unexpected(Refusal { .reason = isLeaderUnreachable ? leaderUnreachableReason : noUpstreamReason, .isLeaderUnreachable = isLeaderUnreachable }));
+    return Served::Completed;
+}
+
+void Dispatcher::refuse(Service& service, std::uint64_t ticketId, std::string_view reason)
+{
+    this->completeWaiter(service, ticketId, tl::unexpected(Refusal { .reason = reason }));
 }
 
 placement::Choice Dispatcher::chooseFor(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates)
@@ -263,53 +303,57 @@
     return choice;
 }
 
-/// Adds a waiting statement to the count of its lane, once.
-void Dispatcher::countAsWaiting(Service& service, Waiter& waiter)
+/// Records that a statement has to wait for capacity; returns whether the others of its lane have to as well.
+Dispatcher::Served Dispatcher::countAsWaiting(Service& service, const Waiter& waiter, std::span<const placement::Candidate> candidates)
 {
-    if (!std::exchange(waiter.isCountedAsWaiting, true))
-        ++service.lanes[waiter.requirements.needsLeader ? 1 : 0].waiting;
+    const auto now = this->loop.now();
+    const auto& requirements = waiter.requirements;
+    service.queue.noteSaturated(laneOf(requirements), now);
+    const auto isSaturated = [&](const placement::Candidate& candidate) {
+        const bool isRelevant = !candidate.isDraining && candidate.health->avoidUntil <= now && (candidate.isLeader || !requirements.needsLeader);
+        return !isRelevant || candidate.running >= candidate.limit || candidate.health->paceUntil > now;
+    };
+    const bool hasLeader = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) { return candidate.isLeader; });
+    const bool isForAll = requirements.requiredUpstream.empty() && (hasLeader || !requirements.needsLeader);
+    return isForAll && std::all_of(candidates.begin(), candidates.end(), isSaturated) ? Served::LaneBlocked : Served::FlowBlocked;
 }
 
 /// Returns whether more statements of an organisation wait than links are being opened for it.
 bool Dispatcher::needsAnotherOpening(const Service& service, std::string_view organisation)
 {
-    const auto waiting = std::count_if(service.waiters.begin(), service.waiters.end(), [organisation](const Waiter& waiter) { return waiter.requirements.organisation == organisation; });
+    const auto waiting = service.queue.waitingFor(organisation);
     std::uint32_t openings = 0;
     for (const auto& pool : service.pools)
         openings += pool->openingFor(organisation);
-    return openings < static_cast<std::size_t>(waiting);
+    return openings < waiting;
 }
 
 /// Grants an idle link of the chosen upstream, or opens a new link that the statement waits for.
-void Dispatcher::grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step)
+Dispatcher::Served Dispatcher::grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step)
 {
     if (step == placement::Choice::Step::Open) {
-        if (this->needsAnotherOpening(service, waiter.requirements.organisation))
-            pool.open(waiter.requirements.organisation);
-        return;
-    }
-    if (std::exchange(waiter.isCountedAsWaiting, false)) {
-        auto& lane = service.lanes[waiter.requirements.needsLeader ? 1 : 0];
-        --lane.waiting;
-        admission::noteGrant(lane, this->loop.now());
+        if (!this->needsAnotherOpening(service, waiter.requirements.organisation))
+            return Served::FlowBlocked;
+        pool.open(waiter.requirements.organisation);
+        return Served::Opening;
     }
+    service.queue.grant(waiter.ticketId, this->loop.now());
     this->completeWaiter(service, waiter.ticketId, AcquiredLink(pool.shared_from_this(), pool.acquire(scopeOf(waiter.requirements), *waiter.requirements.settings)));
+    return Served::Completed;
 }
 
-/// Removes a statement from the queue and calls its callback with the result.
+/// Removes a statement and calls its callback with the result.
 void Dispatcher::completeWaiter(Service& service, std::uint64_t ticketId, tl::expected<AcquiredLink, Refusal> result)
 {
-    const auto found = std::find_if(service.waiters.begin(), service.waiters.end(), [ticketId](const Waiter& waiter) { return waiter.ticketId == ticketId; });
-    const auto callback = std::move(found->callback);
-    this->removeWaiter(service, found);
+    const auto callback = std::move(service.waiters.at(ticketId).callback);
+    removeWaiter(service, ticketId);
     callback(std::move(result));
 }
 
-void Dispatcher::removeWaiter(Service& service, std::list<Waiter>::iterator waiter) noexcept
+void Dispatcher::removeWaiter(Service& service, std::uint64_t ticketId) noexcept
 {
-    if (waiter->isCountedAsWaiting)
-        --service.lanes[waiter->requirements.needsLeader ? 1 : 0].waiting;
-    service.waiters.erase(waiter);
+    service.queue.remove(ticketId);
+    service.waiters.erase(ticketId);
 }
 
 std::vector<placement::Candidate> Dispatcher::candidatesFor(Service& service, const LinkRequirements& requirements)
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/admission/admission.hpp"
 #include "amaranthhall/admission/service_times.hpp"
+#include "amaranthhall/admission/wait_queue.hpp"
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/acquired_link.hpp"
 #include "amaranthhall/engine/upstream_pool.hpp"
@@ -13,13 +14,13 @@
 
 #include <array>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -35,7 +36,7 @@
     std::optional<group::LogPoint> after; ///< Position that the upstream's log must have reached.
     std::string requiredUpstream; ///< Id of the only acceptable upstream; empty for any.
     std::vector<std::string> tried; ///< Upstreams on which an earlier attempt failed.
-    Time target; ///< When the reply is due; admission keeps the queue short enough to meet it.
+    Time target; ///< When the reply is due.
     Time deadline;
     unsigned priority { 0 };
     admission::StatementClass kind;
@@ -162,8 +163,15 @@
         std::uint64_t ticketId { 0 };
         LinkRequirements requirements;
         AcquireCallback callback;
-        std::string_view refusal; ///< Set if admission rejected it on arrival.
-        bool isCountedAsWaiting { false }; ///< Included in the waiting count of its lane.
+        std::string_view refusal; ///< Set if admission rejected it on arrival; it is not in the queue then.
+    };
+
+    /// What became of a statement at the head of the queue.
+    enum class Served : std::uint8_t {
+        Completed, ///< It has left the queue.
+        Opening, ///< A link is being opened for its flow; another statement of the flow may need one as well.
+        FlowBlocked, ///< Statements that need the same links can't be served now.
+        LaneBlocked, ///< No statement of the lane can be served now.
     };
 
     struct PromotionClaim {
@@ -175,12 +183,13 @@
     struct Service {
         std::string name;
         std::vector<std::shared_ptr<UpstreamPool>> pools; ///< Ordered by upstream id.
-        std::list<Waiter> waiters; ///< In serving order.
+        std::unordered_map<std::uint64_t, Waiter> waiters; ///< By ticket id.
+        admission::WaitQueue queue; ///< Serving order of the waiters, by ticket id.
+        std::vector<std::uint64_t> refused; ///< Tickets that admission rejected and whose callbacks are due.
         leadership::LeaderRecord leadership;
         std::optional<PromotionClaim> claim; ///< Latest claim of an upstream that was ordered to become leader.
         freshness::SampleWindow samples;
         std::map<std::string, freshness::ReplicaLag, std::less<>> lags; ///< Keyed by upstream id.
-        std::array<admission::QueueState, 2> lanes; ///< Index 0: statements for any upstream; index 1: statements for the leader.
         admission::ServiceTimes work;
         std::optional<Time> lastUsedAt; ///< When a statement last asked for a link.
         std::optional<Time> leaderlessSince; ///< Set while no leader is usable.
@@ -197,15 +206,17 @@
     void cancel(Service& service, std::uint64_t ticketId) noexcept;
     void scheduleQueueProcessing(Service& service);
     void processQueue(Service& service);
-    void serve(Service& service, Waiter& waiter);
+    void refuse(Service& service, std::uint64_t ticketId, std::string_view reason);
+    [[nodiscard]] Served serve(Service& service, Waiter& waiter);
+    [[nodiscard]] Served serveWhileOpening(Service& service, Waiter& waiter);
     [[nodiscard]] bool mustCheckLeader(Service& service);
     [[nodiscard]] placement::Choice chooseFor(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates);
     [[nodiscard]] static bool needsAnotherOpening(const Service& service, std::string_view organisation);
-    static void countAsWaiting(Service& service, Waiter& waiter);
-    void grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
+    [[nodiscard]] Served countAsWaiting(Service& service, const Waiter& waiter, std::span<const placement::Candidate> candidates);
+    [[nodiscard]] Served grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
     [[nodiscard]] bool isDrained(std::string_view upstream) const;
     void completeWaiter(Service& service, std::uint64_t ticketId, tl::expected<AcquiredLink, Refusal> result);
-    void removeWaiter(Service& service, std::list<Waiter>::iterator waiter) noexcept;
+    static void removeWaiter(Service& service, std::uint64_t ticketId) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const LinkRequirements& requirements);
     [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
     [[nodiscard]] placement::ConnectionShare shareOf(const catalog::UpstreamEntry& entry) const;
