Give credit for minimum shares across both lanes

Cause: the leader lane gets little of what is granted, so its late statements starved behind those for any upstream; and the dispatcher gave no expected work to the queue, which counted each statement as a millisecond.

Change: what is granted in one lane gives credit in both; late statements keep 2 % in place of 5 %; expectTimes() gives work and service time.

--- a/src/amaranthhall/admission/service_times.cpp
+++ b/src/amaranthhall/admission/service_times.cpp
@@ -30,12 +30,12 @@
     return isReliable ? std::chrono::duration<double>(classAverage.mean) / std::chrono::duration<double>(times.all.mean) : 1;
 }
 
-Duration expectedServiceTime(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept
+ExpectedTimes expectTimes(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept
 {
     const auto& classAverage = times.byClass[indexOf(statementClass)];
     if (classAverage.samples < minimumSamples)
-        return latency;
-    return classAverage.mean + std::max(Duration::zero(), latency - times.all.mean);
+        return { .work = latency, .serviceTime = latency };
+    return { .work = classAverage.mean, .serviceTime = classAverage.mean + std::max(Duration::zero(), latency - times.all.mean) };
 }
 
 }
--- a/src/amaranthhall/admission/service_times.hpp
+++ b/src/amaranthhall/admission/service_times.hpp
@@ -47,10 +47,13 @@
  */
 [[nodiscard]] double relativeCost(const ServiceTimes& times, const StatementClass& statementClass) noexcept;
 
-/**
- * @brief Returns how long a statement is expected to take at an upstream: the average of its class, and the excess of the current latency over the average of all.
- * @param latency Current latency of the upstream, over all statements.
- */
-[[nodiscard]] Duration expectedServiceTime(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept;
+/// @brief How long a statement is expected to take.
+struct ExpectedTimes {
+    Duration work { 0 }; ///< At an uncongested upstream: the average of its class, or the current latency while that is unknown.
+    Duration serviceTime { 0 }; ///< At the current latency: the work, and the excess of the latency over the average of all statements.
+};
+
+/// @brief Returns how long a statement of a class is expected to take at an upstream with a certain latency, over all statements.
+[[nodiscard]] ExpectedTimes expectTimes(const ServiceTimes& times, const StatementClass& statementClass, Duration latency) noexcept;
 
 }
--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -10,8 +10,8 @@
 
     using namespace std::chrono_literals;
 
-    constexpr double minimumClassShare = 0.05; // of the work granted in a lane, for each class that waits
-    constexpr double minimumLateShare = 0.05;
+    constexpr double minimumClassShare = 0.05; // of the work granted in both lanes, for each class that waits
+    constexpr double minimumLateShare = 0.02; // late answers have a fraction of the value
     constexpr int lateMargin = 2; // a late statement waits only if it can be served in half of the time it has, as more urgent ones may arrive
     constexpr double maximumCredit = 0.25; // seconds of work; limits what a class may claim at once after a wait
     constexpr double minimumWork = 0.001; // seconds; a statement never counts as free
@@ -392,13 +392,20 @@
     ++speed.samples;
     speed.lastSampleAt = now;
     lane.servedAt = now;
-    for (auto& state : lane.classes) {
-        if (!state.onTime.all.empty() || !state.late.all.empty())
-            state.credit = std::min(maximumCredit, state.credit + minimumClassShare * entry.work);
+    // Statements of both lanes use the same slots, so what is granted in one gives credit in both.
+    for (auto& other : this->lanes) {
+        if (other.count == 0)
+            continue;
+        other.lateCredit = std::min(maximumCredit, other.lateCredit + minimumLateShare * entry.work);
+        for (auto& state : other.classes) {
+            if (!state.onTime.all.empty() || !state.late.all.empty())
+                state.credit = std::min(maximumCredit, state.credit + minimumClassShare * entry.work);
+        }
     }
     auto& own = lane.classes[entry.classIndex];
     own.credit = std::max(0.0, own.credit - entry.work);
-    lane.lateCredit = entry.isLate ? std::max(0.0, lane.lateCredit - entry.work) : std::min(maximumCredit, lane.lateCredit + minimumLateShare * entry.work);
+    if (entry.isLate)
+        lane.lateCredit = std::max(0.0, lane.lateCredit - entry.work);
 }
 
 void WaitQueue::insert(const Entry& entry)
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -173,7 +173,8 @@
     const bool isFirst = !std::exchange(service.lastUsedAt, this->loop.now());
     if (isFirst && service.pools.empty())
         this->onCatalogChanged();
-    const auto expected = requirements.requiredUpstream.empty() ? admission::expectedServiceTime(service.work, requirements.kind, this->latencyFor(service, requirements)) : Duration::zero();
+    // A status query is sent whatever the latency is.
+    const auto expected = requirements.requiredUpstream.empty() ? admission::expectTimes(service.work, requirements.kind, this->latencyFor(service, requirements)) : admission::ExpectedTimes {};
     const auto flow = flowOf(requirements);
     const admission::WaitingStatement statement {
         .id = ticketId,
@@ -183,7 +184,8 @@
         .flow = flow,
         .target = requirements.target,
         .deadline = requirements.deadline,
-        .expectedServiceTime = expected,
+        .expectedServiceTime = expected.serviceTime,
+        .work = expected.work,
         .attempt = static_cast<unsigned>(requirements.tried.size()),
         .needsLeader = requirements.needsLeader,
     };
--- a/test/admission/test_waiting_load.cpp
+++ b/test/admission/test_waiting_load.cpp
@@ -40,7 +40,7 @@
 
 std::vector<Outcome> sum(Site site, const MakeOrder& order)
 {
-    constexpr unsigned runs = 4;
+    constexpr unsigned runs = 8;
     std::vector<Outcome> total(site.routes.size());
     for (; site.seed <= runs; ++site.seed) {
         const auto outcomes = run(site, order);
--- a/test/admission/waiting_load.cpp
+++ b/test/admission/waiting_load.cpp
@@ -231,8 +231,9 @@
             auto& daemon = this->daemons[attempt.daemon];
             const auto best = attempt.waiting.needsLeader ? daemon.health.begin() : std::min_element(daemon.health.begin(), daemon.health.end(), [](const auto& left, const auto& right) { return left.latency < right.latency; });
             attempt.waiting.attempt = attempt.tried;
-            attempt.waiting.expectedServiceTime = expectedServiceTime(daemon.times, attempt.waiting.kind, best->latency);
-            attempt.waiting.work = expectedServiceTime(daemon.times, attempt.waiting.kind, std::min<Duration>(best->latency, daemon.times.all.mean));
+            const auto expected = expectTimes(daemon.times, attempt.waiting.kind, best->latency);
+            attempt.waiting.expectedServiceTime = expected.serviceTime;
+            attempt.waiting.work = expected.work;
             if (!daemon.order->push(attempt.waiting, relativeCost(daemon.times, attempt.waiting.kind), this->now)) {
                 this->refuse(attempt);
                 return;
