--- a/src/amaranthhall/engine/dispatcher_reads.cpp
+++ b/src/amaranthhall/engine/dispatcher_reads.cpp
@@ -24,6 +24,21 @@
     return holdsAt ? std::optional<Duration>(std::chrono::microseconds(*holdsAt - now)) : std::nullopt;
 }
 
+/// Returns a text that is equal for reads that the same replicas are not expected to serve yet, so that a read that waits for one of these delays no other.
+std::string Dispatcher::replicasBehind(Service& service, const LinkRequirements& requirements)
+{
+    std::string behind;
+    if (!requirements.after || requirements.needsLeader)
+        return behind;
+    const auto reachedAt = service.samples.reachedAt(*requirements.after);
+    for (const auto& pool : service.pools) {
+        const auto holdsIn = replicaHoldsIn(service, pool->entry().id, *requirements.after, reachedAt);
+        const bool isBehind = !holdsIn || *holdsIn > Duration::zero();
+        behind.append(1, isBehind ? 'b' : 'h');
+    }
+    return behind;
+}
+
 placement::Choice Dispatcher::chooseForRead(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates)
 {
     const auto now = this->loop.now();
