quota: an owner grants the fraction of a limit that its voters support

An owner that was cut off went on granting while its successor in the other part of the fleet granted the whole limit too, and neither learned of the other afterwards.

Each organisation has up to five voters, the daemons that rank first for it, including those lost within the last ten minutes. An owner renews leases of 500 ms every 120 ms; a voter supports one owner at a time. An owner accrues and keeps the fraction of the limit that its votes allow (1 with two thirds of them, 0 with one third, linear in between), so the fractions of all owners add up to one limit at most, whatever the partition looks like. Leases pass on with a bucket that is handed over. Of two owners, the one with fewer votes yields. The initial tokens of an owner without its predecessor's bucket need most of the voters, which allow one start per quarter of a window: four in a window, for which the room provides. A holder whose owner has no votes does as if it reached none. Lease messages extend ReleaseRequest and Release: the previous build replies to them as before, which counts as a vote.

--- a/src/amaranthhall/quota/io/quota_holder.cpp
+++ b/src/amaranthhall/quota/io/quota_holder.cpp
@@ -88,7 +88,7 @@
 
 bool QuotaHolder::admitIsolated(Account& account)
 {
-    const auto room = divideRoom(account.limit, this->bound, this->environment.daemons());
+    const auto room = divideRoom(account.limit, this->bound, this->transport.daemons());
     const bool isAdmitted = takeIsolated(account.held, room, this->bound, this->transport.now());
     if (isAdmitted)
         this->isolatedAdmissions.Increment();
@@ -102,6 +102,7 @@
         .instance = this->instance,
         .limit = account.limit,
         .configurationVersion = this->environment.configurationVersion(),
+        .daemons = static_cast<std::uint32_t>(this->transport.daemons()),
     };
     this->requests.Increment();
     account.targets = 0;
@@ -137,7 +138,7 @@
 {
     auto target = account.targets++ < maximumTargets ? this->chooseTarget(account) : std::nullopt;
     if (!target) {
-        this->becomeIsolated(account);
+        this->becomeIsolated(account, "no owner replied");
         return;
     }
     account.target = *std::move(target);
@@ -165,13 +166,17 @@
     this->askNextTarget(account);
 }
 
-/// Serves what waits from this daemon's part of the room, because no owner replies.
-void QuotaHolder::becomeIsolated(Account& account)
+/// Serves what waits from this daemon's part of the room, because no owner replies or the owner has no support.
+void QuotaHolder::becomeIsolated(Account& account, std::string_view reason)
 {
     account.timer.reset();
     account.held.isAsking = false;
-    account.isolatedUntil = this->transport.now() + isolationPause;
-    logEvent(LogLevel::Warning, "quota.isolated", { { "organisation", account.organisation } });
+    const auto now = this->transport.now();
+    account.isolatedUntil = now + isolationPause;
+    if (now - account.isolationLoggedAt >= logInterval) {
+        account.isolationLoggedAt = now;
+        logEvent(LogLevel::Warning, "quota.isolated", { { "organisation", account.organisation }, { "reason", reason } });
+    }
     for (const auto& waiter : std::exchange(account.waiters, {}))
         this->finish(account, this->admitIsolated(account), waiter.done);
 }
@@ -193,6 +198,11 @@
     }
     account.timer.reset();
     applyGrant(account.held, content.grant);
+    if (content.grant.isUnsupported) {
+        account.held.refusedUntil = {};
+        this->becomeIsolated(account, "the owner has too few votes");
+        return;
+    }
     this->serveWaiters(account, content.grant.tokens == 0);
 }
 
--- a/src/amaranthhall/quota/io/quota_holder.hpp
+++ b/src/amaranthhall/quota/io/quota_holder.hpp
@@ -22,7 +22,6 @@
     /// @brief State of this daemon that requests carry.
     struct Environment {
         std::function<std::uint64_t()> configurationVersion;
-        std::function<std::size_t()> daemons; ///< Size of the fleet.
     };
 
     QuotaHolder(kernel::Loop& loop, Transport& transport, WindowBound bound, Environment environment, telemetry::Metrics& metrics);
@@ -59,13 +58,14 @@
         kernel::Registration timer;
         Time isolatedUntil; ///< No owner replied; none is asked before.
         Time loggedAt; ///< When a refusal was last logged.
+        Time isolationLoggedAt;
     };
 
     void ask(Account& account);
     void sendRequest(Account& account);
     void onTimeout(Account& account);
     void askNextTarget(Account& account);
-    void becomeIsolated(Account& account);
+    void becomeIsolated(Account& account, std::string_view reason);
     void serveWaiters(Account& account, bool isRefused);
     void finish(Account& account, bool isAdmitted, const engine::OperationLimiter::Done& done);
     [[nodiscard]] bool admitIsolated(Account& account);
--- a/src/amaranthhall/quota/io/quota_owner.cpp
+++ b/src/amaranthhall/quota/io/quota_owner.cpp
@@ -19,6 +19,9 @@
     constexpr Duration adoptionRepeatDelay = 10ms;
     constexpr Duration adoptionTimeout = 45ms; // several repetitions, as a bucket that is adopted without its predecessor's state is paid from the room
     constexpr Duration unusedTimeout = 60s;
+    constexpr Duration confirmationRepeatDelay = 8ms;
+    constexpr Duration youngProcess = 10s; // within it a daemon may not know all others yet, and believes the holders as to the size of the fleet
+    constexpr Duration logInterval = 1s; // of changes of one organisation's support
 
 }
 
@@ -31,6 +34,11 @@
     , startedBuckets(metrics.counter("amaranthhall_quota_buckets_started_total", "Limits taken over without the state of the previous owner"))
     , adoptedBuckets(metrics.counter("amaranthhall_quota_buckets_adopted_total", "Limits taken over with the state of the previous owner"))
     , lastRelease(kernel::randomSeed())
+    , leaseRequests(metrics.counter("amaranthhall_quota_lease_requests_total", "Requests to the voters of organisations that this daemon owns"))
+    , refusedLeases(metrics.counter("amaranthhall_quota_leases_refused_total", "Leases that this daemon refused because it supports another owner"))
+    , unsupportedRequests(metrics.counter("amaranthhall_quota_unsupported_total", "Requests for tokens that this daemon as owner did not serve for lack of votes"))
+    , yieldedBuckets(metrics.counter("amaranthhall_quota_buckets_yielded_total", "Limits given up in favour of an owner with more votes"))
+    , startedAt(usedTransport.now())
 {
 }
 
@@ -81,12 +89,17 @@
     }
     if (ownership.state != OwnerState::Active && ownership.state != OwnerState::Adopting)
         this->adopt(entry, message.organisation, request.unreachable);
-    if (ownership.state == OwnerState::Adopting) {
+    entry.daemons = request.daemons;
+    if (ownership.state == OwnerState::Adopting || entry.isConfirming) {
         if (entry.pending.size() < maximumPending)
             entry.pending.push_back({ .message = message, .request = request });
         return;
     }
-    auto grant = grantTokens(ownership.owned, request.request, entry.limit, this->roomOf(entry), now);
+    refillSupported(ownership.owned.bucket, ownership.support, entry.limit, now);
+    const auto supported = scaleLimit(entry.limit, currentFraction(ownership.support, now));
+    auto grant = grantTokens(ownership.owned, request.request, supported, this->roomOf(entry), now);
+    if (grant.isUnsupported)
+        this->unsupportedRequests.Increment();
     this->grantedTokens.Increment(grant.tokens);
     this->reply(message, { .grant = grant });
 }
@@ -106,9 +119,10 @@
         if (std::find(unreachable.begin(), unreachable.end(), vm) == unreachable.end())
             add(vm);
     }
-    beginAdoption(entry.ownership, predecessors, this->roomOf(entry), this->transport.now());
+    beginAdoption(entry.ownership, predecessors, this->transport.now());
     if (entry.ownership.state == OwnerState::Active) {
         this->startedBuckets.Increment();
+        this->startLeases(entry, organisation);
         return;
     }
     this->continueAdoption(entry, organisation);
@@ -119,7 +133,7 @@
 {
     const auto now = this->transport.now();
     if (now - entry.ownership.changedAt >= adoptionTimeout) {
-        endAdoption(entry.ownership, entry.limit, this->roomOf(entry), now);
+        endAdoption(entry.ownership, entry.limit, now);
         this->flushPending(organisation);
         return;
     }
@@ -149,7 +163,7 @@
 void QuotaOwner::onReleaseRequest(const Message& message)
 {
     auto& entry = this->entries[message.organisation];
-    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->transport.now());
+    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .releasedBy = this->transport.self(), .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->transport.now());
     this->transport.send(message.replyTo, message.organisation, ReleaseMessage { .release = release });
     if (release.wasHeld)
         logEvent(LogLevel::Info, "quota.released", { { "organisation", message.organisation }, { "to", message.sender }, { "tokens", release.tokens } });
@@ -162,9 +176,13 @@
     const auto now = this->transport.now();
     if (applyUnaskedRelease(entry.ownership, message.sender, content.release, now)) {
         this->adoptedBuckets.Increment();
+        this->startLeases(entry, message.organisation);
         return;
     }
-    applyRelease(entry.ownership, message.sender, content.release, entry.limit, this->roomOf(entry), now);
+    const auto& voters = this->transport.voters(message.organisation);
+    if (std::find(voters.begin(), voters.end(), message.sender) != voters.end())
+        applyVoteWithoutLease(entry.ownership, message.sender, content.release, this->roomOf(entry), now);
+    applyRelease(entry.ownership, message.sender, content.release, entry.limit, now);
     this->flushPending(message.organisation);
 }
 
@@ -180,10 +198,115 @@
     if (isActive)
         (isAdopted ? this->adoptedBuckets : this->startedBuckets).Increment();
     logEvent(LogLevel::Info, "quota.owner", { { "organisation", organisation }, { "active", isActive }, { "adopted", isAdopted }, { "tokens", entry.ownership.owned.bucket.tokens }, { "limit_version", entry.limitVersion } });
+    if (isActive)
+        this->startLeases(entry, organisation);
+    else
+        this->servePending(entry);
+}
+
+void QuotaOwner::servePending(Entry& entry)
+{
     for (const auto& pending : std::exchange(entry.pending, {}))
         this->onGrantRequest(pending.message, pending.request);
 }
 
+/// Asks the voters for the first leases; requests wait until they have replied, as without their leases the bucket counts as empty.
+void QuotaOwner::startLeases(Entry& entry, const std::string& organisation)
+{
+    entry.isConfirming = true;
+    entry.wasSupported = true;
+    this->renewLeases(entry, organisation);
+}
+
+void QuotaOwner::endConfirmation(Entry& entry)
+{
+    entry.isConfirming = false;
+    this->servePending(entry);
+}
+
+std::size_t QuotaOwner::countVoters(const Entry& entry) const
+{
+    const bool isYoung = this->transport.now() - this->startedAt < youngProcess;
+    const auto daemons = std::max<std::size_t>(this->transport.daemons(), isYoung ? entry.daemons : 0);
+    return std::min(maximumVoters, daemons);
+}
+
+void QuotaOwner::askVoters(Entry& entry, const std::string& organisation)
+{
+    auto& ownership = entry.ownership;
+    const auto now = this->transport.now();
+    const auto& voters = this->transport.voters(organisation);
+    setVoters(ownership.support, voters, this->countVoters(entry));
+    ownership.askedVotersAt = now;
+    const LeaseRequestMessage request { .request = leaseRequest(ownership, now) };
+    for (const auto& vm : voters) {
+        const auto address = this->transport.addressOf(vm);
+        if (!address)
+            continue;
+        this->leaseRequests.Increment();
+        this->transport.send(*address, organisation, request);
+    }
+}
+
+void QuotaOwner::renewLeases(Entry& entry, const std::string& organisation)
+{
+    auto& ownership = entry.ownership;
+    const auto now = this->transport.now();
+    if (ownership.state != OwnerState::Active) {
+        entry.leaseTimer.reset();
+        this->endConfirmation(entry);
+        return;
+    }
+    if (entry.isConfirming && now - ownership.changedAt >= confirmationTime)
+        this->endConfirmation(entry);
+    if (const auto rival = rivalToYieldTo(ownership, this->transport.self(), now)) {
+        logEvent(LogLevel::Info, "quota.yielded", { { "organisation", organisation }, { "to", *rival }, { "fraction", currentFraction(ownership.support, now) } });
+        this->yieldedBuckets.Increment();
+        yieldBucket(ownership, *rival, now);
+        entry.leaseTimer.reset();
+        return;
+    }
+    if (!entry.isConfirming)
+        this->logSupport(entry, organisation);
+    this->askVoters(entry, organisation);
+    entry.leaseTimer = this->loop.after(entry.isConfirming ? confirmationRepeatDelay : leaseRenewal, [this, &entry, organisation] { this->renewLeases(entry, organisation); });
+}
+
+/// Logs when an owner may no longer grant the whole limit, and when it may again.
+void QuotaOwner::logSupport(Entry& entry, const std::string& organisation)
+{
+    const auto now = this->transport.now();
+    const auto fraction = currentFraction(entry.ownership.support, now);
+    const bool isSupported = fraction >= 1;
+    if (isSupported == entry.wasSupported || now - entry.supportLoggedAt < logInterval)
+        return;
+    entry.wasSupported = isSupported;
+    entry.supportLoggedAt = now;
+    logEvent(isSupported ? LogLevel::Info : LogLevel::Warning, "quota.support", { { "organisation", organisation }, { "fraction", fraction }, { "voters", entry.ownership.support.voters } });
+}
+
+void QuotaOwner::onLeaseRequest(const Message& message, const LeaseRequestMessage& content)
+{
+    const auto now = this->transport.now();
+    auto& vote = this->votes[message.organisation];
+    vote.usedAt = now;
+    const auto reply = grantLease(vote.lease, message.sender, content.request, this->startedAt, this->bound.window, now);
+    if (!reply.isGranted)
+        this->refusedLeases.Increment();
+    this->transport.send(message.replyTo, message.organisation, LeaseMessage { .reply = reply });
+}
+
+void QuotaOwner::onLease(const Message& message, const LeaseMessage& content)
+{
+    const auto found = this->entries.find(message.organisation);
+    if (found == this->entries.end())
+        return;
+    auto& entry = found->second;
+    applyVote(entry.ownership, message.sender, content.reply, this->roomOf(entry), this->transport.now());
+    if (entry.isConfirming && haveAllReplied(entry.ownership.support))
+        this->endConfirmation(entry);
+}
+
 void QuotaOwner::handOver()
 {
     const auto now = this->transport.now();
@@ -193,7 +316,7 @@
         const auto address = next == ranking.end() ? std::nullopt : this->transport.addressOf(*next);
         if (entry.ownership.state != OwnerState::Active || !address)
             continue;
-        const auto release = releaseBucket(entry.ownership, { .vm = *next, .ranksFirst = true, .releaseNumber = ++this->lastRelease }, entry.limit, now);
+        const auto release = releaseBucket(entry.ownership, { .vm = *next, .releasedBy = this->transport.self(), .ranksFirst = true, .releaseNumber = ++this->lastRelease }, entry.limit, now);
         this->transport.send(*address, organisation, ReleaseMessage { .release = release });
     }
 }
@@ -214,6 +337,7 @@
         const auto usedAt = std::max(ownership.changedAt, ownership.owned.lastUsedAt);
         return ownership.state != OwnerState::Adopting && now - usedAt > unusedTimeout;
     });
+    std::erase_if(this->votes, [now](const auto& item) { return now - item.second.usedAt > unusedTimeout; });
 }
 
 }
--- a/src/amaranthhall/quota/io/quota_service.cpp
+++ b/src/amaranthhall/quota/io/quota_service.cpp
@@ -29,7 +29,6 @@
           usedLoop, *this, this->options.bound,
           {
               .configurationVersion = [&catalog] { return catalog.configuration() ? catalog.configuration()->version : 0; },
-              .daemons = [this] { return this->peers.size() + 1; },
           },
           metrics)
     , socket(usedLoop, this->options.listen, [this](auto bytes) { this->receive(bytes); })
@@ -69,6 +68,26 @@
     return ranked;
 }
 
+const std::vector<std::string>& QuotaService::voters(std::string_view organisation)
+{
+    this->updateElectorate();
+    if (std::exchange(this->rankedElectorate, this->electorate.version()) != this->electorate.version())
+        this->voterLists.clear();
+    const auto found = this->voterLists.find(organisation);
+    if (found != this->voterLists.end())
+        return found->second;
+    const Member self { .vm = this->options.vm, .cores = this->options.cores };
+    return this->voterLists.emplace(organisation, this->electorate.voters(organisation, self)).first->second;
+}
+
+void QuotaService::updateElectorate()
+{
+    if (this->electorateMembership == this->peers.membershipVersion())
+        return;
+    this->electorateMembership = this->peers.membershipVersion();
+    this->electorate.update(this->peers, this->loop.now());
+}
+
 std::optional<kernel::Address> QuotaService::addressOf(std::string_view vm) const
 {
     if (vm == this->options.vm)
@@ -115,6 +134,10 @@
         this->holder.onGrant(message, *grant);
     else if (const auto* release = std::get_if<ReleaseMessage>(&message.content))
         this->owner.onRelease(message, *release);
+    else if (const auto* leaseRequest = std::get_if<LeaseRequestMessage>(&message.content))
+        this->owner.onLeaseRequest(message, *leaseRequest);
+    else if (const auto* lease = std::get_if<LeaseMessage>(&message.content))
+        this->owner.onLease(message, *lease);
     else
         this->owner.onReleaseRequest(message);
 }
@@ -124,6 +147,8 @@
     const auto now = this->now();
     if (now - std::exchange(this->lastTickAt, now) > suspensionThreshold)
         this->owner.dropAll();
+    this->updateElectorate();
+    this->electorate.observe(this->peers, this->loop.now());
     this->owner.removeUnused();
     this->holder.removeUnused();
 }
--- a/src/amaranthhall/quota/io/quota_service.hpp
+++ b/src/amaranthhall/quota/io/quota_service.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/engine/operation_limiter.hpp"
 #include "amaranthhall/gossip/peer_registry.hpp"
 #include "amaranthhall/kernel/datagram_socket.hpp"
+#include "amaranthhall/quota/electorate.hpp"
 #include "amaranthhall/quota/io/quota_holder.hpp"
 #include "amaranthhall/quota/io/quota_owner.hpp"
 
@@ -41,10 +42,13 @@
     [[nodiscard]] const std::string& self() const noexcept override { return this->options.vm; }
     [[nodiscard]] const std::vector<std::string>& ranking(std::string_view organisation) override;
     [[nodiscard]] std::optional<kernel::Address> addressOf(std::string_view vm) const override;
+    [[nodiscard]] const std::vector<std::string>& voters(std::string_view organisation) override;
+    [[nodiscard]] std::size_t daemons() const noexcept override { return this->electorate.size() + 1; }
     void send(const kernel::Address& to, const std::string& organisation, Content content) override;
     [[nodiscard]] Time now() const noexcept override;
 
     [[nodiscard]] std::vector<std::string> rank(std::string_view organisation) const;
+    void updateElectorate();
     void receive(std::string_view bytes);
     void handle(const Message& message);
     void tick();
@@ -55,6 +59,10 @@
     bool isStopping { false };
     std::uint64_t rankedMembership { 0 }; ///< Membership version for which the rankings hold.
     std::map<std::string, std::vector<std::string>, std::less<>> rankings; ///< By organisation.
+    Electorate electorate;
+    std::uint64_t electorateMembership { 0 }; ///< Membership version that the electorate has seen.
+    std::uint64_t rankedElectorate { 0 }; ///< Version of the electorate for which the voters hold.
+    std::map<std::string, std::vector<std::string>, std::less<>> voterLists; ///< By organisation.
     QuotaOwner owner;
     QuotaHolder holder;
     kernel::DatagramSocket socket;
--- a/src/amaranthhall/quota/io/transport.hpp
+++ b/src/amaranthhall/quota/io/transport.hpp
@@ -23,6 +23,12 @@
     /// @brief Returns the daemons that may own an organisation's bucket, first the one that should; this daemon may be among them.
     [[nodiscard]] virtual const std::vector<std::string>& ranking(std::string_view organisation) = 0;
 
+    /// @brief Returns the daemons whose leases an organisation's owner needs, also those that have not been heard from lately; this daemon may be among them.
+    [[nodiscard]] virtual const std::vector<std::string>& voters(std::string_view organisation) = 0;
+
+    /// @brief Returns the number of daemons of the fleet, also of those that have not been heard from lately.
+    [[nodiscard]] virtual std::size_t daemons() const noexcept = 0;
+
     /// @brief Returns the address of a daemon; std::nullopt if it is not known.
     [[nodiscard]] virtual std::optional<kernel::Address> addressOf(std::string_view vm) const = 0;
 
--- a/src/amaranthhall/quota/messages.cpp
+++ b/src/amaranthhall/quota/messages.cpp
@@ -22,11 +22,14 @@
     using PackedAddress = std::tuple<std::string, std::uint16_t>;
     using PackedHeader = std::tuple<std::uint8_t, std::string, PackedAddress, std::string>;
     using PackedLimit = std::tuple<double, double>;
-    using PackedRequest = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::uint32_t, PackedLimit, std::uint64_t, std::vector<std::string>>;
-    using PackedGrant = std::tuple<std::uint64_t, std::uint32_t, std::int64_t, std::int64_t, std::string, PackedAddress>;
-    using PackedRelease = std::tuple<bool, double, bool, std::uint64_t>;
+    using PackedRequest = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::uint32_t, PackedLimit, std::uint64_t, std::vector<std::string>, std::uint32_t>;
+    using PackedGrant = std::tuple<std::uint64_t, std::uint32_t, std::int64_t, std::int64_t, std::string, PackedAddress, bool>;
+    using PackedLineage = std::vector<std::tuple<std::string, std::uint64_t>>;
+    using PackedRelease = std::tuple<bool, double, bool, std::uint64_t, PackedLineage>;
+    /// Time of sending, tenure, lineage, starting, granted, continued, may start, owner. Requests and replies without leases have 0 as the first.
+    using PackedLease = std::tuple<std::uint64_t, std::uint64_t, PackedLineage, bool, bool, bool, bool, std::string>;
     /// Each message has all parts; those that its type does not use are empty.
-    using PackedMessage = std::tuple<PackedHeader, PackedRequest, PackedGrant, PackedRelease>;
+    using PackedMessage = std::tuple<PackedHeader, PackedRequest, PackedGrant, PackedRelease, PackedLease>;
 
     std::int64_t toMicroseconds(Duration span)
     {
@@ -42,17 +45,34 @@
     PackedAddress packAddress(const kernel::Address& address) { return { address.host, address.port }; }
     kernel::Address unpackAddress(PackedAddress&& packed) { return { .host = std::move(std::get<0>(packed)), .port = std::get<1>(packed) }; }
 
+    PackedLineage packLineage(const std::vector<Tenure>& lineage)
+    {
+        PackedLineage packed;
+        for (const auto& tenure : lineage)
+            packed.emplace_back(tenure.owner, tenure.startedAt);
+        return packed;
+    }
+
+    std::vector<Tenure> unpackLineage(PackedLineage&& packed)
+    {
+        std::vector<Tenure> lineage;
+        packed.resize(std::min(packed.size(), maximumLineage));
+        for (auto& [owner, startedAt] : packed)
+            lineage.push_back({ .owner = std::move(owner), .startedAt = startedAt });
+        return lineage;
+    }
+
     MessageType fill(const GrantRequestMessage& message, PackedMessage& packed)
     {
         const auto& request = message.request;
-        std::get<PackedRequest>(packed) = { message.instance, request.sequence, request.wanted, request.returned, { message.limit.perSecond, message.limit.burst }, message.configurationVersion, message.unreachable };
+        std::get<PackedRequest>(packed) = { message.instance, request.sequence, request.wanted, request.returned, { message.limit.perSecond, message.limit.burst }, message.configurationVersion, message.unreachable, message.daemons };
         return MessageType::GrantRequest;
     }
 
     MessageType fill(const GrantMessage& message, PackedMessage& packed)
     {
         const auto& grant = message.grant;
-        std::get<PackedGrant>(packed) = { grant.sequence, grant.tokens, toMicroseconds(grant.lifetime), toMicroseconds(grant.retryAfter), message.redirectVm, packAddress(message.redirectAddress) };
+        std::get<PackedGrant>(packed) = { grant.sequence, grant.tokens, toMicroseconds(grant.lifetime), toMicroseconds(grant.retryAfter), message.redirectVm, packAddress(message.redirectAddress), grant.isUnsupported };
         return MessageType::Grant;
     }
 
@@ -60,13 +80,37 @@
 
     MessageType fill(const ReleaseMessage& message, PackedMessage& packed)
     {
-        std::get<PackedRelease>(packed) = { message.release.wasHeld, message.release.tokens, message.release.isClaimed, message.release.number };
+        std::get<PackedRelease>(packed) = { message.release.wasHeld, message.release.tokens, message.release.isClaimed, message.release.number, packLineage(message.release.lineage) };
+        return MessageType::Release;
+    }
+
+    MessageType fill(const LeaseRequestMessage& message, PackedMessage& packed)
+    {
+        const auto& request = message.request;
+        std::get<PackedLease>(packed) = { request.sentAt, request.tenure, packLineage(request.lineage), request.isStarting, false, false, false, {} };
+        return MessageType::ReleaseRequest;
+    }
+
+    MessageType fill(const LeaseMessage& message, PackedMessage& packed)
+    {
+        const auto& reply = message.reply;
+        std::get<PackedLease>(packed) = { reply.sentAt, 0, {}, false, reply.isGranted, reply.isContinued, reply.mayStart, reply.owner };
         return MessageType::Release;
     }
 
+    LeaseRequestMessage unpackLeaseRequest(PackedLease&& packed)
+    {
+        return { .request = { .sentAt = std::get<0>(packed), .tenure = std::get<1>(packed), .lineage = unpackLineage(std::move(std::get<2>(packed))), .isStarting = std::get<3>(packed) } };
+    }
+
+    LeaseMessage unpackLease(PackedLease&& packed)
+    {
+        return { .reply = { .sentAt = std::get<0>(packed), .isGranted = std::get<4>(packed), .isContinued = std::get<5>(packed), .mayStart = std::get<6>(packed), .owner = std::move(std::get<7>(packed)) } };
+    }
+
     std::optional<GrantRequestMessage> unpackRequest(PackedRequest&& packed)
     {
-        auto& [instance, sequence, wanted, returned, limit, version, unreachable] = packed;
+        auto& [instance, sequence, wanted, returned, limit, version, unreachable, daemons] = packed;
         const auto [perSecond, burst] = limit;
         if (!std::isfinite(perSecond) || !std::isfinite(burst) || perSecond < 0 || burst < 0)
             return std::nullopt;
@@ -75,31 +119,34 @@
             .instance = instance,
             .limit = { .perSecond = perSecond, .burst = burst },
             .configurationVersion = version,
+            .daemons = daemons,
             .unreachable = std::move(unreachable),
         };
     }
 
     GrantMessage unpackGrant(PackedGrant&& packed)
     {
-        auto& [sequence, tokens, lifetime, retryAfter, redirectVm, redirectAddress] = packed;
+        auto& [sequence, tokens, lifetime, retryAfter, redirectVm, redirectAddress, isUnsupported] = packed;
         return {
-            .grant = { .sequence = sequence, .tokens = tokens, .lifetime = fromMicroseconds(lifetime), .retryAfter = fromMicroseconds(retryAfter) },
+            .grant = { .sequence = sequence, .tokens = tokens, .lifetime = fromMicroseconds(lifetime), .retryAfter = fromMicroseconds(retryAfter), .isUnsupported = isUnsupported },
             .redirectVm = std::move(redirectVm),
             .redirectAddress = unpackAddress(std::move(redirectAddress)),
         };
     }
 
-    std::optional<ReleaseMessage> unpackRelease(const PackedRelease& packed)
+    std::optional<ReleaseMessage> unpackRelease(PackedRelease&& packed)
     {
-        const auto [wasHeld, tokens, isClaimed, number] = packed;
+        auto& [wasHeld, tokens, isClaimed, number, lineage] = packed;
         if (!std::isfinite(tokens))
             return std::nullopt;
-        return ReleaseMessage { .release = { .wasHeld = wasHeld, .tokens = tokens, .isClaimed = isClaimed, .number = number } };
+        return ReleaseMessage { .release = { .wasHeld = wasHeld, .tokens = tokens, .lineage = unpackLineage(std::move(lineage)), .isClaimed = isClaimed, .number = number } };
     }
 
     /// Sets the content of a message; returns false if it is malformed.
     bool unpackContent(Message& message, MessageType type, PackedMessage&& packed)
     {
+        auto& lease = std::get<PackedLease>(packed);
+        const bool hasLease = std::get<0>(lease) != 0;
         switch (type) {
         case MessageType::GrantRequest: {
             auto request = unpackRequest(std::move(std::get<PackedRequest>(packed)));
@@ -118,13 +165,20 @@
             return true;
         }
         case MessageType::ReleaseRequest:
-            message.content = ReleaseRequestMessage {};
+            if (hasLease)
+                message.content = unpackLeaseRequest(std::move(lease));
+            else
+                message.content = ReleaseRequestMessage {};
             return true;
         case MessageType::Release: {
-            const auto release = unpackRelease(std::get<PackedRelease>(packed));
+            if (hasLease) {
+                message.content = unpackLease(std::move(lease));
+                return true;
+            }
+            auto release = unpackRelease(std::move(std::get<PackedRelease>(packed)));
             if (!release)
                 return false;
-            message.content = *release;
+            message.content = *std::move(release);
             return true;
         }
         }
--- a/src/amaranthhall/quota/messages.hpp
+++ b/src/amaranthhall/quota/messages.hpp
@@ -19,6 +19,7 @@
     std::uint64_t instance { 0 }; ///< Random number of the asking process.
     catalog::OperationLimit limit; ///< By the holder's configuration.
     std::uint64_t configurationVersion { 0 }; ///< Of the holder; the newer of the two configurations decides on the limit.
+    std::uint32_t daemons { 0 }; ///< Size of the fleet as the holder knows it; 0 from a daemon of a build that does not tell.
     std::vector<std::string> unreachable; ///< Daemons that rank before the receiver and did not reply to the holder.
 };
 
@@ -37,8 +38,18 @@
     Release release;
 };
 
+/// @brief Asks a voter for its lease. A daemon of a build without leases takes it for a ReleaseRequestMessage, and its reply counts as a granted lease.
+struct LeaseRequestMessage {
+    LeaseRequest request;
+};
+
+/// @brief Replies to a LeaseRequestMessage.
+struct LeaseMessage {
+    LeaseReply reply;
+};
+
 /// @brief What a message says.
-using Content = std::variant<GrantRequestMessage, GrantMessage, ReleaseRequestMessage, ReleaseMessage>;
+using Content = std::variant<GrantRequestMessage, GrantMessage, ReleaseRequestMessage, ReleaseMessage, LeaseRequestMessage, LeaseMessage>;
 
 /// @brief A datagram about the bucket of one organisation.
 struct Message {
--- a/src/amaranthhall/quota/owner.cpp
+++ b/src/amaranthhall/quota/owner.cpp
@@ -15,12 +15,12 @@
         owned.bucket.tokens = std::min(limit.burst, owned.bucket.tokens + std::min(request.returned, last.tokens));
     }
 
-    std::uint32_t countGranted(const Bucket& bucket, const GrantRequest& request, const catalog::OperationLimit& limit)
+    std::uint32_t countGranted(const OwnedBucket& owned, const GrantRequest& request, const catalog::OperationLimit& limit)
     {
-        const auto available = std::floor(bucket.tokens);
+        const auto available = std::floor(owned.bucket.tokens + owned.startTokens);
         if (available < 1)
             return 0;
-        const bool isScarce = bucket.tokens < limit.burst * scarceFraction;
+        const bool isScarce = owned.bucket.tokens < limit.burst * scarceFraction;
         const auto most = isScarce ? 1.0 : available;
         return static_cast<std::uint32_t>(std::min<double>(std::max(1U, request.wanted), most));
     }
@@ -38,10 +38,13 @@
     if (request.sequence < last.sequence)
         return { .sequence = request.sequence };
     creditReturned(owned, last, request, limit);
-    last = { .sequence = request.sequence, .tokens = countGranted(owned.bucket, request, limit), .lifetime = room.grantLifetime };
-    owned.bucket.tokens -= last.tokens;
+    last = { .sequence = request.sequence, .tokens = countGranted(owned, request, limit), .lifetime = room.grantLifetime };
+    const auto fromStart = std::min<double>(owned.startTokens, last.tokens);
+    owned.startTokens -= fromStart;
+    owned.bucket.tokens -= last.tokens - fromStart;
     if (last.tokens == 0)
         last.retryAfter = timeUntil(owned.bucket, limit, 1);
+    last.isUnsupported = last.tokens == 0 && limit.perSecond <= 0;
     return last;
 }
 
@@ -50,9 +53,9 @@
     std::erase_if(owned.lastGrants, [now](const auto& item) { return now - item.second.at > holderMemory; });
 }
 
-OwnedBucket startBucket(const Room& room, Time now)
+OwnedBucket startBucket(Time now)
 {
-    return { .bucket = { .tokens = room.initialTokens, .refilledAt = now }, .lastUsedAt = now };
+    return { .bucket = { .refilledAt = now }, .lastUsedAt = now };
 }
 
 OwnedBucket adoptBucket(double tokens, const catalog::OperationLimit& limit, Time now)
--- a/src/amaranthhall/quota/owner.hpp
+++ b/src/amaranthhall/quota/owner.hpp
@@ -25,6 +25,7 @@
     std::uint32_t tokens { 0 }; ///< 0 if the organisation has reached its limit.
     Duration lifetime { 0 }; ///< Time from the arrival of the request after which the tokens must not be used.
     Duration retryAfter { 0 }; ///< If there are no tokens: when the bucket will have one.
+    bool isUnsupported { false }; ///< The owner may not grant, because too few daemons support it; the holder does as if it reached no owner.
 };
 
 /// @brief The last grant of a holder.
@@ -36,6 +37,7 @@
 /// @brief The bucket of an organisation at its owner, and the last grant of each holder.
 struct OwnedBucket {
     Bucket bucket;
+    double startTokens { 0 }; ///< Initial tokens of an owner that started without the bucket of its predecessor; they do not depend on its support.
     std::map<std::string, LastGrant, std::less<>> lastGrants; ///< By holder.
     Time lastUsedAt;
 };
@@ -54,8 +56,8 @@
 /// @brief Removes the holders that have asked for nothing for holderMemory.
 void forgetIdleHolders(OwnedBucket& owned, Time now);
 
-/// @brief Returns the bucket of an owner that starts without the bucket of its predecessor.
-[[nodiscard]] OwnedBucket startBucket(const Room& room, Time now);
+/// @brief Returns the bucket of an owner that starts without the bucket of its predecessor; it is empty until the voters allow the initial tokens.
+[[nodiscard]] OwnedBucket startBucket(Time now);
 
 /// @brief Returns the bucket of an owner that received the tokens of its predecessor.
 [[nodiscard]] OwnedBucket adoptBucket(double tokens, const catalog::OperationLimit& limit, Time now);
--- a/src/amaranthhall/quota/ownership.cpp
+++ b/src/amaranthhall/quota/ownership.cpp
@@ -16,10 +16,17 @@
         ownership.awaited.clear();
     }
 
+    std::uint64_t toMicroseconds(Time at)
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count());
+    }
+
     void activate(Ownership& ownership, OwnedBucket owned, Time now)
     {
         enter(ownership, OwnerState::Active, now);
         ownership.owned = std::move(owned);
+        ownership.support = Support();
+        ownership.isStarting = !ownership.adoptedTokens;
     }
 
     void release(Ownership& ownership, const Successor& successor, double tokens, Time now)
@@ -31,6 +38,16 @@
         ownership.releaseNumber = successor.releaseNumber;
     }
 
+    /// Returns the lineage of a bucket whose present tenure ends.
+    std::vector<Tenure> extendedLineage(const Ownership& ownership, std::string_view owner)
+    {
+        auto lineage = ownership.lineage;
+        lineage.push_back({ .owner = std::string(owner), .startedAt = toMicroseconds(ownership.changedAt) });
+        if (lineage.size() > maximumLineage)
+            lineage.erase(lineage.begin());
+        return lineage;
+    }
+
     /// Records a release; returns false if it was received before.
     bool noteRelease(Ownership& ownership, const Release& release)
     {
@@ -47,11 +64,12 @@
 
 }
 
-void beginAdoption(Ownership& ownership, const std::vector<std::string>& predecessors, const Room& room, Time now)
+void beginAdoption(Ownership& ownership, const std::vector<std::string>& predecessors, Time now)
 {
     ownership.adoptedTokens.reset();
+    ownership.lineage.clear();
     if (predecessors.empty()) {
-        activate(ownership, startBucket(room, now), now);
+        activate(ownership, startBucket(now), now);
         return;
     }
     enter(ownership, OwnerState::Adopting, now);
@@ -59,7 +77,7 @@
     ownership.asked = ownership.awaited;
 }
 
-void applyRelease(Ownership& ownership, std::string_view predecessor, const Release& reply, const catalog::OperationLimit& limit, const Room& room, Time now)
+void applyRelease(Ownership& ownership, std::string_view predecessor, const Release& reply, const catalog::OperationLimit& limit, Time now)
 {
     if (ownership.state != OwnerState::Adopting || ownership.awaited.erase(std::string(predecessor)) == 0)
         return;
@@ -69,10 +87,12 @@
         return;
     }
     const bool isHandedOver = reply.wasHeld && noteRelease(ownership, reply); // its tokens are spent already if it was received before
-    if (isHandedOver)
+    if (isHandedOver) {
         ownership.adoptedTokens = reply.tokens;
+        ownership.lineage = reply.lineage;
+    }
     if (isHandedOver || ownership.awaited.empty())
-        endAdoption(ownership, limit, room, now);
+        endAdoption(ownership, limit, now);
 }
 
 bool applyUnaskedRelease(Ownership& ownership, std::string_view sender, const Release& release, Time now)
@@ -82,30 +102,83 @@
     const bool mayBeReply = release.number == 0 && ownership.asked.contains(std::string(sender)) && now - ownership.askedAt < releaseRepeatTime;
     if (isOwner || mayBeReply || !release.wasHeld || !noteRelease(ownership, release))
         return false;
+    ownership.adoptedTokens = release.tokens;
+    ownership.lineage = release.lineage;
     // The limit arrives with the first request.
     activate(ownership, { .bucket = { .tokens = release.tokens, .refilledAt = now }, .lastUsedAt = now }, now);
-    ownership.adoptedTokens = release.tokens;
     return true;
 }
 
-void endAdoption(Ownership& ownership, const catalog::OperationLimit& limit, const Room& room, Time now)
+void endAdoption(Ownership& ownership, const catalog::OperationLimit& limit, Time now)
 {
     if (ownership.state != OwnerState::Adopting)
         return;
     const auto adopted = ownership.adoptedTokens;
     ownership.askedAt = now;
-    activate(ownership, adopted ? adoptBucket(*adopted, limit, now) : startBucket(room, now), now);
+    activate(ownership, adopted ? adoptBucket(*adopted, limit, now) : startBucket(now), now);
+}
+
+LeaseRequest leaseRequest(const Ownership& ownership, Time now)
+{
+    return {
+        .sentAt = toMicroseconds(now),
+        .tenure = toMicroseconds(ownership.changedAt),
+        .lineage = ownership.lineage,
+        .isStarting = ownership.isStarting,
+    };
+}
+
+void applyVote(Ownership& ownership, std::string_view voter, const LeaseReply& reply, const Room& room, Time now)
+{
+    const Time sentAt { std::chrono::microseconds(reply.sentAt) };
+    const bool isCurrent = ownership.state == OwnerState::Active && sentAt >= ownership.changedAt && sentAt <= now;
+    if (!isCurrent)
+        return;
+    applyLease(ownership.support, voter, reply, ownership.changedAt, sentAt, now);
+    if (!ownership.isStarting || !mayStart(ownership.support))
+        return;
+    ownership.isStarting = false;
+    ownership.owned.startTokens = room.initialTokens;
+}
+
+void applyVoteWithoutLease(Ownership& ownership, std::string_view voter, const Release& reply, const Room& room, Time now)
+{
+    if (ownership.state != OwnerState::Active || ownership.askedVotersAt < ownership.changedAt)
+        return;
+    // The voter was an owner too; the bucket with fewer tokens applies. A repetition of an earlier release has been applied already.
+    const bool wasOwner = reply.wasHeld && !(ownership.asked.contains(std::string(voter)) && now - ownership.askedAt < releaseRepeatTime);
+    if (wasOwner && noteRelease(ownership, reply))
+        ownership.owned.bucket.tokens = std::min(ownership.owned.bucket.tokens, std::max(0.0, reply.tokens));
+    const auto request = leaseRequest(ownership, ownership.askedVotersAt);
+    applyVote(ownership, voter, { .sentAt = request.sentAt, .isGranted = true, .isContinued = true, .mayStart = true }, room, now);
+}
+
+void yieldBucket(Ownership& ownership, const std::string& rival, Time now)
+{
+    release(ownership, { .vm = rival }, 0, now);
+}
+
+std::optional<std::string> rivalToYieldTo(const Ownership& ownership, std::string_view self, Time now)
+{
+    // Voters still name an owner that was killed until its leases have ended.
+    const bool isSettled = now - ownership.changedAt >= leaseTime + 2 * leaseRenewal;
+    if (ownership.state != OwnerState::Active || !isSettled)
+        return std::nullopt;
+    return strongerRival(ownership.support, self, now);
 }
 
 Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, Time now)
 {
     const bool isRepeated = ownership.state == OwnerState::Released && ownership.successor == successor.vm && now - ownership.changedAt < releaseRepeatTime;
     if (isRepeated)
-        return { .wasHeld = true, .tokens = ownership.releasedTokens, .number = ownership.releaseNumber };
+        return { .wasHeld = true, .tokens = ownership.releasedTokens, .lineage = ownership.releasedLineage, .number = ownership.releaseNumber };
     Release reply;
     if (ownership.state == OwnerState::Active) {
-        refill(ownership.owned.bucket, limit, now);
-        reply = { .wasHeld = true, .tokens = ownership.owned.bucket.tokens, .number = successor.releaseNumber };
+        const bool isConfirming = now - ownership.changedAt < confirmationTime; // the tokens that were handed over count without votes
+        if (!isConfirming)
+            refillSupported(ownership.owned.bucket, ownership.support, limit, now);
+        reply = { .wasHeld = true, .tokens = ownership.owned.bucket.tokens, .lineage = extendedLineage(ownership, successor.releasedBy), .number = successor.releaseNumber };
+        ownership.releasedLineage = reply.lineage;
     } else if (ownership.state == OwnerState::Adopting && !successor.ranksFirst)
         return { .isClaimed = true };
     else if (ownership.state != OwnerState::Adopting)
--- a/test/quota/test_messages.cpp
+++ b/test/quota/test_messages.cpp
@@ -1,3 +1,4 @@
+#include "amaranthhall/packing/packing.hpp"
 #include "amaranthhall/quota/messages.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -36,10 +37,39 @@
     static_cast<void>(this->roundTrip(quota::ReleaseRequestMessage {}));
     const auto release = this->roundTrip(quota::ReleaseMessage { .release = { .wasHeld = true, .tokens = 2.5, .number = 99 } });
     LONGS_EQUAL(99, release.release.number);
+    const auto leaseRequest = this->roundTrip(quota::LeaseRequestMessage { .request = { .sentAt = 5, .tenure = 6, .lineage = { { .owner = "x", .startedAt = 7 } }, .isStarting = true } });
+    LONGS_EQUAL(6, leaseRequest.request.tenure);
+    CHECK(leaseRequest.request.lineage == std::vector<quota::Tenure>({ { .owner = "x", .startedAt = 7 } }));
+    CHECK_TRUE(leaseRequest.request.isStarting);
+    const auto lease = this->roundTrip(quota::LeaseMessage { .reply = { .sentAt = 5, .isContinued = true, .mayStart = true, .owner = "z" } });
+    CHECK_FALSE(lease.reply.isGranted);
+    CHECK_TRUE(lease.reply.isContinued && lease.reply.mayStart);
+    STRCMP_EQUAL("z", lease.reply.owner.c_str());
     CHECK_TRUE(release.release.wasHeld);
     DOUBLES_EQUAL(2.5, release.release.tokens, 0);
 }
 
+// Daemons of the build before leases run beside this one: each must read the other's messages.
+TEST(QuotaMessages, MessagesOfTheBuildWithoutLeasesAreRead)
+{
+    using Address = std::tuple<std::string, std::uint16_t>;
+    using Header = std::tuple<std::uint8_t, std::string, Address, std::string>;
+    using Request = std::tuple<std::uint64_t, std::uint64_t, std::uint32_t, std::uint32_t, std::tuple<double, double>, std::uint64_t, std::vector<std::string>>;
+    using Grant = std::tuple<std::uint64_t, std::uint32_t, std::int64_t, std::int64_t, std::string, Address>;
+    using Release = std::tuple<bool, double, bool>;
+    using Earlier = std::tuple<Header, Request, Grant, Release>;
+    const Earlier earlier { { 3, "vm", { "10.0.0.1", 7 }, "miny" }, {}, {}, { true, 2.5, false } };
+    const auto decoded = quota::decodeMessage(packing::pack(earlier));
+    CHECK_TRUE(decoded.has_value());
+    const auto& release = std::get<quota::ReleaseMessage>(decoded->content).release;
+    CHECK_TRUE(release.wasHeld);
+    LONGS_EQUAL(0, release.number);
+    const auto encoded = quota::encodeMessage({ .sender = "vm", .replyTo = { .host = "10.0.0.1", .port = 7 }, .organisation = "miny", .content = quota::LeaseRequestMessage { .request = { .sentAt = 5 } } });
+    const auto asEarlier = packing::unpack<Earlier>(encoded);
+    CHECK_TRUE(asEarlier.has_value());
+    LONGS_EQUAL(2, std::get<0>(std::get<0>(*asEarlier))); // a request to release the bucket
+}
+
 // A message is sent to the addresses that it receives; a daemon must not end because one of them is malformed.
 TEST(QuotaMessages, AMessageWithAMalformedAddressIsRejected)
 {
--- a/test/quota/test_owner.cpp
+++ b/test/quota/test_owner.cpp
@@ -110,19 +110,22 @@
 
 TEST(QuotaOwner, ABucketIsHandedOverWithItsTokens)
 {
-    quota::Ownership from { .state = OwnerState::Active, .owned = this->owned };
+    quota::Ownership from;
+    from.state = OwnerState::Active;
+    from.owned = this->owned;
     from.owned.bucket.tokens = 7;
+    from.support.votes["voter"] = { .until = this->now + 1s };
     quota::Ownership to;
-    quota::beginAdoption(to, { "from", "other" }, this->room, this->now);
+    quota::beginAdoption(to, { "from", "other" }, this->now);
     CHECK(to.state == OwnerState::Adopting);
-    quota::applyRelease(to, "other", {}, this->limit, this->room, this->now);
+    quota::applyRelease(to, "other", {}, this->limit, this->now);
     CHECK(to.state == OwnerState::Adopting);
     const auto release = quota::releaseBucket(from, { .vm = "to", .ranksFirst = true }, this->limit, this->now);
     CHECK_TRUE(quota::isRedirecting(from, this->now));
     // The reply was lost, and the request is repeated.
     DOUBLES_EQUAL(release.tokens, quota::releaseBucket(from, { .vm = "to", .ranksFirst = true }, this->limit, this->now + 15ms).tokens, 1e-9);
     CHECK_FALSE(quota::releaseBucket(from, { .vm = "third", .ranksFirst = true }, this->limit, this->now + 15ms).wasHeld);
-    quota::applyRelease(to, "from", release, this->limit, this->room, this->now);
+    quota::applyRelease(to, "from", release, this->limit, this->now);
     CHECK(to.state == OwnerState::Active);
     DOUBLES_EQUAL(7, to.owned.bucket.tokens, 1e-9);
 }
@@ -132,15 +135,17 @@
 {
     quota::Ownership owner;
     const quota::Release release { .wasHeld = true, .tokens = 7, .number = 41 };
-    quota::beginAdoption(owner, { "stopping" }, this->room, this->now);
-    quota::applyRelease(owner, "stopping", release, this->limit, this->room, this->now);
+    quota::beginAdoption(owner, { "stopping" }, this->now);
+    quota::applyRelease(owner, "stopping", release, this->limit, this->now);
     static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 5ms));
     CHECK_FALSE(quota::applyUnaskedRelease(owner, "stopping", release, this->now + 20ms));
     CHECK(owner.state == OwnerState::Released);
     CHECK_FALSE(quota::applyUnaskedRelease(owner, "stopping", { .wasHeld = true, .tokens = 7 }, this->now + 20ms)); // of a build without numbers
-    quota::beginAdoption(owner, { "stopping" }, this->room, this->now + 25ms);
-    quota::applyRelease(owner, "stopping", release, this->limit, this->room, this->now + 26ms);
-    DOUBLES_EQUAL(this->room.initialTokens, owner.owned.bucket.tokens, 1e-9); // as if the reply had said that there is no bucket
+    quota::beginAdoption(owner, { "stopping" }, this->now + 25ms);
+    quota::applyRelease(owner, "stopping", release, this->limit, this->now + 26ms);
+    CHECK(owner.state == OwnerState::Active);
+    DOUBLES_EQUAL(0, owner.owned.bucket.tokens, 1e-9); // as if the reply had said that there is no bucket
+    CHECK_TRUE(owner.isStarting);
     static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 27ms));
     CHECK_TRUE(quota::applyUnaskedRelease(owner, "back", { .wasHeld = true, .tokens = 3, .number = 42 }, this->now + 30ms));
     static_cast<void>(quota::releaseBucket(owner, { .vm = "back", .ranksFirst = true }, this->limit, this->now + 40ms));
@@ -150,24 +155,36 @@
 TEST(QuotaOwner, WithoutAPredecessorTheBucketStartsWithItsPartOfTheRoom)
 {
     quota::Ownership alone;
-    quota::beginAdoption(alone, {}, this->room, this->now);
-    DOUBLES_EQUAL(this->room.initialTokens, alone.owned.bucket.tokens, 1e-9);
+    quota::beginAdoption(alone, {}, this->now);
+    DOUBLES_EQUAL(0, alone.owned.bucket.tokens, 1e-9);
+    alone.support.voters = 3;
+    const auto request = quota::leaseRequest(alone, this->now);
+    quota::LeaseReply reply;
+    reply.sentAt = request.sentAt;
+    reply.mayStart = true;
+    quota::applyVote(alone, "a", reply, this->room, this->now + 1ms);
+    DOUBLES_EQUAL(0, alone.owned.startTokens, 1e-9);
+    quota::applyVote(alone, "b", reply, this->room, this->now + 1ms);
+    quota::applyVote(alone, "c", reply, this->room, this->now + 1ms);
+    DOUBLES_EQUAL(this->room.initialTokens, alone.owned.startTokens, 1e-9);
+    CHECK_FALSE(quota::leaseRequest(alone, this->now + 1ms).isStarting);
     quota::Ownership unanswered;
-    quota::beginAdoption(unanswered, { "dead" }, this->room, this->now);
-    quota::endAdoption(unanswered, this->limit, this->room, this->now + 35ms);
-    DOUBLES_EQUAL(this->room.initialTokens, unanswered.owned.bucket.tokens, 1e-9);
+    quota::beginAdoption(unanswered, { "dead" }, this->now);
+    quota::endAdoption(unanswered, this->limit, this->now + 35ms);
+    DOUBLES_EQUAL(0, unanswered.owned.bucket.tokens, 1e-9);
+    CHECK_TRUE(unanswered.isStarting);
 }
 
 TEST(QuotaOwner, OfTwoDaemonsThatAdoptFromEachOtherTheFirstInRankWins)
 {
     quota::Ownership first;
     quota::Ownership second;
-    quota::beginAdoption(first, { "second" }, this->room, this->now);
-    quota::beginAdoption(second, { "first" }, this->room, this->now);
+    quota::beginAdoption(first, { "second" }, this->now);
+    quota::beginAdoption(second, { "first" }, this->now);
     const auto toSecond = quota::releaseBucket(first, { .vm = "second", .ranksFirst = false }, this->limit, this->now);
     const auto toFirst = quota::releaseBucket(second, { .vm = "first", .ranksFirst = true }, this->limit, this->now);
-    quota::applyRelease(second, "first", toSecond, this->limit, this->room, this->now);
-    quota::applyRelease(first, "second", toFirst, this->limit, this->room, this->now);
+    quota::applyRelease(second, "first", toSecond, this->limit, this->now);
+    quota::applyRelease(first, "second", toFirst, this->limit, this->now);
     CHECK(first.state == OwnerState::Active);
     CHECK(second.state == OwnerState::Released);
     STRCMP_EQUAL("first", second.successor.c_str());
