Shares of a service's reads by zone

A fixed preference for the own zone either overloads it (a zone with a third of its upstreams, a rise of its load) or, where the leader is in the zone, sends all reads away. decideShares() divides the reads of a service among the zones every 250 ms: each part goes where it waits least, the way included, given the parts before it. Loads are taken from this daemon's pools, scaled to its zone; UpstreamFigures has fields for what other daemons report. A statement's zone follows from its id, so all its attempts prefer the same one. The leader of a zone serves reads as long as its wait, counted twice, is shorter.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -340,7 +340,7 @@
             .crossingCost = this->crossingCost(entry.zone),
         });
     }
-    placement::preferZone(candidates, this->options.zone, this->loop.now());
+    this->preferZone(service, requirements, candidates);
     return candidates;
 }
 
@@ -392,6 +392,7 @@
 void Dispatcher::tick()
 {
     for (auto& [name, service] : this->services) {
+        this->updateZoneShares(service);
         for (const auto& pool : service.pools)
             this->maintainWarmLinks(service, *pool);
         if (!service.waiters.empty())
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "amaranthhall/leadership/leader_record.hpp"
 #include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/placement.hpp"
+#include "amaranthhall/placement/zone_shares.hpp"
 #include "amaranthhall/placement/zones.hpp"
 #include "amaranthhall/telemetry/zone_traffic.hpp"
 
@@ -158,6 +159,9 @@
     /// @brief Returns the newest proof of a service's leader.
     [[nodiscard]] const std::optional<leadership::LeaderProof>& proof(std::string_view service);
 
+    /// @brief Returns the lowest share of the reads of a service that are sent to upstreams of the own zone; 1 if there are none.
+    [[nodiscard]] double lowestOwnZoneShare() const noexcept;
+
     /// @brief Queries the status of an upstream; `done` is called once, unless the ticket is destroyed first.
     [[nodiscard]] Ticket queryStatus(const std::string& service, const std::string& upstream, Time deadline, std::function<void(std::optional<UpstreamStatus>)> done);
 
@@ -176,8 +180,20 @@
         Time seenAt;
     };
 
+    /// How the reads of a service are divided among the zones.
+    struct ZoneBalance {
+        placement::ZoneShares shares; ///< Empty if all upstreams are in one zone.
+        std::map<std::string, double, std::less<>> running; ///< Average number of this daemon's statements by upstream id.
+        double typicalUse { 0 }; ///< Long-term average use of the own zone's capacity.
+        Time observedAt;
+        Time decidedAt;
+        std::optional<Time> loggedAt;
+        bool wasLeaving { false }; ///< As last logged: a part of the reads is sent to other zones.
+    };
+
     struct Service {
         std::string name;
+        ZoneBalance zones;
         std::vector<std::shared_ptr<UpstreamPool>> pools; ///< Ordered by upstream id.
         std::list<Waiter> waiters; ///< In serving order.
         leadership::LeaderRecord leadership;
@@ -212,6 +228,11 @@
     void removeWaiter(Service& service, std::list<Waiter>::iterator waiter) noexcept;
     [[nodiscard]] std::vector<placement::Candidate> candidatesFor(Service& service, const LinkRequirements& requirements);
     [[nodiscard]] Duration crossingCost(std::string_view zone) const;
+    void preferZone(Service& service, const LinkRequirements& requirements, std::span<placement::Candidate> candidates);
+    void observeRunning(Service& service);
+    void updateZoneShares(Service& service);
+    void logZoneShares(Service& service);
+    [[nodiscard]] std::vector<placement::UpstreamFigures> figuresOf(const Service& service) const;
     [[nodiscard]] std::optional<std::string> leaderOf(const Service& service) const;
     [[nodiscard]] placement::ConnectionShare shareOf(const catalog::UpstreamEntry& entry) const;
     void maintainWarmLinks(const Service& service, UpstreamPool& pool);
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -88,6 +88,7 @@
     , upstreamsAge(this->copyAgeGauge("upstreams"))
     , fleetAge(this->copyAgeGauge("daemons"))
     , relayedStreams(this->metrics.gauge("amaranthhall_relayed_streams", "Statements and transactions that run here for other daemons"))
+    , ownZoneShare(this->metrics.gauge("amaranthhall_zone_own_share", "Lowest share of the reads of a service that this daemon sends to upstreams of its own zone"))
     , tickTimer(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
 }
@@ -250,6 +251,7 @@
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
     this->configurationVersion.Set(configuration ? static_cast<double>(configuration->version) : 0);
     this->relayedStreams.Set(static_cast<double>(this->relays.streamCount()));
+    this->ownZoneShare.Set(this->dispatcher.lowestOwnZoneShare());
     this->platform.traffic.publish(this->metrics, this->settings.zone);
     for (const auto& [watch, gauge] : { std::pair(&this->configurationWatch, &this->configurationAge), { &this->upstreamWatch, &this->upstreamsAge }, { &this->fleetWatch, &this->fleetAge } })
         gauge->Set(watch->age() ? std::chrono::duration<double>(*watch->age()).count() : std::numeric_limits<double>::infinity());
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -138,6 +138,7 @@
     prometheus::Gauge& upstreamsAge;
     prometheus::Gauge& fleetAge;
     prometheus::Gauge& relayedStreams;
+    prometheus::Gauge& ownZoneShare;
     kernel::Registration tickTimer;
     kernel::Registration pollTimer;
     kernel::Registration discoveryTimer;
--- a/src/amaranthhall/placement/zones.cpp
+++ b/src/amaranthhall/placement/zones.cpp
@@ -10,15 +10,16 @@
 
     constexpr Duration unmeasuredCrossing = 1ms; // round trip between two zones of one region
     constexpr double kilobyte = 1000;
+    constexpr int leaderLatencyFactor = 2; // chooseAny() multiplies the leader's latency; whether its zone is to be left for that is decided with the shares
     constexpr double maximumFaults = 1; // an upstream with more remembered faults is not preferred
 
-    /// Returns whether nothing but the zone speaks for or against an upstream. The leader is left to the statements that only it may serve.
+    /// Returns whether nothing but zone and load speak for or against an upstream.
     bool isFit(const Candidate& candidate, Time now)
     {
         const auto& health = *candidate.health;
         const bool isAccepting = health.avoidUntil <= now && health.overloadedUntil <= now && health.paceUntil <= now && health.faults < maximumFaults;
         const bool hasRoom = candidate.running < candidate.limit && (candidate.idle > 0 || candidate.canOpen);
-        return isAccepting && hasRoom && !candidate.isLeader && !candidate.isDraining && !candidate.isLagging && !candidate.wasTried;
+        return isAccepting && hasRoom && !candidate.isDraining && !candidate.isLagging && !candidate.wasTried;
     }
 
 }
@@ -31,17 +32,18 @@
     return std::max(Duration::zero(), *costs.roundTrip - costs.ownRoundTrip.value_or(Duration::zero())) + price;
 }
 
-void preferZone(std::span<Candidate> candidates, std::string_view zone, Time now)
+bool preferZone(std::span<Candidate> candidates, std::string_view zone, Time now)
 {
     Duration cost {};
     for (const auto& candidate : candidates) {
         if (candidate.zone == zone && isFit(candidate, now))
-            cost = std::max(cost, candidate.health->latency);
+            cost = std::max(cost, candidate.isLeader ? candidate.health->latency * leaderLatencyFactor : candidate.health->latency);
     }
     for (auto& candidate : candidates) {
         if (candidate.zone != zone)
             candidate.crossingCost += cost;
     }
+    return cost > Duration::zero();
 }
 
 }
--- a/src/amaranthhall/placement/zones.hpp
+++ b/src/amaranthhall/placement/zones.hpp
@@ -24,7 +24,9 @@
  *
  * The upstreams of a service rarely differ in speed by more than the noise of their average latencies, so without this cost most statements cross for nothing.
  * The cost is the expected time of a statement on the zone's own upstream: it is left when the statements of this daemon alone double its expected time.
+ *
+ * @return False if no upstream of the zone is fit; nothing is added then.
  */
-void preferZone(std::span<Candidate> candidates, std::string_view zone, Time now);
+bool preferZone(std::span<Candidate> candidates, std::string_view zone, Time now);
 
 }
