Homes from which a statement crosses zones least often

A read of a primary route takes a BEGIN, the read and a ROLLBACK at the leader; with a leader in another zone, a home of the own zone sent all three across, two of them one after the other. And a statement for the leader that found no home in its zone could go to a third zone and cross twice. Homes are now ranked by the round trips that cross, to the home and from there to the leader; where they are as many, the own zone goes first, as a line to an upstream is shorter than a frame. Reads of other routes and statements with one round trip go as before.

--- a/src/amaranthhall/engine/dispatcher_zones.cpp
+++ b/src/amaranthhall/engine/dispatcher_zones.cpp
@@ -102,7 +102,7 @@
     std::set<std::string_view> names;
     for (const auto& pool : service.pools)
         names.insert(pool->entry().zone);
-    if (!service.lastUsedAt || (names.size() < 2 && names.contains(this->options.zone))) {
+    if (!service.lastUsedAt || names.empty() || (names.size() == 1 && names.contains(this->options.zone))) {
         zones.shares = {};
         return;
     }
--- a/src/amaranthhall/engine/relay.hpp
+++ b/src/amaranthhall/engine/relay.hpp
@@ -64,6 +64,7 @@
     std::string_view service;
     std::string_view organisation; ///< Empty for a statement that runs for no organisation.
     bool needsLeader { false };
+    unsigned leaderRoundTrips { 0 }; ///< Round trips to the leader that the statement takes on any daemon; 0 if other upstreams may serve it.
     std::span<const std::string> tried; ///< Daemons to exclude.
 };
 
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -137,6 +137,7 @@
     void runInTransaction();
     [[nodiscard]] bool mustRelay();
     [[nodiscard]] bool mayRelay() const noexcept;
+    [[nodiscard]] unsigned leaderRoundTrips() const;
     [[nodiscard]] bool startRelay();
     [[nodiscard]] bool mayTryAnotherDaemon(const Reply& reply);
     void runRelayed();
--- a/src/amaranthhall/engine/session_relay.cpp
+++ b/src/amaranthhall/engine/session_relay.cpp
@@ -30,13 +30,23 @@
     return this->relayedRoute || (this->context.relays && this->execution->triedDaemons.size() < maximumRelayAttempts);
 }
 
+/// Returns the round trips to the leader that the statement takes wherever it runs. A daemon without connections has no samples, so for reads of other routes than `primary` it can't tell.
+unsigned Session::leaderRoundTrips() const
+{
+    const auto& execution = *this->execution;
+    const bool isPrimaryRoute = execution.route.consistency == catalog::Consistency::Primary;
+    if (isPrimaryRoute && execution.mode == Mode::Wrapped)
+        return 2;
+    return isPrimaryRoute || execution.request.kind == RequestKind::Begin || this->writes(execution.request) ? 1 : 0;
+}
+
 /// Relays the statement to another daemon if required; returns whether it was relayed.
 bool Session::startRelay()
 {
     if (!this->mustRelay())
         return false;
     const auto& execution = *this->execution;
-    this->currentStream = this->context.relays->open({ .service = execution.route.service, .organisation = execution.identity.organisation, .needsLeader = execution.needsLeader, .tried = execution.triedDaemons });
+    this->currentStream = this->context.relays->open({ .service = execution.route.service, .organisation = execution.identity.organisation, .needsLeader = execution.needsLeader, .leaderRoundTrips = this->leaderRoundTrips(), .tried = execution.triedDaemons });
     if (!this->currentStream)
         return false;
     this->runRelayed();
--- a/src/amaranthhall/relay/home_router.cpp
+++ b/src/amaranthhall/relay/home_router.cpp
@@ -226,6 +226,20 @@
     return isRecent ? found->second.reach : engine::LeaderReachability::Unknown;
 }
 
+/// Returns the zone of the upstream that is registered as leader; empty if none or more than one is.
+std::string_view HomeRouter::leaderZoneOf(std::string_view service) const
+{
+    std::string_view zone;
+    for (const auto* known : this->catalog.upstreamsOf(service)) {
+        if (known->entry.role != catalog::Role::Primary)
+            continue;
+        if (!zone.empty() && zone != known->entry.zone)
+            return {};
+        zone = known->entry.zone;
+    }
+    return zone;
+}
+
 std::unique_ptr<engine::RelayStream> HomeRouter::open(const engine::RelayRequirements& want)
 {
     this->ensureComputed();
@@ -249,7 +263,7 @@
     }
     const bool prefersProvenReach = choice.hasLocalConnections || !want.tried.empty();
     const auto affinityKey = organisationKey(want.service, want.organisation);
-    const auto chosenHome = chooseHomeForStatement(states, { .vm = this->options.vm, .zone = this->options.zone, .needsLeader = want.needsLeader, .affinityKey = affinityKey, .prefersProvenReach = prefersProvenReach });
+    const auto chosenHome = chooseHomeForStatement(states, { .vm = this->options.vm, .zone = this->options.zone, .needsLeader = want.needsLeader, .leaderZone = this->leaderZoneOf(want.service), .leaderRoundTrips = want.leaderRoundTrips, .affinityKey = affinityKey, .prefersProvenReach = prefersProvenReach });
     if (!chosenHome)
         return nullptr;
     const auto home = this->peers.all().find(states[*chosenHome].vm);
--- a/src/amaranthhall/relay/home_router.hpp
+++ b/src/amaranthhall/relay/home_router.hpp
@@ -95,6 +95,7 @@
 
     [[nodiscard]] ChoiceInputs currentInputs() const noexcept;
     [[nodiscard]] bool runsOrganisations(const std::string& vm) const;
+    [[nodiscard]] std::string_view leaderZoneOf(std::string_view service) const;
     [[nodiscard]] engine::LeaderReachability knownReach(const Choice& choice, const std::string& vm, Time now) const;
     [[nodiscard]] Choice& choiceFor(std::string_view service);
     [[nodiscard]] HomeCount countFor(std::string_view service) const;
--- a/src/amaranthhall/relay/homes.cpp
+++ b/src/amaranthhall/relay/homes.cpp
@@ -40,6 +40,14 @@
         return "home/" + std::string(service);
     }
 
+    /// Returns how often a statement crosses zones: to the home, and from there to the leader.
+    unsigned crossings(const HomeState& home, const Requester& requester)
+    {
+        const unsigned toHome = home.zone == requester.zone ? 0 : 1;
+        const bool crossesToLeader = !requester.leaderZone.empty() && home.zone != requester.leaderZone;
+        return toHome + (crossesToLeader ? requester.leaderRoundTrips : 0);
+    }
+
     /// Ranks a home by whether it reaches the leader; 0 is best.
     int reachRank(const HomeState& home, const Requester& requester)
     {
@@ -136,7 +144,7 @@
     const auto rankOf = [&](const HomeState& home) {
         const auto affinity = hashing::rendezvousScore(home.vm, requester.vm);
         const auto organisationRank = requester.affinityKey.empty() ? 0 : std::numeric_limits<std::uint64_t>::max() - hashing::rendezvousScore(home.vm, requester.affinityKey);
-        return std::tuple(home.isAvoided, reachRank(home, requester), home.isSilent, organisationRank, home.outstanding >= busyThreshold, home.zone != requester.zone, home.outstanding, affinity);
+        return std::tuple(home.isAvoided, reachRank(home, requester), home.isSilent, organisationRank, home.outstanding >= busyThreshold, crossings(home, requester), home.zone != requester.zone, home.outstanding, affinity);
     };
     const auto best = std::min_element(homes.begin(), homes.end(), [&](const auto& left, const auto& right) { return rankOf(left) < rankOf(right); });
     if (best == homes.end() || best->isAvoided)
--- a/src/amaranthhall/relay/homes.hpp
+++ b/src/amaranthhall/relay/homes.hpp
@@ -95,6 +95,8 @@
     std::string_view vm;
     std::string_view zone;
     bool needsLeader { false };
+    std::string_view leaderZone; ///< Zone of the service's leader; empty if unknown.
+    unsigned leaderRoundTrips { 0 }; ///< That the statement takes between home and leader.
     std::string_view affinityKey; ///< Of the organisation and service for which the statement runs; empty if any home is as good as another.
     bool prefersProvenReach { false }; ///< The leader was not reached on the usual path, so homes known to reach it go first.
 };
@@ -106,7 +108,9 @@
 [[nodiscard]] std::string organisationKey(std::string_view service, std::string_view organisation);
 
 /**
- * @brief Chooses the home for a statement: the least loaded one in the requester's zone, unless all homes in that zone are busy.
+ * @brief Chooses the home for a statement: the least loaded one of those from which it crosses zones least often, unless all of them are busy.
+ *
+ * That is the requester's zone, but the leader's zone for a statement that takes several round trips to the leader.
  *
  * A home whose connection has just failed is never chosen: a daemon that reaches no home should open connections of its own.
  *
--- a/test/relay/test_homes.cpp
+++ b/test/relay/test_homes.cpp
@@ -132,6 +132,22 @@
     CHECK_FALSE(relay::chooseHomeForStatement({}, this->me).has_value());
 }
 
+// A read of a `primary` route takes a BEGIN and the read one after the other; through a home of the own zone, both and the ROLLBACK cross. A home in a third zone makes any leader statement cross twice.
+TEST(Homes, AStatementForTheLeaderCrossesOnce)
+{
+    std::vector<relay::HomeState> homes { { .vm = "third", .zone = "c" }, { .vm = "leader's", .zone = "b", .outstanding = 1 }, { .vm = "near", .zone = "a", .outstanding = 1 } };
+    const auto choose = [&](unsigned roundTrips, std::string_view leaderZone = "b") { return *relay::chooseHomeForStatement(homes, { .vm = "me", .zone = "a", .needsLeader = true, .leaderZone = leaderZone, .leaderRoundTrips = roundTrips }); };
+    LONGS_EQUAL(2, choose(0));
+    LONGS_EQUAL(2, choose(1));
+    LONGS_EQUAL(1, choose(2));
+    LONGS_EQUAL(2, choose(2, "a"));
+    LONGS_EQUAL(2, choose(2, ""));
+    homes[2].isAvoided = true;
+    LONGS_EQUAL(1, choose(1));
+    homes[1].isAvoided = true;
+    LONGS_EQUAL(0, choose(1));
+}
+
 TEST(Homes, ASilentHomeIsChosenLast)
 {
     const std::vector<relay::HomeState> homes { { .vm = "near", .zone = "a", .isSilent = true }, { .vm = "far", .zone = "b", .outstanding = 9 } };
