Report waiting and refused statements by class

Cause: operators saw refusals only line by line, without what waits and which class pays. Change: gauge amaranthhall_waiting_statements and counter amaranthhall_queue_refused_total by class and reason, and a line queue.refused with the counts since the last one, at most every two seconds for each service. The gateway builds its metrics before the dispatcher.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -71,6 +71,8 @@
     , restartReserveTimer(usedLoop.after(placement::restartReserveTime, [this] { this->onCatalogChanged(); }))
     , ticker(usedLoop.every(tickInterval, [this] { this->tick(); }))
 {
+    if (this->options.metrics)
+        this->report.emplace(*this->options.metrics);
 }
 
 void Dispatcher::onCatalogChanged()
@@ -193,6 +195,7 @@
     if (const auto pushed = service.queue.push(statement, this->loop.now()); !pushed) {
         waiter.refusal = pushed.error().reason == admission::ShedReason::TooSlow ? queueTooLongReason : queueFullReason;
         service.refused.push_back(ticketId);
+        this->noteRefusal(service, requirements, pushed.error().reason == admission::ShedReason::TooSlow ? QueueRefusal::TooSlow : QueueRefusal::Full, pushed.error().retryAfter);
     }
     waiter.requirements = std::move(requirements);
     service.waiters.emplace(ticketId, std::move(waiter));
@@ -245,8 +248,10 @@
         auto& waiter = service.waiters.at(next->id);
         const auto lane = laneOf(waiter.requirements);
         const auto served = next->isHopeless ? Served::Completed : this->serveWhileOpening(service, waiter);
-        if (next->isHopeless)
+        if (next->isHopeless) {
+            this->noteRefusal(service, waiter.requirements, QueueRefusal::Timeout, Duration::zero());
             this->refuse(service, next->id, timeoutReason);
+        }
         if (served == Served::LaneBlocked)
             service.queue.block(lane);
         else if (served == Served::Completed)
@@ -433,8 +438,25 @@
     });
 }
 
+void Dispatcher::noteRefusal(const Service& service, const LinkRequirements& requirements, QueueRefusal refusal, Duration retryAfter)
+{
+    if (this->report)
+        this->report->noteRefusal(service.name, admission::indexOf(requirements.kind), refusal, retryAfter, service.queue.size(), this->loop.now());
+}
+
+void Dispatcher::reportWaiting()
+{
+    for (std::size_t i = 0; this->report && i < admission::ServiceTimes::classCount; ++i) {
+        std::size_t waiting = 0;
+        for (const auto& [name, service] : this->services)
+            waiting += service.queue.waitingOf(i);
+        this->report->setWaiting(i, waiting);
+    }
+}
+
 void Dispatcher::tick()
 {
+    this->reportWaiting();
     for (auto& [name, service] : this->services) {
         for (const auto& pool : service.pools)
             this->maintainWarmLinks(service, *pool);
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/engine/acquired_link.hpp"
 #include "amaranthhall/engine/upstream_pool.hpp"
+#include "amaranthhall/engine/waiting_report.hpp"
 #include "amaranthhall/freshness/replica_lag.hpp"
 #include "amaranthhall/freshness/sample_window.hpp"
 #include "amaranthhall/leadership/leader_record.hpp"
@@ -91,6 +92,7 @@
         std::string zone; ///< Availability zone of this daemon.
         Duration upstreamDrainLimit { std::chrono::seconds(6) }; ///< How long a draining upstream still receives statements.
         std::function<std::optional<std::size_t>(std::string_view service)> sharers; ///< Number of daemons that share the connections of a service; 0 if this one keeps none, nullopt if not yet known.
+        telemetry::Metrics* metrics { nullptr }; ///< Receives the metrics of waiting statements; nullptr for none.
     };
 
     Dispatcher(kernel::Loop& loop, LinkFactory& factory, catalog::Catalog& catalog, Options options);
@@ -229,6 +231,8 @@
     void checkLeader(Service& service, const std::string& upstream);
     void onLeaderStatus(Service& service, const std::string& upstream, const std::optional<UpstreamStatus>& status);
     [[nodiscard]] std::shared_ptr<UpstreamPool> makePool(const catalog::UpstreamEntry& entry);
+    void noteRefusal(const Service& service, const LinkRequirements& requirements, QueueRefusal refusal, Duration retryAfter);
+    void reportWaiting();
     void tick();
 
     kernel::Loop& loop;
@@ -238,6 +242,7 @@
     std::uint64_t lastTicketId { 0 };
     std::map<std::string, std::shared_ptr<UpstreamPool>, std::less<>> pools; ///< Keyed by upstream id.
     std::map<std::string, Service, std::less<>> services; ///< Entries are never removed, so references to them stay valid.
+    std::optional<WaitingReport> report; ///< Unset without metrics.
     Time startedAt;
     kernel::Registration restartReserveTimer;
     kernel::Registration ticker;
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -102,6 +102,7 @@
         .zone = this->settings.zone,
         .upstreamDrainLimit = this->settings.upstreamDrainLimit - drainMargin,
         .sharers = [this](auto service) { return this->isFleetKnown() ? std::optional(this->homes.sharers(service)) : std::nullopt; },
+        .metrics = &this->metrics,
     };
 }
 
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -109,9 +109,9 @@
     GatewaySettings settings;
     PlatformAdapters platform;
     catalog::Catalog catalog;
+    telemetry::Metrics metrics;
     engine::Dispatcher dispatcher;
     engine::CommitGuard commitGuard;
-    telemetry::Metrics metrics;
     engine::RequestLog requestLog { this->metrics };
     engine::SessionContext context;
     Duration listDelay; ///< Time at startup during which peers may supply the store's rows.
