Count what a class asks for, and what upstreams refuse, in its minimum share

Cause: with one class asking for five times the capacity, the read-only class got 4.3 % of the slots' time in place of 5 %: its credit was dropped whenever refusals left it nothing waiting, and grants that an upstream refused counted as work.

Change: a class gets credit as long as it asks, what it is granted in its turn counts towards its share, a statement within its share is not refused, and an internal retry takes the grant of the attempt before out of the speed and the shares.

--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -20,6 +20,7 @@
     constexpr Duration speedValidity = 5s; // an older speed says nothing about the present
     constexpr double longestSample = 1; // seconds; a longer pause is a stall, also while the speed is unknown
     constexpr int maximumSampleGrowth = 4; // limits how far one stall, as during a change of primary, lowers the speed
+    constexpr Duration demandValidity = 1s; // a class without statements for this long gets no credit
     constexpr Duration targetValidity = 5s; // a class without statements for this long doesn't defer the others of its priority
     constexpr Duration minimumRetryAfter = 100ms;
     constexpr double overuseFactor = 3; // an organisation may send this multiple of its usual load before its statements are deferred
@@ -85,6 +86,8 @@
         state.lastPushedAt = now;
         state.lastPriority = statement.priority;
     }
+    if (statement.attempt > 0)
+        this->takeBackGrant(lane, state, workOf(statement));
     const auto key = this->keyFor(statement, now);
     this->noteUsage(statement, now);
     auto latestStart = statement.target - statement.expectedServiceTime;
@@ -261,9 +264,13 @@
     }
     if (ahead <= 0)
         return Duration::zero();
+    const auto interval = lane.speed.time / lane.speed.grants;
+    const auto& own = lane.classes[classIndex];
+    const bool isWithinShare = !isLate && own.onTime.work + workOf(statement) <= own.credit;
+    if (isWithinShare)
+        return fromSeconds(interval);
     const auto share = isLate ? minimumLateShare : minimumClassShare;
     const auto available = std::max(*speed * share, *speed - urgentRate);
-    const auto interval = lane.speed.time / lane.speed.grants;
     double wait = ahead / available;
     constexpr int iterations = 3;
     for (int i = 0; i < iterations; ++i) {
@@ -375,6 +382,29 @@
         this->erase(found);
 }
 
+/// Takes the grant of an earlier attempt out of the speed and the shares, as an upstream refused it without running it.
+void WaitQueue::takeBackGrant(LaneState& lane, ClassState& state, double work) noexcept
+{
+    lane.speed.work = std::max(0.5 * lane.speed.work, lane.speed.work - work);
+    state.credit = std::min(maximumCredit, state.credit + work);
+    this->addCredit(-work, lane.servedAt.value_or(Time()));
+}
+
+/// Gives each class that asks its share of what was granted.
+void WaitQueue::addCredit(double work, Time now) noexcept
+{
+    // Statements of both lanes use the same slots, so what is granted in one gives credit in both. A class gets it as long as it asks: what it
+    // has waiting is kept short by refusals.
+    for (auto& lane : this->lanes) {
+        lane.lateCredit = std::min(maximumCredit, lane.lateCredit + minimumLateShare * work);
+        for (auto& state : lane.classes) {
+            const bool isWaiting = !state.onTime.all.empty() || !state.late.all.empty();
+            if (isWaiting || now - state.lastPushedAt < demandValidity)
+                state.credit = std::min(maximumCredit, state.credit + minimumClassShare * work);
+        }
+    }
+}
+
 void WaitQueue::noteGrant(const Entry& entry, Time now) noexcept
 {
     auto& lane = this->laneOf(entry.lane);
@@ -392,18 +422,9 @@
     ++speed.samples;
     speed.lastSampleAt = now;
     lane.servedAt = now;
-    // Statements of both lanes use the same slots, so what is granted in one gives credit in both.
-    for (auto& other : this->lanes) {
-        if (other.count == 0)
-            continue;
-        other.lateCredit = std::min(maximumCredit, other.lateCredit + minimumLateShare * entry.work);
-        for (auto& state : other.classes) {
-            if (!state.onTime.all.empty() || !state.late.all.empty())
-                state.credit = std::min(maximumCredit, state.credit + minimumClassShare * entry.work);
-        }
-    }
+    this->addCredit(entry.work, now);
     auto& own = lane.classes[entry.classIndex];
-    own.credit = std::max(0.0, own.credit - entry.work);
+    own.credit = std::max(-maximumCredit, own.credit - entry.work); // what it is granted in its turn counts as well
     if (entry.isLate)
         lane.lateCredit = std::max(0.0, lane.lateCredit - entry.work);
 }
@@ -454,13 +475,8 @@
     if (--entry.organisation->second == 0)
         this->waitingByOrganisation.erase(entry.organisation);
     auto& lane = this->laneOf(entry.lane);
-    auto& state = lane.classes[entry.classIndex];
-    if (state.onTime.all.empty() && state.late.all.empty())
-        state.credit = 0;
-    if (--lane.count > 0)
-        return;
-    lane.servedAt.reset();
-    lane.lateCredit = 0;
+    if (--lane.count == 0)
+        lane.servedAt.reset();
 }
 
 std::size_t WaitQueue::waitingFor(std::string_view organisation) const noexcept
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -214,6 +214,8 @@
     void extract(const Entry& entry) noexcept;
     void erase(std::unordered_map<std::uint64_t, Entry>::iterator found) noexcept;
     void noteGrant(const Entry& entry, Time now) noexcept;
+    void takeBackGrant(LaneState& lane, ClassState& state, double work) noexcept;
+    void addCredit(double work, Time now) noexcept;
 
     std::size_t limit;
     std::size_t lateCount { 0 };
