--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -20,6 +20,7 @@
     constexpr Duration speedValidity = 5s; // an older speed says nothing about the present
     constexpr double longestSample = 1; // seconds; a longer pause is a stall, also while the speed is unknown
     constexpr int maximumSampleGrowth = 4; // limits how far one stall, as during a change of primary, lowers the speed
+    constexpr Duration burstTime = 3s;
     constexpr Duration demandValidity = 1s; // a class without statements for this long gets no credit
     constexpr Duration targetValidity = 5s; // a class without statements for this long doesn't defer the others of its priority
     constexpr Duration minimumRetryAfter = 100ms;
@@ -85,6 +86,7 @@
         state.targetLatency += state.targetLatency > 0 ? (latency - state.targetLatency) * averagingWeight : latency;
         state.lastPushedAt = now;
         state.lastPriority = statement.priority;
+        state.demand.add(workOf(statement), now);
     }
     if (statement.attempt > 0)
         this->takeBackGrant(lane, state, workOf(statement));
@@ -242,6 +244,8 @@
     std::array<Overtaking, ServiceTimes::classCount> overtaking {};
     const auto classIndex = indexOf(statement.kind);
     const auto remaining = seconds(key.time - now);
+    // What can wait longer than a burst lasts is served by what is left after it.
+    const bool outlastsBurst = isLate && statement.deadline - now >= burstTime;
     double ahead = 0;
     double urgentRate = 0;
     for (std::size_t i = 0; i < lane.classes.size(); ++i) {
@@ -250,7 +254,7 @@
         const bool isEqual = priorityIndexOf(i) == priorityIndexOf(classIndex);
         if (isLate || isMoreUrgent) {
             ahead += other.onTime.work;
-            urgentRate += other.arrivals.perSecond(now);
+            urgentRate += (outlastsBurst ? other.demand : other.arrivals).perSecond(now);
         } else if (isEqual) {
             ahead += other.onTime.work * fractionBefore(other.onTime, key);
             const auto period = remaining - other.targetLatency - deferral(lane, i, now);
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -137,6 +137,7 @@
         Group onTime;
         Group late;
         DecayedRate arrivals { std::chrono::seconds(1) }; ///< Work of the statements queued to be on time.
+        DecayedRate demand { std::chrono::seconds(10) }; ///< Work of all that arrive, also of those refused, over a time that outlasts a burst.
         double credit { 0 }; ///< Work due to the class from its minimum share, in seconds.
         double targetLatency { 0 }; ///< Average, in seconds; 0 if unknown.
         Time lastPushedAt;
