--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -106,6 +106,7 @@
         .sharers = [this](auto service) { return this->isFleetKnown() ? std::optional(this->homes.sharers(service)) : std::nullopt; },
         .traffic = &this->platform.traffic,
         .bytePrice = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(this->settings.bytePrice)),
+        .metrics = &this->metrics,
     };
 }
 
