Crossing costs at least 1 ms; fewer ages in medium-sized fleets; soak with zones

Between zones whose connections measure next to nothing, as on one machine, noise of the loads made a tenth to a third of the reads leave the zone: a crossing now costs at least 1 ms, as before measurements. Datagrams of fleets of 13 to 30 peers carry 8 ages in place of 16, as a daemon hears of each peer several times a second from its zone.

--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -20,6 +20,7 @@
     constexpr unsigned sendersPerRound = 4; // senders that report on a service to a daemon in the same round
     constexpr std::size_t minimumSendersForPause = 7; // with as many, a home hears from two of them in each round although those of other zones send half as often
     constexpr std::size_t minimumActivityAges = 16; // per datagram
+    constexpr std::size_t mediumFleetActivityAges = 8; // four datagrams in five go to the own zone, so a daemon hears of each peer several times a second
     constexpr std::size_t maximumActivityAges = 64; // per datagram; each takes about 8 bytes
     constexpr std::size_t peersPerActivityAge = 4; // one in four peers is reported per datagram, so that activity of each peer is received about four times a second
     constexpr std::size_t maximumPlainPeers = 10'000;
@@ -51,7 +52,8 @@
 {
     if (this->registry.size() <= PeerRegistry::zonedFleetSize)
         return;
-    const auto count = std::clamp(this->registry.size() / peersPerActivityAge, minimumActivityAges, maximumActivityAges);
+    const bool isLarge = this->registry.size() > PeerRegistry::largeFleetSize;
+    const auto count = std::clamp(this->registry.size() / peersPerActivityAge, isLarge ? minimumActivityAges : mediumFleetActivityAges, maximumActivityAges);
     for (const auto& [shortId, age] : this->registry.sampleActivityAges(count, this->loop.now(), this->random))
         digest.activityAges.push_back({ .shortId = shortId, .age = std::chrono::ceil<std::chrono::milliseconds>(age) });
 }
--- a/src/amaranthhall/placement/zones.cpp
+++ b/src/amaranthhall/placement/zones.cpp
@@ -8,7 +8,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr Duration unmeasuredCrossing = 1ms; // round trip between two zones of one region
+    constexpr Duration minimumCrossing = 1ms; // without a floor, the noise of the loads alone makes statements cross between zones that are close together
     constexpr double kilobyte = 1000;
     constexpr int leaderLatencyFactor = 2; // chooseAny() multiplies the leader's latency; whether its zone is to be left for that is decided with the shares
     constexpr double maximumFaults = 1; // an upstream with more remembered faults is not preferred
@@ -27,9 +27,8 @@
 Duration crossingCost(const CrossingCosts& costs) noexcept
 {
     const auto price = std::chrono::duration_cast<Duration>(costs.pricePerKilobyte * (costs.bytes / kilobyte));
-    if (!costs.roundTrip)
-        return unmeasuredCrossing + price;
-    return std::max(Duration::zero(), *costs.roundTrip - costs.ownRoundTrip.value_or(Duration::zero())) + price;
+    const auto time = costs.roundTrip ? *costs.roundTrip - costs.ownRoundTrip.value_or(Duration::zero()) : Duration::zero();
+    return std::max(minimumCrossing, time) + price;
 }
 
 bool preferZone(std::span<Candidate> candidates, std::string_view zone, Time now)
--- a/src/amaranthhall/placement/zones.hpp
+++ b/src/amaranthhall/placement/zones.hpp
@@ -16,7 +16,7 @@
     Duration pricePerKilobyte {}; ///< Latency that a statement may gain for each kilobyte that does not cross.
 };
 
-/// @brief Returns the latency that a crossing adds, including the price of its bytes; without measurements, that of two zones nearby.
+/// @brief Returns the latency that a crossing adds, including the price of its bytes; at least, and without measurements, that of two zones nearby.
 [[nodiscard]] Duration crossingCost(const CrossingCosts& costs) noexcept;
 
 /**
--- a/src/amaranthhall/program/soak.cpp
+++ b/src/amaranthhall/program/soak.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/soak/soak_run.hpp"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <filesystem>
 #include <iostream>
@@ -23,6 +24,7 @@
     add("seconds", options::value<unsigned>()->default_value(10), "length of the faults");
     add("daemons", options::value<std::size_t>()->default_value(5), "gateways");
     add("callers", options::value<std::size_t>()->default_value(20), "callers");
+    add("zones", options::value<std::size_t>()->default_value(1), "zones of gateways and upstreams, 1 to 26");
     add("gateway", options::value<std::string>(), "path of the gateway; else beside this program");
     add("other-gateway", options::value<std::string>()->default_value(""), "path of a gateway of another build, from which the daemons are replaced, and back");
     add("without-organisations", "callers need no keys, as builds before organisations require");
@@ -34,7 +36,7 @@
         return 0;
     }
     const auto seed = values["seed"].as<std::uint64_t>();
-    soak::SoakOptions chosen { .seed = seed, .length = std::chrono::seconds(values["seconds"].as<unsigned>()), .daemons = values["daemons"].as<std::size_t>(), .callers = values["callers"].as<std::size_t>() };
+    soak::SoakOptions chosen { .seed = seed, .length = std::chrono::seconds(values["seconds"].as<unsigned>()), .daemons = values["daemons"].as<std::size_t>(), .callers = values["callers"].as<std::size_t>(), .zones = std::clamp<std::size_t>(values["zones"].as<std::size_t>(), 1, 26) };
     const auto own = std::filesystem::read_symlink("/proc/self/exe").parent_path();
     chosen.program = values.count("gateway") != 0 ? values["gateway"].as<std::string>() : (own / "amaranthhall-gateway").string();
     chosen.otherProgram = values["other-gateway"].as<std::string>();
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -42,6 +42,11 @@
         return "svc" + std::to_string(group);
     }
 
+    std::string zoneOf(std::size_t index, std::size_t zones)
+    {
+        return std::string(1, static_cast<char>('a' + index % zones));
+    }
+
     std::string endpoint(const std::string& host, int port)
     {
         return host + ":" + std::to_string(port);
@@ -154,7 +159,7 @@
         .id = id,
         .service = serviceName(g),
         .address = { .host = "127.0.0.1", .port = this->proxied[g][index] },
-        .zone = "a",
+        .zone = zoneOf(index, this->options.zones),
         .role = group.isPrimary(index) ? catalog::Role::Primary : catalog::Role::Replica,
         .draining = isDraining,
         .slots = 2,
@@ -188,7 +193,7 @@
         const auto store = this->proxy.addRoute("store/" + std::to_string(i), { .host = "127.0.0.1", .port = this->store.port() });
         Daemon daemon { .vm = "vm" + std::to_string(i), .settings = this->options.folder + "/vm" + std::to_string(i) + ".yaml", .log = this->options.folder + "/vm" + std::to_string(i), .callers = { .host = host, .port = static_cast<std::uint16_t>(base) } };
         std::ofstream file(daemon.settings);
-        file << "vm:\n  id: \"" << daemon.vm << "\"\n  zone: \"a\"\nlisten:\n  callers: \"" << endpoint(host, base) << "\"\n  ready: \"" << endpoint(host, base + 1) << "\"\n  peers: \"" << endpoint(host, base + 2)
+        file << "vm:\n  id: \"" << daemon.vm << "\"\n  zone: \"" << zoneOf(i, this->options.zones) << "\"\nlisten:\n  callers: \"" << endpoint(host, base) << "\"\n  ready: \"" << endpoint(host, base + 1) << "\"\n  peers: \"" << endpoint(host, base + 2)
              << "\"\n  relay: \"" << endpoint(host, base + 3) << "\"\n  metrics: \"" << endpoint(host, base + 4) << "\"\nseeds: [\"" << endpoint(hostOf(0), base + 2) << "\"]\nplatform:\n  store: \""
              << endpoint("127.0.0.1", store) << "\"\n  orders: \"" << endpoint("127.0.0.1", this->store.port()) << "\"\ndrain:\n  daemon: \"6s\"\n  upstream: \"7s\"\n";
         if (this->options.hasOrganisations)
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -27,6 +27,7 @@
     std::chrono::milliseconds length { 10'000 }; ///< With faults; a calm end follows.
     std::size_t daemons { 5 };
     std::size_t callers { 20 };
+    std::size_t zones { 1 }; ///< Over which daemons and upstreams are spread.
     std::string program; ///< Path of the gateway.
     std::string otherProgram; ///< Path of a gateway of another build; if not empty, the daemons start with it and are replaced one after the other, and back again.
     bool hasOrganisations { true }; ///< Whether callers need keys; earlier builds know no organisations.
