An account of what connections hold, charged by callers and relays

Cause: large, many, slow or half-sent messages, unread replies, session settings and prepared names without end took a daemon beyond the memory and the descriptors of its VM.

Change: module budget. Each connection of a caller or of another daemon charges what it holds to one account of the process (half of the memory less 8 MB). A message beyond 64 KiB needs a slot; slots are given in order of arrival while the account has room, one at least for callers and for daemons each. From half of the capacity on, connections hold at most 4 KiB without a slot, session state no longer grows beyond 16 KiB and unread replies stop further requests at 16 KiB; at seven eighths the largest holders are closed, and no connections are accepted until they are. A message without its end is closed after 15 s without progress (1 s while others wait for its slot), unread replies after 60 s. Connections are limited by port, so that peers, store and upstreams keep descriptors; at the limit idle connections make room, and the rest are refused with TOOMANY. Accepting pauses for 100 ms when there is no descriptor, with one in reserve to refuse with a reply. A session holds at most 2 MiB of settings and prepared statements; a link is reset beyond 256 KiB of them. A daemon is read by another one only while that one holds less than 8 MiB for it. Settings vm.memory (MB) and vm.descriptors, filled from limits.memory_mb and limits.max_fds; absent, the machine's memory and getrlimit.

Two faults found on the way: ByteStream kept everything written to a reader that is slow but never quite stops, and buffers of large messages kept their capacity for idle connections and links.

The fixture now sets the two settings; crowds and bounds are as they were.

--- /dev/null
+++ b/src/amaranthhall/budget/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace amaranthhall::budget {
+
+class Account;
+class Charge;
+class Holder;
+struct AccountState;
+struct Closure;
+struct HolderState;
+struct Shares;
+struct VmLimits;
+
+}
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -1,5 +1,6 @@
 #include "amaranthhall/engine/session.hpp"
 
+#include "amaranthhall/budget/io/budget_guard.hpp"
 #include "amaranthhall/freshness/boot_clock.hpp"
 
 #include <algorithm>
@@ -10,6 +11,9 @@
 namespace {
 
     constexpr Duration relayedIdleMargin = std::chrono::seconds(1);
+    constexpr std::size_t maximumState = 2U << 20U; // bytes of settings and prepared statements of a session; the largest message sets 1 MiB
+    constexpr std::size_t stateUnderPressure = 16U << 10U; // bytes that a session may always hold
+    constexpr std::size_t entryOverhead = 128; // bytes of a map node and its strings besides their text
     constexpr std::string_view unknownKeyReason = "no organisation holds this key";
 
 }
@@ -96,14 +100,49 @@
     if (reply.state == TransactionState::Failed || request.kind == RequestKind::Malformed) {
         reply.code = ReplyCode::Malformed;
         reply.detail = reply.state == TransactionState::Failed ? "the transaction has failed" : "the statement can't be read";
-    } else if (request.kind == RequestKind::Set)
+    } else
+        reply = this->changeState(request);
+    this->channel.sendReply(reply);
+    this->watchIdleTransaction();
+}
+
+/// Returns why a session may not hold more state; `None` if it may.
+ReplyCode Session::checkGrowth(std::size_t before, std::size_t after) const
+{
+    if (after <= before)
+        return ReplyCode::None;
+    if (after > maximumState)
+        return ReplyCode::TooLarge;
+    const bool isScarce = this->context.guard && this->context.guard->account().isUnderPressure();
+    return isScarce && after > stateUnderPressure ? ReplyCode::Busy : ReplyCode::None;
+}
+
+/// Sets a value, or adds or removes a prepared statement, within the bound of the session's state.
+Reply Session::changeState(const Request& request)
+{
+    const auto costOf = [&request](const std::string& text) { return request.name.size() + text.size() + entryOverhead; };
+    std::size_t before = 0;
+    if (request.kind == RequestKind::Set) {
+        const auto found = this->settings.find(request.name);
+        before = found == this->settings.end() ? 0 : costOf(found->second);
+    } else {
+        const auto found = this->statements.find(request.name);
+        before = found == this->statements.end() ? 0 : costOf(found->second.shape);
+    }
+    const auto after = this->heldState - before + (request.kind == RequestKind::Deallocate ? 0 : costOf(request.value));
+    const auto code = this->checkGrowth(this->heldState, after);
+    if (code != ReplyCode::None) {
+        const auto* detail = code == ReplyCode::Busy ? "the daemon is short of memory" : "settings and prepared statements of the session are over 2 MiB";
+        return { .code = code, .detail = detail, .state = this->state() };
+    }
+    this->heldState = after;
+    if (request.kind == RequestKind::Set)
         this->settings[request.name] = request.value;
     else if (request.kind == RequestKind::Prepare)
         this->statements[request.name] = { .writes = request.writes, .shape = request.value };
     else
         this->statements.erase(request.name);
-    this->channel.sendReply(reply);
-    this->watchIdleTransaction();
+    return { .state = this->state() };
 }
 
 /// Handles statements that begin or end a transaction or run a query, after checking that the transaction state allows them.
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -17,6 +17,10 @@
 #include <utility>
 #include <vector>
 
+namespace amaranthhall::budget {
+class BudgetGuard;
+}
+
 namespace amaranthhall::engine {
 
 /// @brief Dependencies shared by all sessions of a daemon.
@@ -29,6 +33,7 @@
     OperationLimiter* limiter { nullptr }; ///< Limits the operations of organisations; nullptr if there are no limits.
     CommitGuard* commitGuard { nullptr }; ///< Holds back acknowledgements while a promotion is expected; nullptr if none are.
     RelayRouter* relays { nullptr }; ///< Routes statements to other daemons; nullptr if there are none.
+    budget::BudgetGuard* guard { nullptr }; ///< Limits what connections hold; nullptr if nothing does.
 };
 
 /**
@@ -58,6 +63,9 @@
     /// @brief Returns the log position of the session's last commit.
     [[nodiscard]] const std::optional<group::LogPoint>& newestCommit() const noexcept { return this->lastCommit; }
 
+    /// @brief Returns the memory that settings and prepared statements occupy, in bytes.
+    [[nodiscard]] std::size_t stateBytes() const noexcept { return this->heldState; }
+
     /// @brief Returns whether a request is in progress.
     [[nodiscard]] bool isBusy() const noexcept { return this->execution.has_value(); }
 
@@ -120,6 +128,8 @@
     };
 
     void handleSessionCommand(const Request& request);
+    [[nodiscard]] Reply changeState(const Request& request);
+    [[nodiscard]] ReplyCode checkGrowth(std::size_t before, std::size_t after) const;
     void handleStatement(Request request);
     void startExecution(Request request);
     [[nodiscard]] std::optional<identity::Identity> identify(const catalog::Route& route) const;
@@ -182,6 +192,7 @@
     std::string database;
     SessionSettings settings;
     std::map<std::string, PreparedStatement, std::less<>> statements;
+    std::size_t heldState { 0 }; ///< Bytes of settings and prepared statements.
     std::optional<group::LogPoint> lastCommit;
     std::optional<Transaction> transaction;
     std::optional<Execution> execution;
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -15,6 +15,8 @@
     constexpr Duration stallTimeout = 150ms; // longest time without traffic while a reply is outstanding
     constexpr unsigned maximumLagRetries = 8;
     constexpr std::string_view overLimitReason = "the organisation has reached its limit of operations";
+    constexpr std::size_t maximumLinkState = 256U << 10U; // bytes of settings and prepared statements after which a link is reset; each link of a daemon may hold as much
+    constexpr std::size_t linkEntryOverhead = 128; // bytes of a map node and its strings besides their text
     constexpr freshness::Micros clockMargin = 5'000; // µs by which the staleness bound of a read is tightened
 
     admission::StatementClass kindOf(const catalog::Route& route)
@@ -162,24 +164,30 @@
         ++*pendingCommands;
         this->activeLink().send(command, this->guarded(finish));
     };
-    const bool hasOtherSettings = std::any_of(link.settings.begin(), link.settings.end(), [this](const auto& item) { return !this->settings.contains(item.first); });
+    const bool isFull = !this->transaction && link.stateBytes > maximumLinkState;
+    const bool hasOtherSettings = isFull || std::any_of(link.settings.begin(), link.settings.end(), [this](const auto& item) { return !this->settings.contains(item.first); });
     if (hasOtherSettings) {
         link.settings.clear();
         link.prepared.clear();
+        link.stateBytes = 0;
         send({ .kind = Command::Kind::Reset });
     }
     for (const auto& [name, value] : this->settings) {
         const auto found = link.settings.find(name);
         if (found != link.settings.end() && found->second == value)
             continue;
+        link.stateBytes += found == link.settings.end() ? name.size() + value.size() + linkEntryOverhead : value.size();
+        link.stateBytes -= found == link.settings.end() ? 0 : found->second.size();
         link.settings[name] = value;
         send({ .kind = Command::Kind::Set, .name = name, .value = value });
     }
     if (this->execution->request.kind == RequestKind::Execute) {
         const auto& statement = this->statements.find(this->execution->request.name)->second;
         const auto [prepared, isNew] = link.prepared.try_emplace(statement, nextPreparedName(link));
-        if (isNew)
+        if (isNew) {
+            link.stateBytes += statement.shape.size() + linkEntryOverhead;
             send({ .kind = statement.writes ? Command::Kind::PrepareWrite : Command::Kind::PrepareRead, .name = prepared->second, .value = statement.shape });
+        }
     }
     finish(Reply {});
 }
--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    constexpr std::size_t maximumLinkState = 4U << 20U; // bytes of settings and prepared statements; a link can't be reset in a transaction
     constexpr std::string_view droppedReason = "the upstream that was promoted may not have received the commit";
 
 }
@@ -17,6 +18,10 @@
         this->failTransaction({ .lost = true });
         return;
     }
+    if (transaction.link.pooledLink().stateBytes > maximumLinkState) {
+        this->failTransaction({ .code = ReplyCode::TooLarge, .detail = "the transaction uses over 4 MiB of settings and prepared statements" });
+        return;
+    }
     this->execution->upstream = transaction.link.upstream();
     this->prepareLink([this] {
         this->transaction->hasWritten = this->transaction->hasWritten || this->writes(this->execution->request);
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -30,6 +30,7 @@
     std::string organisation; ///< Told to the upstream when the link was opened; empty for none.
     SessionSettings settings;
     std::map<PreparedStatement, std::string> prepared; ///< Names at the upstream of the statements prepared on this link.
+    std::size_t stateBytes { 0 }; ///< Of settings and prepared statements.
     Time idleSince;
     Time sentAt; ///< When the first outstanding command was sent or the last reply arrived, whichever is later.
     std::uint32_t running { 0 }; ///< Number of outstanding commands.
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -46,6 +46,17 @@
         return std::chrono::duration_cast<Duration>(limit * maximumAgeFraction);
     }
 
+    budget::VmLimits readVmLimits(const GatewaySettings& settings)
+    {
+        constexpr double bytesPerMegabyte = 1U << 20U;
+        budget::ConfiguredLimits configured;
+        if (settings.memoryMegabytes > 0)
+            configured.memory = static_cast<std::uint64_t>(settings.memoryMegabytes * bytesPerMegabyte);
+        if (settings.descriptors > 0)
+            configured.descriptors = static_cast<std::size_t>(settings.descriptors);
+        return budget::readLimits(configured);
+    }
+
     /// Chooses a random delay during which peers may supply configuration and upstreams before this daemon reads them from the store.
     /// This limits the load on the store when the whole fleet starts at the same time. The list of daemons is read without delay, because
     /// the store's clock is unknown until the store has responded.
@@ -67,7 +78,8 @@
     , platform(usedPlatform)
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
     , commitGuard(usedLoop, this->catalog, this->dispatcher)
-    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard }
+    , guard(usedLoop, readVmLimits(usedSettings), this->metrics)
+    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard, .guard = &this->guard }
     , listDelay(chooseListDelay(usedSettings))
     , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
     , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
@@ -241,6 +253,7 @@
 
 void Gateway::updateGauges()
 {
+    this->guard.updateGauges();
     const auto configuration = this->catalog.configuration();
     this->livePeers.Set(static_cast<double>(this->gossip.peers().liveNames(this->loop.now()).size()));
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthhall/budget/io/budget_guard.hpp"
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/catalog/row_reader.hpp"
 #include "amaranthhall/engine/caller_server.hpp"
@@ -46,6 +47,9 @@
     /// @brief Returns the context that all sessions share.
     [[nodiscard]] engine::SessionContext& sessionContext() noexcept { return this->context; }
 
+    /// @brief Returns the guard of the limits of the VM.
+    [[nodiscard]] budget::BudgetGuard& limits() noexcept { return this->guard; }
+
     /// @brief Sets the function that is called after another configuration has come into force.
     void onConfigurationApplied(std::function<void()> callback) { this->configurationApplied = std::move(callback); }
 
@@ -113,6 +117,7 @@
     engine::CommitGuard commitGuard;
     telemetry::Metrics metrics;
     engine::RequestLog requestLog { this->metrics };
+    budget::BudgetGuard guard;
     engine::SessionContext context;
     Duration listDelay; ///< Time at startup during which peers may supply the store's rows.
     store::TableWatch upstreamWatch;
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -20,7 +20,7 @@
     std::vector<Key> settingsKeys(GatewaySettings& settings)
     {
         return {
-            mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone), positiveKey("cores", settings.cores) }),
+            mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone), positiveKey("cores", settings.cores), positiveKey("memory", settings.memoryMegabytes), positiveKey("descriptors", settings.descriptors) }),
             mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("relay", settings.relay), addressKey("metrics", settings.metrics) }),
             listKey("seeds", settings.seeds, readAddress),
             mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.promotionEndpoint) }),
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -16,6 +16,8 @@
     std::string vm;
     std::string zone;
     double cores { 1 }; ///< Processor capacity of the VM; may be less than 1.
+    double memoryMegabytes { 0 }; ///< Memory of the VM in MB; 0 for the machine's memory.
+    double descriptors { 0 }; ///< Descriptors that the process may open; 0 for the limit of the process.
     kernel::Address callers; ///< Listen address for callers.
     kernel::Address ready; ///< Listen address for the platform's readiness checks.
     kernel::Address peers; ///< Listen address for other daemons, TCP and UDP.
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -9,13 +9,23 @@
 #include "platform/store_client.hpp"
 
 #include <csignal>
+#include <malloc.h>
 
 namespace {
 
 using namespace amaranthhall;
 
+/// Returns large buffers to the system as soon as they are freed; by default, the allocator keeps up to 32 MiB for reuse.
+void limitAllocator()
+{
+    constexpr int largeBuffer = 128 << 10; // bytes
+    mallopt(M_MMAP_THRESHOLD, largeBuffer);
+    mallopt(M_TRIM_THRESHOLD, largeBuffer);
+}
+
 int runLoaded(const std::string& file, const gateway::GatewaySettings& settings)
 {
+    limitAllocator();
     kernel::Loop loop;
     fleet::StoreClient store(loop, settings.store);
     fleet::LineLinkFactory links(loop);
--- a/src/amaranthhall/relay/frame.cpp
+++ b/src/amaranthhall/relay/frame.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+    constexpr std::size_t maximumIdleCapacity = 128U << 10U; // bytes of buffer capacity that a connection without an incomplete frame keeps
+
     constexpr std::size_t lengthFieldSize = 4;
     constexpr unsigned bitsPerByte = 8;
 
@@ -228,6 +230,8 @@
         return;
     this->buffer.erase(0, this->readOffset);
     this->readOffset = 0;
+    if (this->buffer.empty() && this->buffer.capacity() > maximumIdleCapacity)
+        this->buffer.shrink_to_fit();
 }
 
 }
--- a/src/amaranthhall/relay/frame.hpp
+++ b/src/amaranthhall/relay/frame.hpp
@@ -42,6 +42,9 @@
 
     void append(std::string_view bytes) { this->buffer.append(bytes); }
 
+    /// @brief Returns the number of buffered bytes.
+    [[nodiscard]] std::size_t size() const noexcept { return this->buffer.size() - this->readOffset; }
+
     /// @brief Returns the next complete frame; nothing if there is none yet or the input is malformed (see isMalformed()).
     [[nodiscard]] std::optional<Frame> next();
 
--- a/src/amaranthhall/relay/relay_server.hpp
+++ b/src/amaranthhall/relay/relay_server.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "amaranthhall/engine/session.hpp"
+#include "amaranthhall/kernel/acceptor.hpp"
 #include "amaranthhall/kernel/loop.hpp"
-#include "amaranthhall/kernel/socket.hpp"
 
 #include <list>
 #include <memory>
@@ -19,7 +19,7 @@
     ~RelayServer();
 
     /// @brief Returns the listening port.
-    [[nodiscard]] std::uint16_t port() const { return kernel::boundPort(this->listener); }
+    [[nodiscard]] std::uint16_t port() const { return this->acceptor.port(); }
 
     /// @brief Returns the number of statements and transactions that run for other daemons.
     [[nodiscard]] std::size_t streamCount() const noexcept;
@@ -31,13 +31,16 @@
     void abandonRequests();
 
 private:
-    void accept();
+    void accept(kernel::Socket socket);
+    [[nodiscard]] bool hasRoom();
 
     kernel::Loop& loop;
     engine::SessionContext& context;
-    kernel::Socket listener;
-    kernel::Registration watch;
+    std::size_t connectionLimit;
+    std::size_t replaced { 0 }; ///< Connections that are closed to make room and still count.
+    Time roomMadeAt;
     std::list<std::unique_ptr<ServedConnection>> connections;
+    kernel::Acceptor acceptor;
 };
 
 }
--- a/test/integration/served_fleet.cpp
+++ b/test/integration/served_fleet.cpp
@@ -119,7 +119,7 @@
 {
     const auto endpoint = [this](std::size_t daemon, Port port) { return '"' + kernel::formatAddress(this->address(daemon, port)) + '"'; };
     const auto settings = this->folder + "/" + vmOf(index) + ".yaml";
-    std::ofstream(settings) << "vm: { id: \"" << vmOf(index) << "\", zone: \"a\" }\nlisten: { callers: " << endpoint(index, Port::Callers) << ", ready: " << endpoint(index, Port::Ready) << ", peers: " << endpoint(index, Port::Peers)
+    std::ofstream(settings) << "vm: { id: \"" << vmOf(index) << "\", zone: \"a\", memory: " << this->options.memory << ", descriptors: " << this->options.descriptors << " }\nlisten: { callers: " << endpoint(index, Port::Callers) << ", ready: " << endpoint(index, Port::Ready) << ", peers: " << endpoint(index, Port::Peers)
                             << ", relay: " << endpoint(index, Port::Relay) << ", metrics: " << endpoint(index, Port::Metrics) << " }\nseeds: [" << endpoint(0, Port::Peers) << "]\nplatform: { store: \"127.0.0.1:" << this->store.port()
                             << "\", orders: \"127.0.0.1:" << this->store.port() << "\" }\n";
     const DescriptorLimit limit(this->options.descriptors);
--- a/test/integration/served_fleet.hpp
+++ b/test/integration/served_fleet.hpp
@@ -21,6 +21,7 @@
     struct Options {
         std::string name; ///< Of the folder for settings and logs.
         std::size_t daemons { 1 }; ///< With three, two are homes of the service and one relays.
+        std::size_t memory { 32 }; ///< Of each VM, in MB.
         std::size_t descriptors { 512 }; ///< Limit of open descriptors of each process.
         std::chrono::milliseconds work { 2 }; ///< Of each statement at an upstream.
     };
