--- a/src/amaranthhall/budget/account.hpp
+++ b/src/amaranthhall/budget/account.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <vector>
 
@@ -113,7 +114,7 @@
     bool isGiven { false };
     bool isQueued { false };
     // As of the last review.
-    std::uint64_t lastTransferred { 0 };
+    std::uint64_t lastTransferred { std::numeric_limits<std::uint64_t>::max() }; ///< Differs from any count before the first review.
     Time lastProgress;
     Time slotSeen;
 };
--- a/src/amaranthhall/budget/io/budget_guard.cpp
+++ b/src/amaranthhall/budget/io/budget_guard.cpp
@@ -55,7 +55,9 @@
     };
     setLimit("callers", this->divided.callers);
     setLimit("relay", this->divided.relays);
-    setLimit("http", this->divided.http);
+    setLimit("peers", this->divided.peers);
+    setLimit("ready", this->divided.http);
+    setLimit("metrics", this->divided.http);
     this->connections.onNearlyFull([this] {
         if (!std::exchange(this->isReviewPosted, true))
             this->loop.post([this] { this->review(); });
--- a/src/amaranthhall/budget/shares.cpp
+++ b/src/amaranthhall/budget/shares.cpp
@@ -15,11 +15,11 @@
     constexpr std::size_t filesDivisor = 8;
     constexpr std::size_t ownReserve = 448; // for 24 upstreams with 12 connections each, and 100 peers, store and files of the process
     constexpr std::size_t ownDivisor = 4;
-    constexpr std::size_t maximumRelays = 256;
-    constexpr std::size_t relayDivisor = 8;
+    constexpr std::size_t maximumPeers = 256; // daemons that relay to this one, or fetch rows, at the same time
+    constexpr std::size_t peersDivisor = 8;
     constexpr std::size_t maximumHttp = 64; // each answers at once, so few are open at the same time
     constexpr std::size_t httpDivisor = 16;
-    constexpr std::size_t httpPorts = 3;
+    constexpr std::size_t httpPorts = 2;
 
 }
 
@@ -30,9 +30,10 @@
     shares.memory = std::max(half - std::min(half, memoryOfProcess), limits.memory / smallestMemoryDivisor);
     const auto total = limits.descriptors;
     const auto reserved = std::min(filesReserve, total / filesDivisor) + std::min(ownReserve, total / ownDivisor);
-    shares.relays = std::max<std::size_t>(1, std::min(maximumRelays, total / relayDivisor));
+    shares.relays = std::max<std::size_t>(1, std::min(maximumPeers, total / peersDivisor));
+    shares.peers = shares.relays;
     shares.http = std::max<std::size_t>(1, std::min(maximumHttp, total / httpDivisor));
-    const auto taken = reserved + shares.relays + httpPorts * shares.http;
+    const auto taken = reserved + shares.relays + shares.peers + httpPorts * shares.http;
     shares.callers = std::max<std::size_t>(1, total - std::min(total, taken));
     return shares;
 }
--- a/src/amaranthhall/budget/shares.hpp
+++ b/src/amaranthhall/budget/shares.hpp
@@ -16,7 +16,8 @@
     std::uint64_t memory { 0 }; ///< Bytes that callers and other daemons may hold.
     std::size_t callers { 0 }; ///< Connections of callers.
     std::size_t relays { 0 }; ///< Connections of other daemons to the relay port.
-    std::size_t http { 0 }; ///< Connections to each of the ports for readiness, metrics and rows.
+    std::size_t peers { 0 }; ///< Connections of other daemons to the port for rows.
+    std::size_t http { 0 }; ///< Connections to each of the ports for readiness and metrics.
 };
 
 /// @brief Divides the limits of a VM.
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -88,9 +88,10 @@
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
     , relays(usedLoop, usedSettings.relay, this->context)
-    , rowExchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); })
+    , rowExchange(
+          usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); }, this->httpLimits("peers", this->guard.shares().peers))
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.sendUrgently(); })
-    , metricsServer(usedLoop, { .listen = usedSettings.metrics })
+    , metricsServer(usedLoop, { .listen = usedSettings.metrics, .limits = this->httpLimits("metrics", this->guard.shares().http) })
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
     , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
@@ -103,6 +104,12 @@
 {
 }
 
+/// Returns the limits of an HTTP port; the port's name must outlive the gateway.
+http::ServerLimits Gateway::httpLimits(std::string_view port, std::size_t connections)
+{
+    return { .connections = connections, .refused = [this, port](auto reason) { this->guard.noteRefused(port, reason); } };
+}
+
 prometheus::Gauge& Gateway::copyAgeGauge(std::string_view rows)
 {
     return this->metrics.gauge("amaranthhall_copy_age_seconds", "Time since this daemon's rows were known to be those of the store", { { "rows", rows } });
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -47,8 +47,8 @@
     /// @brief Returns the context that all sessions share.
     [[nodiscard]] engine::SessionContext& sessionContext() noexcept { return this->context; }
 
-    /// @brief Returns the guard of the limits of the VM.
-    [[nodiscard]] budget::BudgetGuard& limits() noexcept { return this->guard; }
+    /// @brief Returns the limits of the readiness port.
+    [[nodiscard]] http::ServerLimits readinessLimits() { return this->httpLimits("ready", this->guard.shares().http); }
 
     /// @brief Sets the function that is called after another configuration has come into force.
     void onConfigurationApplied(std::function<void()> callback) { this->configurationApplied = std::move(callback); }
@@ -69,6 +69,7 @@
     static constexpr std::string_view storeSource = "store";
     static constexpr std::string_view configurationInForce = "configuration in force"; ///< Name under which daemons hand on a configuration that the store has lost.
 
+    [[nodiscard]] http::ServerLimits httpLimits(std::string_view port, std::size_t connections);
     [[nodiscard]] prometheus::Gauge& copyAgeGauge(std::string_view rows);
     [[nodiscard]] engine::Dispatcher::Options dispatcherOptions();
     [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -87,9 +87,9 @@
     return std::nullopt;
 }
 
-RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource)
+RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, std::optional<http::ServerLimits> limits)
     : source(std::move(usedSource))
-    , server(loop, { .listen = listen })
+    , server(loop, { .listen = listen, .limits = std::move(limits) })
     , client(loop)
 {
     this->server.route("/rows", [this](const http::Request& request, const http::Reply& reply) {
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -19,7 +19,7 @@
     using Source = std::function<std::vector<store::Row>(const std::string& table, store::Version after)>;
     using FetchCallback = std::function<void(const std::optional<std::vector<store::Row>>&)>;
 
-    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource);
+    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, std::optional<http::ServerLimits> limits = {});
 
     /// @brief Requests the rows of a table that are newer than a version from a peer; the callback is called once, with std::nullopt on failure.
     void fetch(const kernel::Address& peer, const std::string& table, store::Version after, FetchCallback onFetched);
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -34,7 +34,8 @@
     gateway::Gateway gateway(loop, settings, { .store = store, .links = links, .promoter = promoter, .rows = rows });
     fleet::LineServer callers(loop, settings.callers, gateway.sessionContext());
     gateway.onConfigurationApplied([&callers] { callers.reviewSessions(); });
-    const fleet::ReadinessEndpoint readinessEndpoint(loop, settings.ready, [&gateway] { return gateway.isReady(); });
+    const fleet::ReadinessEndpoint readinessEndpoint(
+        loop, settings.ready, [&gateway] { return gateway.isReady(); }, gateway.readinessLimits());
     gateway.start();
     const auto terminate = loop.onSignal(SIGTERM, [&] { gateway.drain(callers, [&loop] { loop.stop(); }); });
     const auto reload = loop.onSignal(SIGHUP, [&] {
