Backpressure by memory at the relay, metrics of refusals, tests of bounds

Change: a daemon that is short of memory reads another one only while it holds less than 1 MiB for it, or 64 KiB when connections are being closed. Session state that is refused and connections refused for lack of a descriptor are counted.

--- a/src/amaranthhall/budget/io/budget_guard.cpp
+++ b/src/amaranthhall/budget/io/budget_guard.cpp
@@ -76,9 +76,9 @@
     this->logAction("closed", nameOf(reason));
 }
 
-void BudgetGuard::noteRefused(std::string_view port, std::string_view reason)
+void BudgetGuard::noteRefused(std::string_view what, std::string_view reason)
 {
-    this->metrics.counter("amaranthhall_budget_refused_total", "Connections refused or replaced to stay within the limits of the VM", { { "port", port }, { "reason", reason } }).Increment();
+    this->metrics.counter("amaranthhall_budget_refused_total", "Connections refused or replaced, and session state refused, to stay within the limits of the VM", { { "what", what }, { "reason", reason } }).Increment();
     this->logAction("refused", reason);
 }
 
--- a/src/amaranthhall/budget/io/budget_guard.hpp
+++ b/src/amaranthhall/budget/io/budget_guard.hpp
@@ -29,8 +29,11 @@
     [[nodiscard]] Account& account() noexcept { return this->connections; }
     [[nodiscard]] const Shares& shares() const noexcept { return this->divided; }
 
-    /// @brief Records that a connection was refused or replaced for lack of room.
-    void noteRefused(std::string_view port, std::string_view reason);
+    /**
+     * @brief Records that something was refused for lack of room.
+     * @param what Name of the port of a connection that was refused or replaced, or `session_state`.
+     */
+    void noteRefused(std::string_view what, std::string_view reason);
 
     void updateGauges();
 
--- a/src/amaranthhall/engine/session.cpp
+++ b/src/amaranthhall/engine/session.cpp
@@ -132,6 +132,8 @@
     const auto after = this->heldState - before + (request.kind == RequestKind::Deallocate ? 0 : costOf(request.value));
     const auto code = this->checkGrowth(this->heldState, after);
     if (code != ReplyCode::None) {
+        if (this->context.guard)
+            this->context.guard->noteRefused("session_state", nameOf(code));
         const auto* detail = code == ReplyCode::Busy ? "the daemon is short of memory" : "settings and prepared statements of the session are over 2 MiB";
         return { .code = code, .detail = detail, .state = this->state() };
     }
--- a/src/amaranthhall/kernel/acceptor.cpp
+++ b/src/amaranthhall/kernel/acceptor.cpp
@@ -24,9 +24,9 @@
 
 }
 
-Acceptor::Acceptor(Loop& usedLoop, const Address& listen, Accepted usedAccepted, std::string usedRefusal)
+Acceptor::Acceptor(Loop& usedLoop, const Address& listen, Callbacks usedCallbacks, std::string usedRefusal)
     : loop(usedLoop)
-    , accepted(std::move(usedAccepted))
+    , callbacks(std::move(usedCallbacks))
     , refusal(std::move(usedRefusal))
     , listener(listenOn(listen))
     , reserve(openReserve())
@@ -44,7 +44,7 @@
     for (int count = 0; count < maximumPerTurn; ++count) {
         auto socket = acceptFrom(this->listener);
         if (socket) {
-            this->accepted(std::move(socket));
+            this->callbacks.accepted(std::move(socket));
             continue;
         }
         if (!isOutOfResources(errno))
@@ -63,7 +63,8 @@
     {
         const auto socket = acceptFrom(this->listener);
         if (socket) {
-            ++this->refusedCount;
+            if (this->callbacks.refused)
+                this->callbacks.refused();
             static_cast<void>(send(socket.descriptor(), this->refusal.data(), this->refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
         }
     }
--- a/src/amaranthhall/relay/relay_server.cpp
+++ b/src/amaranthhall/relay/relay_server.cpp
@@ -20,6 +20,8 @@
     constexpr std::size_t maximumIncomplete = 64U << 10U; // bytes of a frame that arrive without a slot for large messages
     constexpr std::size_t incompleteUnderPressure = 16U << 10U; // the same when memory is scarce
     constexpr std::size_t maximumHeld = 8U << 20U; // bytes of statements and replies of one daemon; beyond, it is not read until some are answered, so that it holds what its callers send
+    constexpr std::size_t heldUnderPressure = 1U << 20U; // the same when memory is scarce
+    constexpr std::size_t heldWhenNearlyFull = 64U << 10U; // the same when connections are closed for lack of memory
     constexpr std::size_t connectionCost = 4096; // bytes of a connection without anything in it
     constexpr std::size_t streamCost = 2048; // bytes of a stream besides its statement
     constexpr std::size_t replacedAtOnce = 8; // idle connections that make room for new ones at a time
@@ -31,6 +33,14 @@
         return context.guard ? &context.guard->account() : nullptr;
     }
 
+    /// Returns the bytes of statements and replies in progress at which a daemon is no longer read.
+    std::size_t findMaximumHeld(const budget::Account& account)
+    {
+        if (account.isNearlyFull())
+            return heldWhenNearlyFull;
+        return account.isUnderPressure() ? heldUnderPressure : maximumHeld;
+    }
+
     std::size_t sizeOf(const engine::RelayedRequest& request)
     {
         auto size = streamCost + request.request.text.size() + request.request.value.size() + (request.prepared ? request.prepared->shape.size() : 0);
@@ -136,7 +146,8 @@
         this->charge.set(connectionCost + this->reader.size() + held);
         if (!this->context.guard)
             return;
-        const bool mayRead = held < maximumHeld && (!isLarge || this->charge.requestSlot());
+        // Reading goes on when statements of this daemon are answered, so it is stopped only while there are some.
+        const bool mayRead = held < findMaximumHeld(this->context.guard->account()) && (!isLarge || this->charge.requestSlot());
         this->stream.setReadLimit(isScarce && !this->charge.hasSlot() ? incompleteUnderPressure : kernel::ByteStream::maximumReadSize);
         if (mayRead)
             this->stream.resumeReading();
@@ -231,7 +242,7 @@
     : loop(usedLoop)
     , context(usedContext)
     , connectionLimit(usedContext.guard ? usedContext.guard->shares().relays : std::numeric_limits<std::size_t>::max())
-    , acceptor(usedLoop, listen, [this](kernel::Socket socket) { this->accept(std::move(socket)); })
+    , acceptor(usedLoop, listen, { .accepted = [this](kernel::Socket socket) { this->accept(std::move(socket)); }, .refused = [this] { if (this->context.guard) this->context.guard->noteRefused("relay", "no_descriptor"); } })
 {
 }
 
--- a/test/integration/client_crowd.hpp
+++ b/test/integration/client_crowd.hpp
@@ -33,6 +33,9 @@
     ClientCrowd(const ClientCrowd&) = delete;
     ClientCrowd& operator=(const ClientCrowd&) = delete;
 
+    /// @brief Returns the number of connections that are open, as far as the clients have noticed.
+    [[nodiscard]] std::size_t size() const noexcept { return this->clients.size(); }
+
     /// @brief Returns a number that changes as the crowd sends or receives.
     [[nodiscard]] std::uint64_t progress() const noexcept;
 
--- a/test/integration/test_misbehaving_clients.cpp
+++ b/test/integration/test_misbehaving_clients.cpp
@@ -342,3 +342,27 @@
     crowds.add({ .bytes = std::string(startup) }, descriptors);
     checkServed(fleet, crowds, descriptors);
 }
+
+// Guards against limits that callers meet who keep within theirs: idle sessions, and messages of the largest size, one at a time, in the smallest VM.
+TEST(MisbehavingClients, CallersWithinTheLimitsMeetNone)
+{
+    constexpr std::size_t smallestMemory = 112; // MB
+    constexpr std::size_t fewestDescriptors = 3'010;
+    constexpr std::size_t idleSessions = 1'500;
+    constexpr int rounds = 3;
+    ServedFleet fleet({ .name = "within", .memory = smallestMemory, .descriptors = fewestDescriptors });
+    Crowds crowds(fleet);
+    crowds.add({ .bytes = std::string(startup) + "QUERY s SET name value\r\nQUERY r READ item\r\n" }, idleSessions);
+    crowds.settle();
+    std::vector<std::unique_ptr<OrdinarySession>> sessions;
+    for (std::size_t i = 0; i < fewSessions; ++i)
+        sessions.push_back(std::make_unique<OrdinarySession>(fleet.events(), fleet.address(0, Port::Callers)));
+    const auto statement = "READ " + filler(largestMessage - 100);
+    for (int round = 0; round < rounds; ++round) {
+        for (const auto& session : sessions)
+            CHECK(session->run(statement, 20s));
+    }
+    UT_PRINT(StringFromFormat("%d sessions, peak %d kB, %d descriptors", static_cast<int>(crowds.all.front()->size()), static_cast<int>(fleet.peakMemory(0) >> 10U), static_cast<int>(fleet.openDescriptors(0))).asCharString());
+    CHECK_EQUAL(idleSessions, crowds.all.front()->size());
+    CHECK_COMPARE(fleet.peakMemory(0), <=, smallestMemory << 20U);
+}
