--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -19,8 +19,9 @@
 void limitAllocator()
 {
     constexpr int largeBuffer = 128 << 10; // bytes
+    constexpr int unusedTop = 1 << 20; // bytes; less would be given back and taken again as the load varies
     mallopt(M_MMAP_THRESHOLD, largeBuffer);
-    mallopt(M_TRIM_THRESHOLD, largeBuffer);
+    mallopt(M_TRIM_THRESHOLD, unusedTop);
 }
 
 int runLoaded(const std::string& file, const gateway::GatewaySettings& settings)
