More descriptors for callers in small VMs; a test of HTTP requests sent ahead

Cause: a VM of 3,010 descriptors took 1,722 connections of callers; the ports for rows, readiness and metrics had more than their use needs.

Change: the relay port and the port for rows get a sixteenth of the descriptors each (256 at most), readiness and metrics 32 at most, so callers get 1,922.

--- a/src/amaranthhall/budget/shares.cpp
+++ b/src/amaranthhall/budget/shares.cpp
@@ -16,8 +16,8 @@
     constexpr std::size_t ownReserve = 448; // for 24 upstreams with 12 connections each, and 100 peers, store and files of the process
     constexpr std::size_t ownDivisor = 4;
     constexpr std::size_t maximumPeers = 256; // daemons that relay to this one, or fetch rows, at the same time
-    constexpr std::size_t peersDivisor = 8;
-    constexpr std::size_t maximumHttp = 64; // each answers at once, so few are open at the same time
+    constexpr std::size_t peersDivisor = 16;
+    constexpr std::size_t maximumHttp = 32; // each answers at once, so few are open at the same time
     constexpr std::size_t httpDivisor = 16;
     constexpr std::size_t httpPorts = 2;
 
--- a/test/budget/test_budget.cpp
+++ b/test/budget/test_budget.cpp
@@ -60,11 +60,11 @@
     }
 };
 
-TEST(Budget, SmallestVmKeepsRoomForItselfAndThousandConnections)
+TEST(Budget, SmallestVmKeepsRoomForItselfAndItsCallers)
 {
     const auto shares = divideLimits({ .memory = 112 * megabyte, .descriptors = 3'010 });
     CHECK_EQUAL(48 * megabyte, shares.memory);
-    CHECK(shares.callers > 1'500);
+    CHECK(shares.callers > 1'900);
     // Files, and what the process opens itself.
     CHECK(3'010 - shares.callers - shares.relays - shares.peers - 2 * shares.http >= 200 + 400);
 }
--- a/test/integration/test_misbehaving_clients.cpp
+++ b/test/integration/test_misbehaving_clients.cpp
@@ -314,6 +314,22 @@
     checkServed(fleet, crowds, ServedFleet::Options {}.descriptors);
 }
 
+// Guards against memory for responses that nobody reads: each request is short, and its response many times longer.
+TEST(MisbehavingClients, HttpRequestsAheadWithoutReading)
+{
+    constexpr std::size_t connections = 16;
+    constexpr std::size_t requests = 4'000;
+    ServedFleet fleet({ .name = "http-ahead" });
+    std::string ahead;
+    for (std::size_t i = 0; i < requests; ++i)
+        ahead += "GET /metrics HTTP/1.1\r\nHost: test\r\n\r\n";
+    Crowds crowds(fleet);
+    crowds.add({ .bytes = ahead, .reads = false }, connections, Port::Metrics);
+    checkServed(fleet, crowds, ServedFleet::Options {}.descriptors);
+    crowds.all.clear();
+    CHECK(fleet.answersHttp(0, Port::Metrics, "/metrics"));
+}
+
 TEST(MisbehavingClients, ConnectionsWithoutARequestAtHttpAndRelayPorts)
 {
     constexpr std::size_t descriptors = 96;
