--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -46,6 +46,17 @@
         return std::chrono::duration_cast<Duration>(limit * maximumAgeFraction);
     }
 
+    budget::VmLimits readVmLimits(const GatewaySettings& settings)
+    {
+        constexpr double bytesPerMegabyte = 1U << 20U;
+        budget::ConfiguredLimits configured;
+        if (settings.memoryMegabytes > 0)
+            configured.memory = static_cast<std::uint64_t>(settings.memoryMegabytes * bytesPerMegabyte);
+        if (settings.descriptors > 0)
+            configured.descriptors = static_cast<std::size_t>(settings.descriptors);
+        return budget::readLimits(configured);
+    }
+
     /// Chooses a random delay during which peers may supply configuration and upstreams before this daemon reads them from the store.
     /// This limits the load on the store when the whole fleet starts at the same time. The list of daemons is read without delay, because
     /// the store's clock is unknown until the store has responded.
@@ -67,7 +78,8 @@
     , platform(usedPlatform)
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
     , commitGuard(usedLoop, this->catalog, this->dispatcher)
-    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard }
+    , guard(usedLoop, readVmLimits(usedSettings), this->metrics)
+    , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard, .guard = &this->guard }
     , listDelay(chooseListDelay(usedSettings))
     , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
     , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
@@ -77,9 +89,9 @@
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
     , relays(usedLoop, usedSettings.relay, this->context)
     , rowExchange(
-          usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); }, &usedPlatform.traffic)
+          usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); }, { .traffic = &usedPlatform.traffic, .limits = this->httpLimits("peers", this->guard.shares().peers) })
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.sendUrgently(); })
-    , metricsServer(usedLoop, { .listen = usedSettings.metrics })
+    , metricsServer(usedLoop, { .listen = usedSettings.metrics, .limits = this->httpLimits("metrics", this->guard.shares().http) })
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
     , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
@@ -93,6 +105,12 @@
 {
 }
 
+/// Returns the limits of an HTTP port; the port's name must outlive the gateway.
+http::ServerLimits Gateway::httpLimits(std::string_view port, std::size_t connections)
+{
+    return { .connections = connections, .refused = [this, port](auto reason) { this->guard.noteRefused(port, reason); } };
+}
+
 prometheus::Gauge& Gateway::copyAgeGauge(std::string_view rows)
 {
     return this->metrics.gauge("amaranthhall_copy_age_seconds", "Time since this daemon's rows were known to be those of the store", { { "rows", rows } });
@@ -247,6 +265,7 @@
 
 void Gateway::updateGauges()
 {
+    this->guard.updateGauges();
     const auto configuration = this->catalog.configuration();
     this->livePeers.Set(static_cast<double>(this->gossip.peers().liveNames(this->loop.now()).size()));
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthhall/budget/io/budget_guard.hpp"
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/catalog/row_reader.hpp"
 #include "amaranthhall/engine/caller_server.hpp"
@@ -48,6 +49,9 @@
     /// @brief Returns the context that all sessions share.
     [[nodiscard]] engine::SessionContext& sessionContext() noexcept { return this->context; }
 
+    /// @brief Returns the limits of the readiness port.
+    [[nodiscard]] http::ServerLimits readinessLimits() { return this->httpLimits("ready", this->guard.shares().http); }
+
     /// @brief Sets the function that is called after another configuration has come into force.
     void onConfigurationApplied(std::function<void()> callback) { this->configurationApplied = std::move(callback); }
 
@@ -67,6 +71,7 @@
     static constexpr std::string_view storeSource = "store";
     static constexpr std::string_view configurationInForce = "configuration in force"; ///< Name under which daemons hand on a configuration that the store has lost.
 
+    [[nodiscard]] http::ServerLimits httpLimits(std::string_view port, std::size_t connections);
     [[nodiscard]] prometheus::Gauge& copyAgeGauge(std::string_view rows);
     [[nodiscard]] engine::Dispatcher::Options dispatcherOptions();
     [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
@@ -115,6 +120,7 @@
     engine::Dispatcher dispatcher;
     engine::CommitGuard commitGuard;
     engine::RequestLog requestLog { this->metrics };
+    budget::BudgetGuard guard;
     engine::SessionContext context;
     Duration listDelay; ///< Time at startup during which peers may supply the store's rows.
     store::TableWatch upstreamWatch;
--- a/src/amaranthhall/gossip/row_exchange.cpp
+++ b/src/amaranthhall/gossip/row_exchange.cpp
@@ -87,10 +87,10 @@
     return std::nullopt;
 }
 
-RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, telemetry::ZoneTraffic* usedTraffic)
+RowExchange::RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, RowExchangeOptions options)
     : source(std::move(usedSource))
-    , traffic(usedTraffic)
-    , server(loop, { .listen = listen })
+    , traffic(options.traffic)
+    , server(loop, { .listen = listen, .limits = std::move(options.limits) })
     , client(loop)
 {
     this->server.route("/rows", [this](const http::Request& request, const http::Reply& reply) {
--- a/src/amaranthhall/gossip/row_exchange.hpp
+++ b/src/amaranthhall/gossip/row_exchange.hpp
@@ -14,13 +14,19 @@
 
 namespace amaranthhall::gossip {
 
+/// @brief What an exchange counts, and what its server accepts.
+struct RowExchangeOptions {
+    telemetry::ZoneTraffic* traffic { nullptr }; ///< Counts the bytes; may be null.
+    std::optional<http::ServerLimits> limits;
+};
+
 /// @brief Transfers rows between daemons over HTTP, for daemons that cannot reach the store or do not query it.
 class RowExchange {
 public:
     using Source = std::function<std::vector<store::Row>(const std::string& table, store::Version after)>;
     using FetchCallback = std::function<void(const std::optional<std::vector<store::Row>>&)>;
 
-    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, telemetry::ZoneTraffic* traffic = nullptr);
+    RowExchange(kernel::Loop& loop, const kernel::Address& listen, Source usedSource, RowExchangeOptions options = {});
 
     /// @brief Requests the rows of a table that are newer than a version from a peer; the callback is called once, with std::nullopt on failure.
     void fetch(const kernel::Address& peer, const std::string& table, store::Version after, FetchCallback onFetched);
--- a/src/amaranthhall/program/gateway.cpp
+++ b/src/amaranthhall/program/gateway.cpp
@@ -9,13 +9,24 @@
 #include "platform/store_client.hpp"
 
 #include <csignal>
+#include <malloc.h>
 
 namespace {
 
 using namespace amaranthhall;
 
+/// Returns large buffers to the system as soon as they are freed; by default, the allocator keeps up to 32 MiB for reuse.
+void limitAllocator()
+{
+    constexpr int largeBuffer = 128 << 10; // bytes
+    constexpr int unusedTop = 1 << 20; // bytes; less would be given back and taken again as the load varies
+    mallopt(M_MMAP_THRESHOLD, largeBuffer);
+    mallopt(M_TRIM_THRESHOLD, unusedTop);
+}
+
 int runLoaded(const std::string& file, const gateway::GatewaySettings& settings)
 {
+    limitAllocator();
     kernel::Loop loop;
     fleet::StoreClient store(loop, settings.store);
     telemetry::ZoneTraffic traffic;
@@ -25,7 +36,8 @@
     gateway::Gateway gateway(loop, settings, { .store = store, .links = links, .promoter = promoter, .rows = rows, .traffic = traffic });
     fleet::LineServer callers(loop, settings.callers, gateway.sessionContext());
     gateway.onConfigurationApplied([&callers] { callers.reviewSessions(); });
-    const fleet::ReadinessEndpoint readinessEndpoint(loop, settings.ready, [&gateway] { return gateway.isReady(); });
+    const fleet::ReadinessEndpoint readinessEndpoint(
+        loop, settings.ready, [&gateway] { return gateway.isReady(); }, gateway.readinessLimits());
     gateway.start();
     const auto terminate = loop.onSignal(SIGTERM, [&] { gateway.drain(callers, [&loop] { loop.stop(); }); });
     const auto reload = loop.onSignal(SIGHUP, [&] {
