quota: owners announce shares of a limit for daemons that reach no owner

With its grants an owner now announces to each holder, once a second and for 5 s, what it may run on its own: divided by the holders' demand, from half of that part of the room and from the limit as far as the demand leaves it unused, up to 40 % of it. Announced shares count as used until they expire. They are told to the next owner with the bucket; an owner without its predecessor's bucket learns of them from its voters, which are told before shares are announced. The other half of the part is divided evenly as before; a daemon starts with a random fraction of a token, as 300 daemons with a full token each would pass the bound. A holder whose owner lacks votes for a second asks another daemon.

The voters now allow two starts a window, with twice the initial tokens. QuotaShares.CutOffDaemonsServeTheirDemandWhileMostOfTheLimitIsUnused: without the share no operation of a daemon among 95 is admitted, with it four of five or more. ThePartsOfTheRoomStayWithinIt counts two starts in place of four and the announced part beside the even one. The simulation of a full start sets the tokens past the voters, as the room alone no longer decides on them.

--- a/src/amaranthhall/quota/holder.cpp
+++ b/src/amaranthhall/quota/holder.cpp
@@ -60,6 +60,7 @@
     if (!hasUsableToken(held, now))
         held.unused += std::exchange(held.tokens, 0);
     request.returned = std::exchange(held.unused, 0);
+    request.demandPerSecond = held.demandPerSecond;
     held.isAsking = true;
     held.askedAt = now;
     return request;
@@ -70,6 +71,10 @@
     if (!held.isAsking || grant.sequence != held.sequence)
         return;
     held.isAsking = false;
+    if (grant.share.lifetime > Duration::zero()) {
+        held.share = grant.share;
+        held.shareUntil = held.askedAt + grant.share.lifetime;
+    }
     if (grant.tokens == 0) {
         held.refusedUntil = held.askedAt + std::min(grant.retryAfter, maximumRefusal);
         return;
@@ -80,11 +85,16 @@
     held.refusedUntil = {};
 }
 
-bool takeIsolated(HeldTokens& held, const Room& room, const WindowBound& bound, Time now) noexcept
+bool takeIsolated(HeldTokens& held, const Room& room, const WindowBound& bound, double phase, Time now) noexcept
 {
     const auto window = std::chrono::duration<double>(bound.window).count();
-    const catalog::OperationLimit limit { .perSecond = room.isolatedTokens / window, .burst = std::max(1.0, room.isolatedTokens) };
-    refill(held.isolated, limit, now);
+    const auto share = now < held.shareUntil ? held.share : Share {};
+    // Half of the even part is there at once, the other half accrues within a window.
+    const auto atOnce = room.isolatedTokens / 2;
+    const auto perSecond = atOnce / window + share.perSecond;
+    if (now - held.isolated.refilledAt >= bound.window)
+        held.isolated = { .tokens = atOnce + phase, .refilledAt = now };
+    refill(held.isolated, { .perSecond = perSecond, .burst = std::max(1.0, atOnce + share.burst) }, now);
     if (held.isolated.tokens < 1)
         return false;
     held.isolated.tokens -= 1;
--- a/src/amaranthhall/quota/holder.hpp
+++ b/src/amaranthhall/quota/holder.hpp
@@ -19,6 +19,8 @@
     double demandPerSecond { 0 }; ///< Moving average of the operations that asked for a token.
     Time demandAt; ///< When the average was last updated.
     Bucket isolated; ///< Tokens for the time in which no owner is reached.
+    Share share; ///< Announced by the owner for that time.
+    Time shareUntil;
 };
 
 /// @brief What to do with an operation.
@@ -46,7 +48,10 @@
 /// @brief Applies the owner's reply; a reply to an earlier request is ignored.
 void applyGrant(HeldTokens& held, const Grant& grant) noexcept;
 
-/// @brief Takes a token from the part of the room that this daemon may use while it reaches no owner.
-[[nodiscard]] bool takeIsolated(HeldTokens& held, const Room& room, const WindowBound& bound, Time now) noexcept;
+/**
+ * @brief Takes a token from what this daemon may use while it reaches no owner: its share and its even part of the room.
+ * @param phase From 0 to 1, at random for each daemon: the fraction of a token with which it starts, added to half of that part, so that many daemons with small parts do not use one at the same time.
+ */
+[[nodiscard]] bool takeIsolated(HeldTokens& held, const Room& room, const WindowBound& bound, double phase, Time now) noexcept;
 
 }
--- a/src/amaranthhall/quota/io/quota_holder.cpp
+++ b/src/amaranthhall/quota/io/quota_holder.cpp
@@ -20,6 +20,7 @@
     constexpr unsigned maximumTargets = 4; // per request, redirects included
     constexpr Duration avoidance = 1s; // of a daemon that did not reply
     constexpr Duration isolationPause = 250ms; // until an owner is asked again after none replied
+    constexpr Duration unsupportedPatience = 1s; // a new owner may have to wait for the leases of a killed one, which takes half of it
     constexpr Duration logInterval = 1s; // of the refusals of one organisation
     constexpr Duration unusedTimeout = 60s;
 
@@ -37,6 +38,7 @@
     , bound(usedBound)
     , environment(std::move(usedEnvironment))
     , instance(kernel::randomSeed())
+    , isolationPhase(static_cast<double>(this->instance % 1024) / 1024)
     , admitted(metrics.counter("amaranthhall_quota_admitted_total", "Operations of organisations that were admitted"))
     , refused(metrics.counter("amaranthhall_quota_refused_total", "Operations of organisations that were refused at their limit"))
     , isolatedAdmissions(metrics.counter("amaranthhall_quota_isolated_total", "Operations of organisations that were admitted without reaching the owner of the limit"))
@@ -89,7 +91,7 @@
 bool QuotaHolder::admitIsolated(Account& account)
 {
     const auto room = divideRoom(account.limit, this->bound, this->transport.daemons());
-    const bool isAdmitted = takeIsolated(account.held, room, this->bound, this->transport.now());
+    const bool isAdmitted = takeIsolated(account.held, room, this->bound, this->isolationPhase, this->transport.now());
     if (isAdmitted)
         this->isolatedAdmissions.Increment();
     return isAdmitted;
@@ -199,13 +201,30 @@
     account.timer.reset();
     applyGrant(account.held, content.grant);
     if (content.grant.isUnsupported) {
-        account.held.refusedUntil = {};
-        this->becomeIsolated(account, "the owner has too few votes");
+        this->onUnsupported(account);
         return;
     }
+    if (std::exchange(account.unsupportedSince, Time::max()) != Time::max())
+        account.redirect = account.target;
     this->serveWaiters(account, content.grant.tokens == 0);
 }
 
+/// Asks another daemon if the owner has lacked votes for long: it may be cut off from its voters, and another owner may be reachable.
+void QuotaHolder::onUnsupported(Account& account)
+{
+    const auto now = this->transport.now();
+    account.held.refusedUntil = {};
+    account.unsupportedSince = std::min(account.unsupportedSince, now);
+    if (now - account.unsupportedSince < unsupportedPatience) {
+        this->becomeIsolated(account, "the owner has too few votes");
+        return;
+    }
+    account.held.isAsking = true;
+    account.redirect.reset();
+    noteUnreachable(account.request, account.target.vm);
+    this->askNextTarget(account);
+}
+
 void QuotaHolder::serveWaiters(Account& account, bool isRefused)
 {
     std::vector<engine::OperationLimiter::Done> granted;
--- a/src/amaranthhall/quota/io/quota_holder.hpp
+++ b/src/amaranthhall/quota/io/quota_holder.hpp
@@ -59,6 +59,7 @@
         Time isolatedUntil; ///< No owner replied; none is asked before.
         Time loggedAt; ///< When a refusal was last logged.
         Time isolationLoggedAt;
+        Time unsupportedSince { Time::max() }; ///< When the owner first replied that it lacks votes.
     };
 
     void ask(Account& account);
@@ -66,6 +67,7 @@
     void onTimeout(Account& account);
     void askNextTarget(Account& account);
     void becomeIsolated(Account& account, std::string_view reason);
+    void onUnsupported(Account& account);
     void serveWaiters(Account& account, bool isRefused);
     void finish(Account& account, bool isAdmitted, const engine::OperationLimiter::Done& done);
     [[nodiscard]] bool admitIsolated(Account& account);
@@ -77,6 +79,7 @@
     WindowBound bound;
     Environment environment;
     std::uint64_t instance; ///< Random number of this process.
+    double isolationPhase; ///< See takeIsolated().
     prometheus::Counter& admitted;
     prometheus::Counter& refused;
     prometheus::Counter& isolatedAdmissions;
--- a/src/amaranthhall/quota/io/quota_owner.cpp
+++ b/src/amaranthhall/quota/io/quota_owner.cpp
@@ -38,6 +38,7 @@
     , refusedLeases(metrics.counter("amaranthhall_quota_leases_refused_total", "Leases that this daemon refused because it supports another owner"))
     , unsupportedRequests(metrics.counter("amaranthhall_quota_unsupported_total", "Requests for tokens that this daemon as owner did not serve for lack of votes"))
     , yieldedBuckets(metrics.counter("amaranthhall_quota_buckets_yielded_total", "Limits given up in favour of an owner with more votes"))
+    , announcedShares(metrics.counter("amaranthhall_quota_shares_announced_total", "Shares announced to holders for the time in which they reach no owner"))
     , startedAt(usedTransport.now())
 {
 }
@@ -95,9 +96,14 @@
             entry.pending.push_back({ .message = message, .request = request });
         return;
     }
-    refillSupported(ownership.owned.bucket, ownership.support, entry.limit, now);
-    const auto supported = scaleLimit(entry.limit, currentFraction(ownership.support, now));
-    auto grant = grantTokens(ownership.owned, request.request, supported, this->roomOf(entry), now);
+    const auto room = this->roomOf(entry);
+    const auto supported = accrue(ownership, entry.limit, room, now);
+    auto grant = grantTokens(ownership.owned, request.request, supported, room, now);
+    const bool isSupported = currentFraction(ownership.support, now) >= 1;
+    if (const auto share = announceShare(ownership.shares, message.sender, request.request.demandPerSecond, entry.limit, room, isSupported, now)) {
+        grant.share = *share;
+        this->announcedShares.Increment();
+    }
     if (grant.isUnsupported)
         this->unsupportedRequests.Increment();
     this->grantedTokens.Increment(grant.tokens);
@@ -163,7 +169,7 @@
 void QuotaOwner::onReleaseRequest(const Message& message)
 {
     auto& entry = this->entries[message.organisation];
-    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .releasedBy = this->transport.self(), .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->transport.now());
+    const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .releasedBy = this->transport.self(), .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->roomOf(entry), this->transport.now());
     this->transport.send(message.replyTo, message.organisation, ReleaseMessage { .release = release });
     if (release.wasHeld)
         logEvent(LogLevel::Info, "quota.released", { { "organisation", message.organisation }, { "to", message.sender }, { "tokens", release.tokens } });
@@ -238,6 +244,7 @@
     const auto& voters = this->transport.voters(organisation);
     setVoters(ownership.support, voters, this->countVoters(entry));
     ownership.askedVotersAt = now;
+    reserveShares(ownership.shares, entry.limit, this->roomOf(entry), now);
     const LeaseRequestMessage request { .request = leaseRequest(ownership, now) };
     for (const auto& vm : voters) {
         const auto address = this->transport.addressOf(vm);
@@ -316,7 +323,7 @@
         const auto address = next == ranking.end() ? std::nullopt : this->transport.addressOf(*next);
         if (entry.ownership.state != OwnerState::Active || !address)
             continue;
-        const auto release = releaseBucket(entry.ownership, { .vm = *next, .releasedBy = this->transport.self(), .ranksFirst = true, .releaseNumber = ++this->lastRelease }, entry.limit, now);
+        const auto release = releaseBucket(entry.ownership, { .vm = *next, .releasedBy = this->transport.self(), .ranksFirst = true, .releaseNumber = ++this->lastRelease }, entry.limit, this->roomOf(entry), now);
         this->transport.send(*address, organisation, ReleaseMessage { .release = release });
     }
 }
--- a/src/amaranthhall/quota/io/quota_owner.hpp
+++ b/src/amaranthhall/quota/io/quota_owner.hpp
@@ -88,6 +88,7 @@
     prometheus::Counter& refusedLeases;
     prometheus::Counter& unsupportedRequests;
     prometheus::Counter& yieldedBuckets;
+    prometheus::Counter& announcedShares;
     Time startedAt;
     std::map<std::string, Entry, std::less<>> entries; ///< By organisation.
     std::map<std::string, Vote, std::less<>> votes; ///< By organisation.
--- a/src/amaranthhall/quota/owner.hpp
+++ b/src/amaranthhall/quota/owner.hpp
@@ -2,6 +2,7 @@
 
 #include "amaranthhall/quota/bucket.hpp"
 #include "amaranthhall/quota/room.hpp"
+#include "amaranthhall/quota/shares.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -16,6 +17,7 @@
     std::string holder; ///< Name of the asking process; another one after a restart, as its sequence starts anew.
     std::uint64_t sequence { 0 }; ///< Increases with each request of the holder for the organisation; a repeated request has the same number.
     std::uint32_t wanted { 1 };
+    double demandPerSecond { 0 }; ///< Of the holder's callers; 0 from a daemon of a build that does not tell.
     std::uint32_t returned { 0 }; ///< Tokens of the previous grant that the holder has not used and no longer uses.
 };
 
@@ -25,6 +27,7 @@
     std::uint32_t tokens { 0 }; ///< 0 if the organisation has reached its limit.
     Duration lifetime { 0 }; ///< Time from the arrival of the request after which the tokens must not be used.
     Duration retryAfter { 0 }; ///< If there are no tokens: when the bucket will have one.
+    Share share; ///< For the time in which the holder reaches no owner.
     bool isUnsupported { false }; ///< The owner may not grant, because too few daemons support it; the holder does as if it reached no owner.
 };
 
--- a/src/amaranthhall/quota/ownership.cpp
+++ b/src/amaranthhall/quota/ownership.cpp
@@ -21,11 +21,20 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count());
     }
 
-    void activate(Ownership& ownership, OwnedBucket owned, Time now)
+    /// @param lent By earlier owners; std::nullopt if it is not known.
+    void activate(Ownership& ownership, OwnedBucket owned, const std::optional<Lent>& lent, Time now)
     {
         enter(ownership, OwnerState::Active, now);
         ownership.owned = std::move(owned);
         ownership.support = Support();
+        ownership.shares = Shares();
+        ownership.shares.announcedFrom = now + demandMemory;
+        if (!lent)
+            noteUnknownShares(ownership.shares, now);
+        else {
+            ownership.shares.earlier = lent->perSecond;
+            ownership.shares.earlierUntil = now + lent->lifetime;
+        }
         ownership.isStarting = !ownership.adoptedTokens;
     }
 
@@ -69,7 +78,7 @@
     ownership.adoptedTokens.reset();
     ownership.lineage.clear();
     if (predecessors.empty()) {
-        activate(ownership, startBucket(now), now);
+        activate(ownership, startBucket(now), std::nullopt, now);
         return;
     }
     enter(ownership, OwnerState::Adopting, now);
@@ -90,6 +99,7 @@
     if (isHandedOver) {
         ownership.adoptedTokens = reply.tokens;
         ownership.lineage = reply.lineage;
+        ownership.releasedLent = reply.lent;
     }
     if (isHandedOver || ownership.awaited.empty())
         endAdoption(ownership, limit, now);
@@ -105,7 +115,7 @@
     ownership.adoptedTokens = release.tokens;
     ownership.lineage = release.lineage;
     // The limit arrives with the first request.
-    activate(ownership, { .bucket = { .tokens = release.tokens, .refilledAt = now }, .lastUsedAt = now }, now);
+    activate(ownership, { .bucket = { .tokens = release.tokens, .refilledAt = now }, .lastUsedAt = now }, release.lent, now);
     return true;
 }
 
@@ -115,7 +125,21 @@
         return;
     const auto adopted = ownership.adoptedTokens;
     ownership.askedAt = now;
-    activate(ownership, adopted ? adoptBucket(*adopted, limit, now) : startBucket(now), now);
+    if (adopted)
+        activate(ownership, adoptBucket(*adopted, limit, now), ownership.releasedLent, now);
+    else
+        activate(ownership, startBucket(now), std::nullopt, now);
+}
+
+catalog::OperationLimit accrue(Ownership& ownership, const catalog::OperationLimit& limit, const Room& room, Time now)
+{
+    const auto left = limitBesideShares(ownership.shares, limit, room, now);
+    refillSupported(ownership.owned.bucket, ownership.support, left, now);
+    const auto fraction = currentFraction(ownership.support, now);
+    // Another owner may have had the whole limit, and announced shares of it.
+    if (fraction <= 0)
+        noteUnknownShares(ownership.shares, now);
+    return scaleLimit(left, fraction);
 }
 
 LeaseRequest leaseRequest(const Ownership& ownership, Time now)
@@ -124,6 +148,7 @@
         .sentAt = toMicroseconds(now),
         .tenure = toMicroseconds(ownership.changedAt),
         .lineage = ownership.lineage,
+        .lentPerSecond = std::max(ownership.shares.lent, ownership.shares.reserved),
         .isStarting = ownership.isStarting,
     };
 }
@@ -135,6 +160,10 @@
     if (!isCurrent)
         return;
     applyLease(ownership.support, voter, reply, ownership.changedAt, sentAt, now);
+    if (const auto lent = lentByEarlierOwners(ownership.support)) {
+        ownership.shares.isEarlierUnknown = false;
+        ownership.shares.earlier = std::max(ownership.shares.earlier, *lent);
+    }
     if (!ownership.isStarting || !mayStart(ownership.support))
         return;
     ownership.isStarting = false;
@@ -167,18 +196,19 @@
     return strongerRival(ownership.support, self, now);
 }
 
-Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, Time now)
+Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, const Room& room, Time now)
 {
     const bool isRepeated = ownership.state == OwnerState::Released && ownership.successor == successor.vm && now - ownership.changedAt < releaseRepeatTime;
     if (isRepeated)
-        return { .wasHeld = true, .tokens = ownership.releasedTokens, .lineage = ownership.releasedLineage, .number = ownership.releaseNumber };
+        return { .wasHeld = true, .tokens = ownership.releasedTokens, .lineage = ownership.releasedLineage, .lent = ownership.releasedLent, .number = ownership.releaseNumber };
     Release reply;
     if (ownership.state == OwnerState::Active) {
         const bool isConfirming = now - ownership.changedAt < confirmationTime; // the tokens that were handed over count without votes
         if (!isConfirming)
-            refillSupported(ownership.owned.bucket, ownership.support, limit, now);
-        reply = { .wasHeld = true, .tokens = ownership.owned.bucket.tokens, .lineage = extendedLineage(ownership, successor.releasedBy), .number = successor.releaseNumber };
+            static_cast<void>(accrue(ownership, limit, room, now));
+        reply = { .wasHeld = true, .tokens = ownership.owned.bucket.tokens, .lineage = extendedLineage(ownership, successor.releasedBy), .lent = lentNow(ownership.shares, limit, now), .number = successor.releaseNumber };
         ownership.releasedLineage = reply.lineage;
+        ownership.releasedLent = reply.lent;
     } else if (ownership.state == OwnerState::Adopting && !successor.ranksFirst)
         return { .isClaimed = true };
     else if (ownership.state != OwnerState::Adopting)
--- a/src/amaranthhall/quota/ownership.hpp
+++ b/src/amaranthhall/quota/ownership.hpp
@@ -26,6 +26,7 @@
     OwnerState state { OwnerState::None };
     OwnedBucket owned; ///< While Active.
     Support support; ///< While Active.
+    Shares shares; ///< While Active.
     std::vector<Tenure> lineage; ///< While Active: tenures that ended as the bucket was handed over, oldest first.
     Time askedVotersAt; ///< While Active: when the voters were last asked for their leases.
     bool isStarting { false }; ///< While Active: the initial tokens have not been allowed yet.
@@ -33,6 +34,7 @@
     std::optional<double> adoptedTokens; ///< Received from a predecessor; absent if the bucket starts without one.
     std::string successor; ///< While Released.
     double releasedTokens { 0 }; ///< While Released: told to the successor.
+    Lent releasedLent; ///< While Released: told to the successor.
     std::vector<Tenure> releasedLineage; ///< While Released: told to the successor.
     std::uint64_t releaseNumber { 0 }; ///< While Released: of the release that the successor was told.
     std::deque<std::uint64_t> appliedReleases; ///< Numbers of the last releases that this daemon received.
@@ -46,6 +48,7 @@
     bool wasHeld { false };
     double tokens { 0 }; ///< In the bucket, if it was held.
     std::vector<Tenure> lineage; ///< Of the bucket, including the tenure that ends; oldest first.
+    Lent lent; ///< The successor leaves it unused.
     bool isClaimed { false }; ///< The daemon is adopting the bucket itself and ranks before the one that asked.
     std::uint64_t number { 0 }; ///< The same in all copies and repetitions of a release; 0 from a daemon of a build without numbers.
 };
@@ -72,6 +75,9 @@
 /// @brief Ends an adoption whose predecessors have not replied in time; the bucket starts empty.
 void endAdoption(Ownership& ownership, const catalog::OperationLimit& limit, Time now);
 
+/// @brief Adds the tokens that have accrued and returns the limit that applies to grants now.
+[[nodiscard]] catalog::OperationLimit accrue(Ownership& ownership, const catalog::OperationLimit& limit, const Room& room, Time now);
+
 /// @brief Returns the request for the leases of an active owner.
 [[nodiscard]] LeaseRequest leaseRequest(const Ownership& ownership, Time now);
 
@@ -100,7 +106,7 @@
  *
  * Of two daemons that adopt the bucket from each other, the one that ranks first gets it.
  */
-[[nodiscard]] Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, Time now);
+[[nodiscard]] Release releaseBucket(Ownership& ownership, const Successor& successor, const catalog::OperationLimit& limit, const Room& room, Time now);
 
 /// @brief Drops the bucket, as another daemon may own it by now; copies of earlier releases are still known.
 void dropBucket(Ownership& ownership, Time now);
--- a/src/amaranthhall/quota/room.cpp
+++ b/src/amaranthhall/quota/room.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     constexpr double parts = 4; // see Room
-    constexpr double startsPerPart = 2;
+    constexpr double partsForStarts = 2;
     constexpr double minimumGrantLifetime = 0.01; // s; a shorter one ends before its grant has reached the daemon that asked
     constexpr double maximumGrantLifetime = 0.3; // s; a longer one saves no messages, as daemons ask for the demand of a shorter time
 
@@ -25,8 +25,9 @@
     const auto lifetime = limit.perSecond > 0 ? std::clamp(part / limit.perSecond, minimumGrantLifetime, maximumGrantLifetime) : maximumGrantLifetime;
     return {
         .grantLifetime = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(lifetime)),
-        .initialTokens = std::min(limit.burst, part / startsPerPart),
-        .isolatedTokens = part / static_cast<double>(std::max<std::size_t>(1, daemons)),
+        .initialTokens = std::min(limit.burst, part * partsForStarts / startsPerWindow),
+        .isolatedTokens = part / 2 / static_cast<double>(std::max<std::size_t>(1, daemons)),
+        .announcedPerSecond = part / 2 / std::chrono::duration<double>(bound.window).count(),
     };
 }
 
--- a/src/amaranthhall/quota/support.cpp
+++ b/src/amaranthhall/quota/support.cpp
@@ -1,5 +1,7 @@
 #include "amaranthhall/quota/support.hpp"
 
+#include "amaranthhall/quota/shares.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -25,6 +27,9 @@
 {
     const Tenure tenure { .owner = std::string(owner), .startedAt = request.tenure };
     LeaseReply reply { .sentAt = request.sentAt, .mayStart = request.isStarting && allowStart(lease, tenure, knownSince, window, now) };
+    const auto lent = now < lease.lentUntil ? lease.lentPerSecond : 0;
+    if (lease.tenure != tenure)
+        reply.lentPerSecond = lent;
     const bool isHandedOver = std::find(request.lineage.begin(), request.lineage.end(), lease.tenure) != request.lineage.end();
     // A daemon owns a bucket once, so its earlier tenure has ended.
     const bool isSameOwner = lease.tenure.owner == owner;
@@ -37,6 +42,10 @@
     reply.isContinued = isHandedOver || lease.tenure == tenure;
     lease.tenure = tenure;
     lease.until = now + leaseTime;
+    if (request.lentPerSecond >= lent) {
+        lease.lentPerSecond = request.lentPerSecond;
+        lease.lentUntil = now + shareLifetime;
+    }
     return reply;
 }
 
@@ -56,6 +65,7 @@
     vote.repliedAt = now;
     vote.mayStart = vote.mayStart || reply.mayStart;
     vote.rival = reply.owner;
+    vote.lentPerSecond = std::max(vote.lentPerSecond, reply.lentPerSecond);
     if (!reply.isGranted)
         return;
     if (!reply.isContinued)
@@ -65,6 +75,17 @@
     vote.until = std::max(vote.until, sentAt + leaseTime);
 }
 
+std::optional<double> lentByEarlierOwners(const Support& support) noexcept
+{
+    // An owner announces shares only with two thirds of the votes, so one voter of any half knows of them.
+    if (support.votes.size() * 2 <= support.voters)
+        return std::nullopt;
+    double lent = 0;
+    for (const auto& [voter, vote] : support.votes)
+        lent = std::max(lent, vote.lentPerSecond);
+    return lent;
+}
+
 bool haveAllReplied(const Support& support) noexcept
 {
     return support.votes.size() >= support.voters;
--- a/src/amaranthhall/quota/support.hpp
+++ b/src/amaranthhall/quota/support.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "amaranthhall/quota/bucket.hpp"
+#include "amaranthhall/quota/room.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -30,9 +31,6 @@
 /// @brief Voters of an organisation in a fleet of at least as many daemons; one of them may be down without consequences.
 inline constexpr std::size_t maximumVoters = 5;
 
-/// @brief Starts without the bucket of a predecessor for which the room has initial tokens, per window.
-inline constexpr int startsPerWindow = 4;
-
 /// @brief The time for which one daemon owns a bucket without a break.
 struct Tenure {
     std::string owner; ///< VM.
@@ -49,6 +47,7 @@
     std::uint64_t sentAt { 0 }; ///< µs of the owner's clock; the reply has the same.
     std::uint64_t tenure { 0 }; ///< When the owner's tenure started; see Tenure::startedAt.
     std::vector<Tenure> lineage; ///< Earlier tenures that ended as the bucket was handed over, and with it the leases.
+    double lentPerSecond { 0 }; ///< Operations a second that the owner may have announced as shares; see Shares.
     bool isStarting { false }; ///< The owner started without a bucket and has not received the initial tokens.
 };
 
@@ -58,6 +57,7 @@
     bool isGranted { false }; ///< The voter supports no other owner for leaseTime from the arrival of the request.
     bool isContinued { false }; ///< The voter has supported no other owner since it first supported this one, or the one that handed the bucket over.
     bool mayStart { false }; ///< The owner may have the initial tokens, if most voters say so.
+    double lentPerSecond { 0 }; ///< Operations a second that the owners before may have announced as shares that are still valid.
     std::string owner; ///< If not granted: the VM that has the lease; empty while the voter does not know.
 };
 
@@ -65,6 +65,8 @@
 struct Lease {
     Tenure tenure; ///< Supported.
     Time until;
+    double lentPerSecond { 0 }; ///< By the owner that is supported, or earlier ones.
+    Time lentUntil;
     Tenure started; ///< The last tenure for which the initial tokens were allowed.
     Time startedAt; ///< When they were.
 };
@@ -81,6 +83,7 @@
     Time since;
     Time until;
     Time repliedAt; ///< Last reply, granted or not.
+    double lentPerSecond { 0 }; ///< By earlier owners.
     std::string rival; ///< Owner that the voter supports instead.
     bool mayStart { false };
 };
@@ -101,6 +104,9 @@
  */
 void applyLease(Support& support, std::string_view voter, const LeaseReply& reply, Time activeSince, Time sentAt, Time now);
 
+/// @brief Returns what earlier owners have lent according to the voters; std::nullopt if half of them or more have not replied.
+[[nodiscard]] std::optional<double> lentByEarlierOwners(const Support& support) noexcept;
+
 /// @brief Returns whether all voters have replied.
 [[nodiscard]] bool haveAllReplied(const Support& support) noexcept;
 
