Allocate the state of a queue with its first statement

Cause: a daemon keeps an entry for each service it knows; about 12 kB of lanes in each would cost 8 MB with 700 services. Result: unit_tests -g Wait -g EngineQueue pass.

--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace amaranthhall::admission {
 
@@ -76,6 +75,9 @@
 
 tl::expected<void, Shed> WaitQueue::push(const WaitingStatement& statement, Time now)
 {
+    constexpr std::size_t laneCount = 2;
+    this->lanes.resize(laneCount);
+    this->usages.resize(ServiceTimes::classCount);
     const auto laneId = laneFor(statement);
     auto& lane = this->laneOf(laneId);
     const auto classIndex = indexOf(statement.kind);
@@ -224,7 +226,7 @@
 
 std::optional<Duration> WaitQueue::estimateWait(const WaitingStatement& statement, bool isLate, Time now) const
 {
-    return this->estimateWait(statement, this->keyFor(statement, now), isLate, now);
+    return this->lanes.empty() ? std::nullopt : this->estimateWait(statement, this->keyFor(statement, now), isLate, now);
 }
 
 /**
@@ -288,6 +290,8 @@
 
 std::optional<WaitQueue::Next> WaitQueue::next(Time now)
 {
+    if (this->entries.empty())
+        return std::nullopt;
     const auto any = this->headOf(Lane::Any, now);
     const auto leader = this->headOf(Lane::Leader, now);
     if (!any || !leader)
@@ -297,7 +301,7 @@
 
 std::optional<WaitQueue::Next> WaitQueue::next(Time now, Lane lane)
 {
-    return this->toNext(this->headOf(lane, now), now);
+    return this->entries.empty() ? std::nullopt : this->toNext(this->headOf(lane, now), now);
 }
 
 /// A statement that has less than half of its expected service time left is not worth serving.
@@ -365,8 +369,16 @@
     entry.flow->second.blockedIn[static_cast<std::size_t>(entry.lane)] = this->pass;
 }
 
+void WaitQueue::block(Lane lane) noexcept
+{
+    if (!this->lanes.empty())
+        this->laneOf(lane).blockedIn = this->pass;
+}
+
 void WaitQueue::noteSaturated(Lane lane, Time now) noexcept
 {
+    if (this->lanes.empty())
+        return;
     auto& state = this->laneOf(lane);
     if (!state.servedAt && state.count > 0)
         state.servedAt = now;
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -16,6 +16,7 @@
 #include <tl/expected.hpp>
 #include <tuple>
 #include <unordered_map>
+#include <vector>
 
 namespace amaranthhall::admission {
 
@@ -82,7 +83,7 @@
     void block(std::uint64_t id) noexcept;
 
     /// @brief Skips the lane for the rest of the pass.
-    void block(Lane lane) noexcept { this->laneOf(lane).blockedIn = this->pass; }
+    void block(Lane lane) noexcept;
 
     /// @brief Records that a statement waits because all connections of its lane are in use, not because one is being opened.
     void noteSaturated(Lane lane, Time now) noexcept;
@@ -220,11 +221,11 @@
 
     std::size_t limit;
     std::size_t lateCount { 0 };
-    std::array<LaneState, 2> lanes;
+    std::vector<LaneState> lanes; ///< By Lane; empty until the first statement, as a daemon knows many services to which it sends none.
     std::unordered_map<std::uint64_t, Entry> entries;
     Flows flows;
     std::map<std::string, std::size_t, std::less<>> waitingByOrganisation;
-    std::array<ClassUsage, ServiceTimes::classCount> usages;
+    std::vector<ClassUsage> usages; ///< By class; empty like `lanes`.
     std::uint64_t pass { 1 };
 };
 
