Share the load of upstreams between the homes of a service

Cause: each daemon filled the slots of an upstream by its own statements and its own average latency, so that 12 homes of a service together sent many times what the slots run, and upstreams rejected the rest. An upstream that sheds for one zone got statements from it again after each pause of 5 ms.

Change: module load. Homes report the load of busy upstreams, and the positions of replicas that lag by 200 ms or more, in a datagram of 13 bytes and about 9 for each upstream: every 100 ms within the zone, every 400 ms to others, nothing while no upstream is busy. Only daemons that publish relay version 2 get them. placement counts the statements of other daemons in the expected latency and takes the better of two sampled candidates if the best one is reported busy; the number of statements that a daemon sends is its share of one window. Refusals for overload pause an upstream twice as long each time, up to 800 ms; those of other daemons count only while this one has not seen the upstream for 1 s. Without reports the choice is that of the previous build.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -120,10 +120,13 @@
 {
     auto& service = this->serviceOf(entry.service);
     service.lags.erase(entry.id); // a restarted upstream has another log
+    this->fleetLoad.drop(entry.id);
     UpstreamPool::Callbacks callbacks {
         .available = [this, &service] { this->scheduleQueueProcessing(service); },
         .logPointReported = [&service, upstream = entry.id](const auto& point) { freshness::updateLag(service.lags[upstream], service.samples, point, freshness::bootNow()); },
-        .lagRefused = [&service, upstream = entry.id] { freshness::noteLagRefusal(service.lags[upstream], freshness::bootNow()); },
+        .lagRefused = [this, &service, upstream = entry.id] {
+            freshness::noteLagRefusal(service.lags[upstream], freshness::bootNow());
+            ++this->replicaCounts.lagRefusals; },
     };
     return std::make_shared<UpstreamPool>(this->loop, this->factory, entry, std::move(callbacks));
 }
@@ -328,12 +331,14 @@
             continue;
         const bool holdsAll = !requirements.after || leader == id;
         const auto holdsIn = holdsAll ? std::optional(Duration::zero()) : replicaHoldsIn(service, id, *requirements.after, reachedAt);
+        const auto others = this->fleetLoad.estimate(id, this->loop.now());
         candidates.push_back({
             .id = id,
             .health = &pool->health(),
             .slots = entry.slots,
             .running = pool->running(),
-            .limit = placement::concurrencyLimit(pool->health(), entry.slots),
+            .others = others,
+            .limit = this->sharedLimit(service, *pool, others, leader == id),
             .idle = pool->idle(scopeOf(requirements)),
             .canOpen = pool->canOpen(requirements.organisation),
             .isLeader = leader == id,
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -7,11 +7,16 @@
 #include "amaranthhall/engine/upstream_pool.hpp"
 #include "amaranthhall/freshness/replica_lag.hpp"
 #include "amaranthhall/freshness/sample_window.hpp"
+#include "amaranthhall/kernel/random.hpp"
+#include "amaranthhall/kernel/random_seed.hpp"
 #include "amaranthhall/leadership/leader_record.hpp"
+#include "amaranthhall/load/fleet_load.hpp"
+#include "amaranthhall/load/load_report.hpp"
 #include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/placement.hpp"
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -148,6 +153,31 @@
     /// @brief Returns the upstream that most probably leads a service; nullopt if none is known.
     [[nodiscard]] std::optional<std::string> leader(std::string_view service);
 
+    /// @brief This daemon's figures of one upstream, for reports to the other homes of its service.
+    struct LocalLoad {
+        const catalog::UpstreamEntry& entry;
+        load::UpstreamLoad load;
+        std::optional<load::ReportedPosition> position; ///< Of a replica that lags, from its latest reply to this daemon.
+    };
+
+    /// @brief Calls `visit` for each upstream of a service that this daemon has links to; the counts of rejected statements start anew.
+    void visitLoads(std::string_view service, const std::function<void(const LocalLoad&)>& visit);
+
+    /// @brief Records what another home reports about an upstream, as of `at`.
+    void noteReport(std::string_view vm, std::string_view upstream, const load::UpstreamLoad& load, const std::optional<load::ReportedPosition>& position, Time at);
+
+    /// @brief Counts of refused reads and of probes of replicas.
+    struct ReplicaCounts {
+        std::uint32_t lagRefusals { 0 };
+        std::uint32_t probes { 0 };
+    };
+
+    /// @brief Returns the counts since the last call.
+    [[nodiscard]] ReplicaCounts takeReplicaCounts() noexcept { return std::exchange(this->replicaCounts, {}); }
+
+    /// @brief Returns the load that other daemons put on an upstream; std::nullopt if none has reported lately.
+    [[nodiscard]] std::optional<load::LoadEstimate> loadOfOthers(std::string_view upstream) const { return this->fleetLoad.estimate(upstream, this->loop.now()); }
+
     /// @brief Returns the pool of links to an upstream; nullptr if the upstream is unknown.
     [[nodiscard]] std::shared_ptr<UpstreamPool> pool(std::string_view upstream) const;
 
@@ -202,6 +232,8 @@
     [[nodiscard]] bool mustCheckLeader(Service& service);
     [[nodiscard]] placement::Choice chooseFor(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates);
     [[nodiscard]] placement::Choice chooseForRead(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates);
+    [[nodiscard]] load::UpstreamLoad currentLoad(const Service& service, UpstreamPool& pool, bool isLeader) const;
+    [[nodiscard]] std::uint32_t sharedLimit(const Service& service, UpstreamPool& pool, const std::optional<load::LoadEstimate>& others, bool isLeader) const;
     [[nodiscard]] static std::optional<Duration> replicaHoldsIn(Service& service, const std::string& replica, const group::LogPoint& wanted, std::optional<freshness::Micros> reachedAt);
     void probeReplica(Service& service, const std::string& replica);
     [[nodiscard]] static bool needsAnotherOpening(const Service& service, std::string_view organisation);
@@ -231,6 +263,9 @@
     std::uint64_t lastTicketId { 0 };
     std::map<std::string, std::shared_ptr<UpstreamPool>, std::less<>> pools; ///< Keyed by upstream id.
     std::map<std::string, Service, std::less<>> services; ///< Entries are never removed, so references to them stay valid.
+    load::FleetLoad fleetLoad; ///< Load that the other homes of the services report.
+    ReplicaCounts replicaCounts;
+    Random random { kernel::randomSeed() };
     Time startedAt;
     kernel::Registration restartReserveTimer;
     kernel::Registration ticker;
--- a/src/amaranthhall/engine/dispatcher_reads.cpp
+++ b/src/amaranthhall/engine/dispatcher_reads.cpp
@@ -27,7 +27,7 @@
 placement::Choice Dispatcher::chooseForRead(Service& service, const LinkRequirements& requirements, std::span<const placement::Candidate> candidates)
 {
     const auto now = this->loop.now();
-    auto choice = placement::chooseRead(candidates, now, requirements.deadline - now);
+    auto choice = placement::chooseRead(candidates, now, requirements.deadline - now, this->random());
     bool isAnyLagging = false;
     bool mayLeaderReturn = true; // this statement has not been tried on it, and it is not usable now
     for (const auto& candidate : candidates) {
@@ -60,6 +60,7 @@
     if (!isAnswering || pool->idle({ .isAny = true }) == 0 || !freshness::isProbeDue(lag, now))
         return;
     freshness::noteProbe(lag, now);
+    ++this->replicaCounts.probes;
     const auto link = std::make_shared<AcquiredLink>(pool, pool->acquire({ .isAny = true }, anySettings));
     const auto timer = std::make_shared<kernel::Registration>(this->loop.after(probeTimeout, [link = std::weak_ptr(link)] {
         if (const auto probing = link.lock(); probing && *probing)
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -152,9 +152,10 @@
     }
     if (reply.code == ReplyCode::Lagging)
         this->callbacks.lagRefused();
-    if (reply.code == ReplyCode::Busy)
+    if (reply.code == ReplyCode::Busy) {
         placement::noteOverload(this->upstreamHealth, now);
-    else if (isWork) {
+        ++this->rejected;
+    } else if (isWork) {
         placement::noteAnswer(this->upstreamHealth, now - sentAt, now);
         if (reply.code == ReplyCode::Failed || reply.code == ReplyCode::TimedOut)
             placement::noteFault(this->upstreamHealth);
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/engine/link.hpp"
 #include "amaranthhall/engine/prepared_statement.hpp"
 #include "amaranthhall/kernel/loop.hpp"
+#include "amaranthhall/load/fleet_load.hpp"
 #include "amaranthhall/placement/connection_share.hpp"
 #include "amaranthhall/placement/upstream_health.hpp"
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace amaranthhall::engine {
@@ -93,6 +95,12 @@
     [[nodiscard]] std::uint32_t openingFor(std::string_view organisation) const noexcept;
     [[nodiscard]] const placement::ConnectionShare& share() const noexcept { return this->connectionShare; }
     [[nodiscard]] const catalog::UpstreamEntry& entry() const noexcept { return this->upstream; }
+    /// @brief Returns the mean of the statements that lately ran on the upstream.
+    [[nodiscard]] load::RecentMean& runningMean() noexcept { return this->recentRunning; }
+
+    /// @brief Returns the number of statements that the upstream has refused for overload since the last call.
+    [[nodiscard]] std::uint32_t takeRejected() noexcept { return std::exchange(this->rejected, 0); }
+
     [[nodiscard]] placement::UpstreamHealth& health() noexcept { return this->upstreamHealth; }
 
     /// @brief Returns the position of the upstream's log as of its last reply.
@@ -123,6 +131,8 @@
     placement::UpstreamHealth upstreamHealth;
     std::optional<group::LogPoint> lastPoint;
     std::size_t sendingDaemons { 1 };
+    load::RecentMean recentRunning;
+    std::uint32_t rejected { 0 }; ///< Statements refused for overload since the last call of takeRejected().
     kernel::Registration paceTimer;
     placement::ConnectionShare connectionShare;
     std::vector<std::shared_ptr<PooledLink>> links;
--- a/src/amaranthhall/freshness/replica_lag.cpp
+++ b/src/amaranthhall/freshness/replica_lag.cpp
@@ -34,6 +34,7 @@
     const bool isMeasured = state.reportedAt != 0 && now - state.reportedAt <= ReplicaLag::maximumAge;
     if (point > state.reportedPoint)
         state.fruitlessProbes = 0;
+    state.isFromPeer = false;
     state.reportedPoint = point;
     state.reportedAt = now;
     const auto missing = samples.firstAfter(point);
--- a/src/amaranthhall/freshness/replica_lag.hpp
+++ b/src/amaranthhall/freshness/replica_lag.hpp
@@ -20,6 +20,7 @@
     double progress { 1 }; ///< Time in the leader's log by which it advances per unit of time: 0 if it receives nothing, 1 if it keeps up.
     Micros measuredAt { 0 }; ///< Time of the report from which progress is measured.
     Micros measuredLag { 0 }; ///< Lag at that time.
+    bool isFromPeer { false }; ///< The latest report came from another daemon, which is not handed on.
     Micros probedAt { 0 }; ///< Time of the latest probe.
     unsigned fruitlessProbes { 0 }; ///< Probes since its position last advanced.
 };
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -75,6 +75,8 @@
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks())
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port })
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
+    , loads({ .loop = usedLoop, .dispatcher = this->dispatcher, .peers = this->gossip.peers(), .homes = this->homes },
+          { .vm = usedSettings.vm, .zone = usedSettings.zone, .send = [this](const auto& to, auto bytes) { this->gossip.sendDatagram(to, bytes); } }, this->metrics)
     , relays(usedLoop, usedSettings.relay, this->context)
     , rowExchange(usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); })
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.sendUrgently(); })
@@ -154,6 +156,7 @@
     return {
         .fill = [this](auto& digest) { this->fillDigest(digest); },
         .received = [this](const auto& digest) { this->applyDigest(digest); },
+        .otherDatagram = [this](auto bytes) { return this->loads.receive(bytes); },
         .audiences = [this]() -> const std::vector<gossip::GossipNode::Audience>& { return this->homes.audiences(); },
     };
 }
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "amaranthhall/gossip/gossip_node.hpp"
 #include "amaranthhall/gossip/pending_fetches.hpp"
 #include "amaranthhall/gossip/row_exchange.hpp"
+#include "amaranthhall/load/io/load_exchange.hpp"
 #include "amaranthhall/quota/io/quota_service.hpp"
 #include "amaranthhall/relay/home_router.hpp"
 #include "amaranthhall/relay/relay_server.hpp"
@@ -121,6 +122,7 @@
     gossip::GossipNode gossip;
     relay::HomeRouter homes;
     quota::QuotaService quotas;
+    load::LoadExchange loads;
     relay::RelayServer relays;
     gossip::RowExchange rowExchange;
     succession::SuccessionService succession;
--- a/src/amaranthhall/gossip/gossip_node.cpp
+++ b/src/amaranthhall/gossip/gossip_node.cpp
@@ -175,6 +175,8 @@
 
 void GossipNode::receive(std::string_view bytes)
 {
+    if (this->callbacks.otherDatagram(bytes))
+        return;
     const auto digest = decodeDigest(bytes);
     if (!digest) {
         telemetry::logEvent(telemetry::LogLevel::Warning, "gossip.malformed", { { "bytes", bytes.size() } });
--- a/src/amaranthhall/gossip/gossip_node.hpp
+++ b/src/amaranthhall/gossip/gossip_node.hpp
@@ -36,6 +36,7 @@
     struct Callbacks {
         std::function<void(Digest&)> fill; ///< Adds the local state to an outgoing digest.
         std::function<void(const Digest&)> received; ///< A digest has arrived.
+        std::function<bool(std::string_view)> otherDatagram { [](auto) { return false; } }; ///< Handles a datagram that is no digest; returns whether it did.
         std::function<const std::vector<Audience>&()> audiences; ///< Peers that hold links to the same services.
     };
 
@@ -58,6 +59,9 @@
     /// @brief Sends a digest to many peers at once.
     void sendWidely() { this->sendRound(urgentFanOut); }
 
+    /// @brief Sends a datagram that is no digest to the address on which a daemon receives digests.
+    void sendDatagram(const kernel::Address& to, std::string_view bytes) { this->socket.send(to, bytes); }
+
     [[nodiscard]] PeerRegistry& peers() noexcept { return this->registry; }
 
 private:
--- a/src/amaranthhall/gossip/vm_profile.hpp
+++ b/src/amaranthhall/gossip/vm_profile.hpp
@@ -9,9 +9,11 @@
 
 namespace amaranthhall::gossip {
 
-/// @brief Version of the relay protocol of this program; from organisationRelayVersion on, a daemon runs relayed statements for their organisation.
-inline constexpr std::uint32_t currentRelayVersion = 1;
+/// @brief Version of the relay protocol of this program; from organisationRelayVersion on, a daemon runs relayed statements for their organisation, from
+/// loadReportVersion on, it reads reports about the load of upstreams.
+inline constexpr std::uint32_t currentRelayVersion = 2;
 inline constexpr std::uint32_t organisationRelayVersion = 1;
+inline constexpr std::uint32_t loadReportVersion = 2;
 
 /// @brief Properties of a VM that its daemon publishes to the others.
 struct VmProfile {
--- /dev/null
+++ b/src/amaranthhall/load/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace amaranthhall::load {
+
+struct UpstreamLoad;
+struct LoadEstimate;
+class FleetLoad;
+
+}
--- a/src/amaranthhall/placement/upstream_health.hpp
+++ b/src/amaranthhall/placement/upstream_health.hpp
@@ -18,6 +18,7 @@
     Time lastActivity; ///< When data was last received.
     Time avoidUntil; ///< After a failure, when it may be tried again.
     Time overloadedUntil; ///< After a refusal because of overload.
+    unsigned rejections { 0 }; ///< Consecutive refusals because of overload.
     Time connectNotBefore; ///< After a connection was refused at its connection limit, when another may be tried.
     double faults { 0 }; ///< Statements that recently hung, failed or were lost; decays with every success.
     Time paceUntil; ///< No statement is sent before; see pacingDelay().
@@ -43,6 +44,7 @@
     constexpr double windowStep = 0.02; // 25 answers restore a halved window
     health.latency = (health.latency * (averagingWeight - 1) + statementLatency) / averagingWeight;
     health.faults *= faultDecay;
+    health.rejections = 0;
     health.window = std::min(UpstreamHealth::fullWindow, health.window + windowStep);
     noteActivity(health, now);
 }
@@ -89,11 +91,20 @@
         health.failingSince = now;
 }
 
-/// @brief Records a statement refused because of overload; fewer are sent until the upstream keeps up again.
+/**
+ * @brief Records a statement refused because of overload; fewer are sent until the upstream keeps up again.
+ *
+ * The pause doubles with each consecutive refusal: an upstream may refuse all statements of this daemon while it serves others.
+ */
 inline void noteOverload(UpstreamHealth& health, Time now) noexcept
 {
     constexpr double minimumWindow = 0.1;
-    health.overloadedUntil = now + std::max<Duration>(std::chrono::milliseconds(5), health.latency / 2);
+    constexpr Duration minimumPause = std::chrono::milliseconds(5);
+    constexpr Duration maximumPause = std::chrono::milliseconds(800); // as after failures
+    constexpr unsigned maximumDoublings = 8;
+    const auto pause = std::max<Duration>(minimumPause, health.latency / 2);
+    health.overloadedUntil = now + std::min(std::max(maximumPause, pause), pause * (1U << std::min(health.rejections, maximumDoublings)));
+    ++health.rejections;
     health.window = std::max(minimumWindow, health.window / 2);
 }
 
--- a/test/load/load_simulation.cpp
+++ b/test/load/load_simulation.cpp
@@ -1,6 +1,7 @@
 #include "load/load_simulation.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranthhall::load::simulation {
 
@@ -47,7 +48,10 @@
 
 void Simulation::arrive(bool needsLeader)
 {
-    auto& home = this->homes[std::uniform_int_distribution<std::size_t>(0, this->homes.size() - 1)(this->random)];
+    std::vector<double> weights(this->homes.size(), 1);
+    for (std::size_t i = 0; i < weights.size(); i += zones)
+        weights[i] = this->scenario.unevenness;
+    auto& home = this->homes[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(this->random)];
     const auto wanted = home.samples.leastPointSince(this->now - staleness);
     home.waiting.push_back({ .needsLeader = needsLeader || !wanted, .after = wanted.value_or(group::LogPoint {}), .deadline = this->now + timeout });
     this->process(home);
@@ -70,13 +74,51 @@
     }
 }
 
+UpstreamLoad Simulation::loadOf(Home& home, std::size_t upstream)
+{
+    home.runningMean[upstream].note(home.running[upstream], this->timeNow());
+    const auto forLeader = static_cast<double>(std::count_if(home.waiting.begin(), home.waiting.end(), [](const auto& statement) { return statement.needsLeader; }));
+    const auto forAny = static_cast<double>(home.waiting.size()) - forLeader;
+    return { .running = home.runningMean[upstream].value(), .waiting = forAny / upstreamCount + (upstream == 0 ? forLeader : 0) };
+}
+
+placement::Candidate Simulation::candidateFor(Home& home, std::size_t upstream)
+{
+    const auto own = this->loadOf(home, upstream);
+    const auto others = home.others.estimate(names[upstream], this->timeNow());
+    const auto limit = windowShare({ .slots = slots, .localLimit = placement::concurrencyLimit(home.health[upstream], slots), .ownDemand = own.running + own.waiting, .others = others });
+    return { .id = names[upstream], .slots = slots, .running = home.running[upstream], .others = others, .limit = limit, .idle = 1, .isLeader = upstream == 0, .isSameZone = this->numberOf(home) % zones == upstream };
+}
+
+/// Sends the load of a home to those of its zone, and in some rounds to the others.
+void Simulation::report(std::size_t number, bool isFarRound)
+{
+    auto& home = this->homes[number];
+    for (std::size_t upstream = 0; upstream < upstreamCount; ++upstream) {
+        auto own = this->loadOf(home, upstream);
+        own.rejected = std::exchange(home.rejected[upstream], 0);
+        const auto due = home.policies[upstream].next({ .slots = slots, .homes = this->homes.size(), .own = own }, isFarRound);
+        for (std::size_t peer = 0; peer < this->homes.size(); ++peer) {
+            const bool isFar = peer % zones != number % zones;
+            const auto& figures = isFar ? due.far : due.near;
+            if (peer == number || !figures)
+                continue;
+            ++(isFar ? this->outcome.farReports : this->outcome.reports);
+            if (std::bernoulli_distribution(this->scenario.reportLoss)(this->random))
+                continue;
+            this->at(this->now + this->scenario.reportDelay, [this, peer, number, upstream, load = *figures, at = this->timeNow()] { this->homes[peer].others.note(names[upstream], std::to_string(number), load, at); });
+        }
+    }
+}
+
 bool Simulation::serve(Home& home, const Statement& statement)
 {
     const auto reachedAt = home.samples.reachedAt(statement.after);
     std::array<placement::UpstreamHealth, upstreamCount> health = home.health;
     std::vector<placement::Candidate> candidates;
     for (std::size_t i = 0; i < upstreamCount; ++i) {
-        placement::Candidate candidate { .id = names[i], .health = &health[i], .slots = slots, .running = home.running[i], .limit = placement::concurrencyLimit(health[i], slots), .idle = 1, .isLeader = i == 0 };
+        auto candidate = this->candidateFor(home, i);
+        candidate.health = &health[i];
         const auto holdsAt = i == 0 ? std::optional(this->now) : freshness::expectedToHoldAt(home.lags[i], statement.after, reachedAt, this->now);
         candidate.wasTried = std::find(statement.tried.begin(), statement.tried.end(), i) != statement.tried.end();
         if (this->scenario.ignoresLag)
@@ -90,7 +132,7 @@
         }
         candidates.push_back(candidate);
     }
-    const auto choice = statement.needsLeader ? placement::chooseLeader(candidates, this->timeNow()) : placement::chooseRead(candidates, this->timeNow(), std::chrono::microseconds(statement.deadline - this->now));
+    const auto choice = statement.needsLeader ? placement::chooseLeader(candidates, this->timeNow()) : placement::chooseRead(candidates, this->timeNow(), std::chrono::microseconds(statement.deadline - this->now), this->random());
     if (choice.step == placement::Choice::Step::Refuse) {
         ++this->outcome.unserved;
         return true;
@@ -120,17 +162,23 @@
     ++home.running[upstream];
     this->at(this->now + oneWay, [this, &home, upstream, statement, sentAt = this->now] {
         ++this->outcome.arrivals[upstream];
+        this->outcome.fromFirstZone[upstream] += this->numberOf(home) % zones == 0 ? 1 : 0;
+        if (this->upstreams[upstream].queue.size() >= queueLimit || this->scenario.sheds(this->numberOf(home), upstream)) {
+            ++this->outcome.rejected;
+            this->at(this->now + oneWay, [this, &home, upstream, statement] {
+                ++home.rejected[upstream];
+                placement::noteActivity(home.health[upstream], this->timeNow());
+                placement::noteOverload(home.health[upstream], this->timeNow());
+                this->retry(home, statement, upstream);
+            });
+            return;
+        }
         if (!statement.needsLeader && this->positionOf(upstream) < statement.after) {
             ++this->outcome.lagging;
-            this->at(this->now + oneWay, [this, &home, upstream, retried = Statement(statement), point = this->positionOf(upstream)]() mutable {
-                constexpr std::size_t retriesBeforeLeader = 2;
-                --home.running[upstream];
+            this->at(this->now + oneWay, [this, &home, upstream, statement, point = this->positionOf(upstream)] {
                 freshness::updateLag(home.lags[upstream], home.samples, point, this->now);
                 freshness::noteLagRefusal(home.lags[upstream], this->now);
-                retried.tried.push_back(upstream);
-                retried.needsLeader = retried.tried.size() >= retriesBeforeLeader;
-                home.waiting.push_front(retried);
-                this->process(home);
+                this->retry(home, statement, upstream);
             });
             return;
         }
@@ -139,6 +187,20 @@
     });
 }
 
+/// Tries a refused statement on another upstream, or the leader in the end.
+void Simulation::retry(Home& home, Statement statement, std::size_t upstream)
+{
+    constexpr std::size_t retriesBeforeLeader = 2;
+    --home.running[upstream];
+    statement.tried.push_back(upstream);
+    statement.needsLeader = statement.needsLeader || statement.tried.size() >= retriesBeforeLeader;
+    if (statement.tried.size() > retriesBeforeLeader)
+        ++this->outcome.unserved;
+    else
+        home.waiting.push_front(std::move(statement));
+    this->process(home);
+}
+
 void Simulation::startNext(std::size_t upstream)
 {
     auto& state = this->upstreams[upstream];
@@ -180,6 +242,19 @@
                 this->process(home);
         });
     }
+    constexpr Micros lookInterval = 1'000;
+    for (auto time = this->now; time < end; time += lookInterval) {
+        this->at(time, [this] {
+            for (auto& upstream : this->upstreams)
+                upstream.inFlightTime += static_cast<double>(upstream.running + upstream.queue.size()) * lookInterval;
+        });
+    }
+    constexpr Micros reportInterval = std::chrono::duration_cast<std::chrono::microseconds>(ReportPolicy::roundInterval).count();
+    for (std::size_t home = 0; this->scenario.sendsReports && home < this->homes.size(); ++home) {
+        unsigned round = 0;
+        for (auto time = this->now + static_cast<Micros>(home) * 7'000; time < end; time += reportInterval)
+            this->at(time, [this, home, isFar = ++round % ReportPolicy::roundsPerFarReport == 0] { this->report(home, isFar); });
+    }
     this->scheduleArrivals(false, this->scenario.readsPerSecond);
     this->scheduleArrivals(true, this->scenario.leaderPerSecond);
     while (!this->events.empty() && std::get<0>(this->events.top()) < end) {
@@ -188,6 +263,8 @@
         this->now = time;
         action();
     }
+    for (const auto& upstream : this->upstreams)
+        this->outcome.meanInFlight = std::max(this->outcome.meanInFlight, upstream.inFlightTime / static_cast<double>(this->scenario.duration));
     return this->outcome;
 }
 
