--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -515,4 +515,12 @@
     return count;
 }
 
+std::size_t WaitQueue::waitingIn(Lane lane) const noexcept
+{
+    if (this->lanes.empty())
+        return 0;
+    const auto& state = this->laneOf(lane);
+    return state.servedAt ? state.count : 0;
+}
+
 }
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -106,6 +106,9 @@
     /// @brief Returns how many statements of a class wait.
     [[nodiscard]] std::size_t waitingOf(std::size_t classIndex) const noexcept;
 
+    /// @brief Returns how many statements of a lane wait because the connections are in use; 0 while connections are free.
+    [[nodiscard]] std::size_t waitingIn(Lane lane) const noexcept;
+
     /// @brief Returns how long a statement would wait, from what waits before it, the measured rate of grants and the arrivals that would overtake it; nothing if the rate is unknown.
     [[nodiscard]] std::optional<Duration> estimateWait(const WaitingStatement& statement, bool isLate, Time now) const;
 
--- a/src/amaranthhall/engine/dispatcher_zones.cpp
+++ b/src/amaranthhall/engine/dispatcher_zones.cpp
@@ -80,6 +80,7 @@
         const auto running = service.zones.running.find(entry.id);
         const auto lag = service.lags.find(entry.id);
         const bool isLagging = wanted && leader != entry.id && lag != service.lags.end() && !freshness::isExpectedToHold(lag->second, service.samples, *wanted, bootNow);
+        const auto others = this->fleetLoad.estimate(entry.id, now);
         figures.push_back({
             .zone = entry.zone,
             .slots = static_cast<double>(std::max(1U, entry.slots)),
@@ -89,6 +90,9 @@
             .isFresh = !isLagging,
             .isLeader = leader == entry.id,
             .isOverloaded = pool->health().overloadedUntil > now,
+            .runningElsewhere = others ? std::optional(others->running) : std::nullopt,
+            .waitingElsewhere = others ? others->waiting : 0,
+            .age = others ? others->age : Duration::zero(),
         });
     }
     return figures;
