--- a/src/amaranthhall/quota/io/quota_owner.cpp
+++ b/src/amaranthhall/quota/io/quota_owner.cpp
@@ -171,7 +171,8 @@
     auto& entry = this->entries[message.organisation];
     const auto release = releaseBucket(entry.ownership, { .vm = message.sender, .releasedBy = this->transport.self(), .ranksFirst = this->ranksBeforeSelf(message.sender, message.organisation), .releaseNumber = ++this->lastRelease }, entry.limit, this->roomOf(entry), this->transport.now());
     this->transport.send(message.replyTo, message.organisation, ReleaseMessage { .release = release });
-    if (release.wasHeld)
+    const bool isRepeated = release.number != this->lastRelease;
+    if (release.wasHeld && !isRepeated)
         logEvent(LogLevel::Info, "quota.released", { { "organisation", message.organisation }, { "to", message.sender }, { "tokens", release.tokens } });
     this->flushPending(message.organisation);
 }
@@ -203,7 +204,8 @@
     const bool isAdopted = isActive && entry.ownership.adoptedTokens.has_value();
     if (isActive)
         (isAdopted ? this->adoptedBuckets : this->startedBuckets).Increment();
-    logEvent(LogLevel::Info, "quota.owner", { { "organisation", organisation }, { "active", isActive }, { "adopted", isAdopted }, { "tokens", entry.ownership.owned.bucket.tokens }, { "limit_version", entry.limitVersion } });
+    if (this->mayLogChange(entry))
+        logEvent(LogLevel::Info, "quota.owner", { { "organisation", organisation }, { "active", isActive }, { "adopted", isAdopted }, { "tokens", entry.ownership.owned.bucket.tokens }, { "limit_version", entry.limitVersion } });
     if (isActive)
         this->startLeases(entry, organisation);
     else
@@ -267,7 +269,8 @@
     if (entry.isConfirming && now - ownership.changedAt >= confirmationTime)
         this->endConfirmation(entry);
     if (const auto rival = rivalToYieldTo(ownership, this->transport.self(), now)) {
-        logEvent(LogLevel::Info, "quota.yielded", { { "organisation", organisation }, { "to", *rival }, { "fraction", currentFraction(ownership.support, now) } });
+        if (this->mayLogChange(entry))
+            logEvent(LogLevel::Info, "quota.yielded", { { "organisation", organisation }, { "to", *rival }, { "fraction", currentFraction(ownership.support, now) } });
         this->yieldedBuckets.Increment();
         yieldBucket(ownership, *rival, now);
         entry.leaseTimer.reset();
@@ -279,6 +282,16 @@
     entry.leaseTimer = this->loop.after(entry.isConfirming ? confirmationRepeatDelay : leaseRenewal, [this, &entry, organisation] { this->renewLeases(entry, organisation); });
 }
 
+/// Bounds the lines about changes of the owner: a holder that does not reach the one with the votes asks others to take over again and again.
+bool QuotaOwner::mayLogChange(Entry& entry) const
+{
+    const auto now = this->transport.now();
+    if (now - entry.ownerLoggedAt < logInterval)
+        return false;
+    entry.ownerLoggedAt = now;
+    return true;
+}
+
 /// Logs when an owner may no longer grant the whole limit, and when it may again.
 void QuotaOwner::logSupport(Entry& entry, const std::string& organisation)
 {
--- a/src/amaranthhall/quota/io/quota_owner.hpp
+++ b/src/amaranthhall/quota/io/quota_owner.hpp
@@ -51,6 +51,7 @@
         bool isConfirming { false }; ///< The voters have been asked for the first leases, and requests wait for their replies.
         bool wasSupported { true }; ///< At the last renewal, the whole limit was supported.
         Time supportLoggedAt;
+        Time ownerLoggedAt; ///< When a change of the owner was last logged.
     };
 
     /// A vote of this daemon.
@@ -69,6 +70,7 @@
     void renewLeases(Entry& entry, const std::string& organisation);
     void askVoters(Entry& entry, const std::string& organisation);
     void endConfirmation(Entry& entry);
+    [[nodiscard]] bool mayLogChange(Entry& entry) const;
     void logSupport(Entry& entry, const std::string& organisation);
     [[nodiscard]] std::size_t countVoters(const Entry& entry) const;
     void reply(const Message& message, GrantMessage grant);
--- a/src/amaranthhall/quota/support.hpp
+++ b/src/amaranthhall/quota/support.hpp
@@ -17,13 +17,13 @@
 /**
  * @brief Time for which a voter supports one owner only.
  *
- * A new owner that has not received the bucket of its predecessor waits for the predecessor's leases at most this long. Four renewals fit in, so that lost
+ * A new owner that has not received the bucket of its predecessor waits for the predecessor's leases at most this long. Three renewals fit in, so that lost
  * datagrams rarely end a lease.
  */
 inline constexpr Duration leaseTime = std::chrono::milliseconds(500);
 
 /// @brief Time after which an owner renews its leases.
-inline constexpr Duration leaseRenewal = std::chrono::milliseconds(120);
+inline constexpr Duration leaseRenewal = std::chrono::milliseconds(160);
 
 /// @brief Time within which a new owner waits for the first replies of its voters; a round trip takes about 1 ms.
 inline constexpr Duration confirmationTime = std::chrono::milliseconds(25);
--- a/test/quota/test_quota_simulation.cpp
+++ b/test/quota/test_quota_simulation.cpp
@@ -49,6 +49,7 @@
     double load { 3 }; ///< Demand as a multiple of the limit.
     bool isNetworkCalm { false }; ///< No message is lost or late.
     double repeated { 0 }; ///< In a calm network, the fraction of messages that arrive twice.
+    std::size_t cutOff { 0 }; ///< If not 0, the only fault is a partition of 4 s between so many daemons, the owner among them, and the others.
     std::size_t killedAtOnce { 0 }; ///< If not 0, the only fault is one kill of so many daemons, the owner first, for the rest of the time.
 };
 
@@ -132,9 +133,9 @@
     /// Two losses of a daemon within any window, as the room allows for owners that start without their predecessor's bucket; partitions in between.
     void planFaults()
     {
-        for (auto at = start + 3s; at < end && this->options.killedAtOnce == 0; at += 3s)
+        for (auto at = start + 3s; at < end && this->options.killedAtOnce + this->options.cutOff == 0; at += 3s)
             this->faultTimes.push_back(at + std::chrono::milliseconds(this->random() % 400));
-        if (this->options.killedAtOnce > 0)
+        if (this->options.killedAtOnce + this->options.cutOff > 0)
             this->faultTimes.push_back(halfTime);
         for (auto& daemon : this->daemons) {
             daemon.knownLimit = this->options.limit;
@@ -162,6 +163,14 @@
                 this->restart(vm, 60s);
             return;
         }
+        if (this->options.cutOff > 0) {
+            for (std::size_t from = 0; from < daemonCount; ++from) {
+                for (std::size_t to = 0; to < daemonCount; ++to)
+                    this->blocked[from][to] = (from < this->options.cutOff) != (to < this->options.cutOff);
+            }
+            this->healAt = this->now + 4s;
+            return;
+        }
         const auto vm = this->random() % 2;
         const auto span = std::chrono::milliseconds(50 + this->random() % 900);
         const auto kind = this->random() % 3;
@@ -587,6 +596,18 @@
 constexpr catalog::OperationLimit largest { .perSecond = 500, .burst = 500 };
 constexpr catalog::OperationLimit lowered { .perSecond = 28, .burst = 28 };
 
+/// Returns the share of the demand that is admitted during a partition of 4 s.
+double servedInPartition(const catalog::OperationLimit& limit, std::size_t cutOff, double load)
+{
+    double served = 0;
+    for (std::uint32_t seed = 1; seed <= worldCount; ++seed) {
+        World world({ .limit = limit, .load = load, .isNetworkCalm = true, .cutOff = cutOff }, seed);
+        CHECK(world.run() <= 0);
+        served += static_cast<double>(world.countOperations(World::halfTime, World::halfTime + 4s));
+    }
+    return served / (limit.perSecond * load * 4 * worldCount);
+}
+
 /// Returns the share of the surviving daemons' demand that is admitted in the two seconds after the owner, and perhaps other daemons, were killed.
 double servedAfterKill(const catalog::OperationLimit& limit, std::size_t killed)
 {
@@ -627,8 +648,10 @@
         CHECK(worstOf({ .faults = faults, .limit = large, .defect = Defect::OwnersNeedNoVotes }, worldCount) > 0);
         CHECK(worstOf({ .faults = faults, .limit = large, .defect = Defect::VotersSupportAll }, worldCount) > 0);
     }
-    CHECK(worstOf({ .limit = large, .defect = Defect::LeasesFollowNames }, worldCount) > 0);
-    CHECK(worstOf({ .faults = Faults::Partitions, .limit = largest, .defect = Defect::LeasesFollowNames }, worldCount) > 0);
+    // Rare in 60 worlds, as it takes two handovers while a lease lasts.
+    CHECK(worstOf({ .faults = Faults::Partitions, .limit = large, .defect = Defect::LeasesFollowNames }, 150) > 0);
+    CHECK(worstOf({ .faults = Faults::Stops, .limit = large, .defect = Defect::LeasesFollowNames }, 150) > 0);
+    CHECK(worstOf({ .faults = Faults::Stops, .limit = largest, .defect = Defect::LeasesFollowNames }, 150) > 0);
 }
 
 // Kills and restarts are frequent, so the leases of a killed owner must not hold its organisation up.
@@ -639,3 +662,12 @@
         CHECK(servedAfterKill(limit, 2) > 0.9);
     }
 }
+
+// The daemons of both sides serve a tenth of the limit, those without votes by the shares that the owner had announced to them.
+TEST(QuotaSimulation, APartitionedOrganisationIsServedATenthOfItsLimit)
+{
+    for (const auto& limit : { large, largest }) {
+        for (const std::size_t cutOff : { 1U, 2U, 3U, 4U })
+            CHECK(servedInPartition(limit, cutOff, 0.1) > 0.95);
+    }
+}
