--- a/test/load/load_simulation.cpp
+++ b/test/load/load_simulation.cpp
@@ -87,7 +87,7 @@
     const auto own = this->loadOf(home, upstream);
     const auto others = home.others.estimate(names[upstream], this->timeNow());
     const auto limit = windowShare({ .slots = slots, .localLimit = placement::concurrencyLimit(home.health[upstream], slots), .ownDemand = own.running + own.waiting, .others = others });
-    return { .id = names[upstream], .slots = slots, .running = home.running[upstream], .others = others, .limit = limit, .idle = 1, .isLeader = upstream == 0, .crossingCost = this->numberOf(home) % zones == upstream ? Duration::zero() : Duration(1ms) };
+    return { .id = names[upstream], .slots = slots, .running = home.running[upstream], .others = others, .limit = limit, .idle = 1, .isLeader = upstream == 0, .crossingCost = this->numberOf(home) % zones == upstream ? Duration::zero() : std::chrono::milliseconds(1) };
 }
 
 /// Sends the load of a home to those of its zone, and in some rounds to the others.
