Test of the settings of the VM's limits

Change: tests that vm.memory and vm.descriptors may be left out and that a memory of 0 is refused; engine uses the forward declarations of budget.

--- a/src/amaranthhall/budget/fwd.hpp
+++ b/src/amaranthhall/budget/fwd.hpp
@@ -3,6 +3,7 @@
 namespace amaranthhall::budget {
 
 class Account;
+class BudgetGuard;
 class Charge;
 class Holder;
 struct AccountState;
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "amaranthhall/budget/fwd.hpp"
 #include "amaranthhall/engine/caller_channel.hpp"
 #include "amaranthhall/engine/commit_guard.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
@@ -17,10 +18,6 @@
 #include <utility>
 #include <vector>
 
-namespace amaranthhall::budget {
-class BudgetGuard;
-}
-
 namespace amaranthhall::engine {
 
 /// @brief Dependencies shared by all sessions of a daemon.
--- a/test/gateway/test_gateway_settings.cpp
+++ b/test/gateway/test_gateway_settings.cpp
@@ -56,6 +56,26 @@
     DOUBLES_EQUAL(0, read->quotaSlack, 1e-9);
 }
 
+TEST(GatewaySettings, LimitsOfTheVmMayBeLeftOut)
+{
+    const auto without = gateway::parseGatewaySettings(completeSettings);
+    CHECK_TRUE(without.has_value());
+    DOUBLES_EQUAL(0, without->memoryMegabytes, 1e-9);
+    DOUBLES_EQUAL(0, without->descriptors, 1e-9);
+    constexpr std::string_view cores = "  cores: 0.17\n";
+    std::string text(completeSettings);
+    text.replace(text.find(cores), cores.size(), "  cores: 0.17\n  memory: 112\n  descriptors: 3010\n");
+    const auto with = gateway::parseGatewaySettings(text);
+    CHECK_TRUE(with.has_value());
+    DOUBLES_EQUAL(112, with->memoryMegabytes, 1e-9);
+    DOUBLES_EQUAL(3010, with->descriptors, 1e-9);
+}
+
+TEST(GatewaySettings, AMemoryOfNothingIsRefused)
+{
+    CHECK(errorFor("  cores: 0.17\n", "  cores: 0.17\n  memory: 0\n").find("vm.memory") != std::string::npos);
+}
+
 TEST(GatewaySettings, AnErrorNamesFileLineAndKey)
 {
     STRCMP_EQUAL("f:2: vm.idd: unknown key; did you mean 'id'?", errorFor("id:", "idd:").c_str());
