Keep the order of deployments whose routes are equal; daemons of the load test know their routes

Cause: a minimum share let a small class overtake where all routes have the same priority and target; and in the load test no daemon knew the work of a class, as upstreams were congested from the start, which put the baseline at a disadvantage.

Change: shares apply where priorities or targets differ, and are 6 % of what is granted so that 5 % reaches callers; the latency of upstreams does not make the most urgent late. The simulated daemons of both orders have measured their routes before.

--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -9,7 +9,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr double minimumClassShare = 0.05; // of the work granted in both lanes, for each class that waits
+    constexpr double minimumClassShare = 0.06; // of the work granted in both lanes, for each class unless all have the same priority and target; at least 5 % reaches its callers
     constexpr double minimumLateShare = 0.02; // late answers have a fraction of the value
     constexpr int lateMargin = 2; // a late statement waits only if it can be served in half of the time it has, as more urgent ones may arrive
     constexpr double maximumCredit = 0.25; // seconds of work; limits what a class may claim at once after a wait
@@ -89,14 +89,15 @@
         state.lastPushedAt = now;
         state.lastPriority = statement.priority;
         state.demand.add(workOf(statement), now);
+        state.keepsShare = this->hasOther(true, statement, now) || this->hasOther(false, statement, now) || deferral(lane, classIndex, now) > 0;
     }
     if (statement.attempt > 0)
         this->takeBackGrant(lane, state, workOf(statement));
     const auto key = this->keyFor(statement, now);
     this->noteUsage(statement, now);
     auto latestStart = statement.target - statement.expectedServiceTime;
-    // Queueing at the upstreams alone does not make an urgent statement late on arrival: their latency may have fallen by the time it is sent.
-    if (latestStart < now)
+    // Queueing at the upstreams alone makes neither the most urgent statements late nor others on arrival: the latency may have fallen by the time they are sent.
+    if (latestStart < now || !this->hasOther(true, statement, now))
         latestStart = statement.target - statement.work;
     bool isLate = now > latestStart;
     // While connections are free, nothing is known to wait; and a statement with none ahead of it shows whether the speed has recovered.
@@ -104,7 +105,7 @@
     if (const auto wait = mustWait ? this->estimateWait(statement, key, isLate, now) : std::nullopt) {
         auto expected = *wait;
         // The wait of less urgent statements grows with bursts of more urgent ones, so it needs a margin.
-        const auto margin = this->hasMoreUrgent(statement, now) ? expected / 2 : Duration::zero();
+        const auto margin = this->hasOther(true, statement, now) ? expected / 2 : Duration::zero();
         if (!isLate && now + expected + margin > latestStart) {
             isLate = true;
             expected = this->estimateWait(statement, key, isLate, now).value_or(expected);
@@ -131,12 +132,14 @@
     return {};
 }
 
-/// Returns whether statements of a more urgent priority have arrived lately.
-bool WaitQueue::hasMoreUrgent(const WaitingStatement& statement, Time now) const noexcept
+/// Returns whether statements of another priority that is more urgent, or one that is less, have arrived lately.
+bool WaitQueue::hasOther(bool isMoreUrgent, const WaitingStatement& statement, Time now) const noexcept
 {
-    return std::any_of(this->lanes.begin(), this->lanes.end(), [&](const auto& lane) {
-        return std::any_of(lane.classes.begin(), lane.classes.end(), [&](const auto& state) { return state.targetLatency > 0 && state.lastPriority < statement.priority && now - state.lastPushedAt < targetValidity; });
-    });
+    const auto isOther = [&](const ClassState& state) {
+        const bool isRecent = state.targetLatency > 0 && now - state.lastPushedAt < targetValidity;
+        return isRecent && (isMoreUrgent ? state.lastPriority < statement.priority : state.lastPriority > statement.priority);
+    };
+    return std::any_of(this->lanes.begin(), this->lanes.end(), [&](const auto& lane) { return std::any_of(lane.classes.begin(), lane.classes.end(), isOther); });
 }
 
 /// Returns whether there is no room: statements that will be late only get half of the queue, and the last eighth is left to the most urgent.
@@ -272,7 +275,7 @@
         return Duration::zero();
     const auto interval = lane.speed.time / lane.speed.grants;
     const auto& own = lane.classes[classIndex];
-    const bool isWithinShare = !isLate && own.onTime.work + workOf(statement) <= own.credit;
+    const bool isWithinShare = !isLate && own.keepsShare && own.onTime.work + workOf(statement) <= own.credit;
     if (isWithinShare)
         return fromSeconds(interval);
     const auto share = isLate ? minimumLateShare : minimumClassShare;
@@ -341,7 +344,7 @@
         if (!onTime && !late)
             continue;
         const auto& key = onTime ? *onTime : *late;
-        const bool hasShare = state.credit >= std::min(maximumCredit, this->entries.at(key.id).work);
+        const bool hasShare = state.keepsShare && state.credit >= std::min(maximumCredit, this->entries.at(key.id).work);
         consider({ .key = key, .isLate = !onTime, .hasShare = hasShare });
     }
     if (firstLate)
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -143,6 +143,7 @@
         double targetLatency { 0 }; ///< Average, in seconds; 0 if unknown.
         Time lastPushedAt;
         unsigned lastPriority { 0 };
+        bool keepsShare { false }; ///< Not all classes have its priority and target, so that the order alone could starve it or its late statements.
     };
 
     /// Rate at which a lane is served while statements wait, in seconds of work per second.
@@ -206,7 +207,7 @@
     [[nodiscard]] Duration penaltyFor(const WaitingStatement& statement, Time now) const noexcept;
     void noteUsage(const WaitingStatement& statement, Time now);
     [[nodiscard]] std::optional<Duration> estimateWait(const WaitingStatement& statement, const Key& key, bool isLate, Time now) const;
-    [[nodiscard]] bool hasMoreUrgent(const WaitingStatement& statement, Time now) const noexcept;
+    [[nodiscard]] bool hasOther(bool isMoreUrgent, const WaitingStatement& statement, Time now) const noexcept;
     [[nodiscard]] bool isFullFor(const WaitingStatement& statement, bool isLate) const noexcept;
     [[nodiscard]] std::optional<Key> headOf(Lane lane, const Group& group) const noexcept;
     [[nodiscard]] std::optional<Head> headOf(Lane lane, Time now);
--- a/test/admission/test_wait_queue.cpp
+++ b/test/admission/test_wait_queue.cpp
@@ -61,6 +61,24 @@
     CHECK((drain(queue, start) == std::vector<std::uint64_t> { 1, 2, 3 }));
 }
 
+TEST(WaitQueue, EqualRoutesAreServedInOrderAlsoWhereOneGetsLittle)
+{
+    WaitQueue queue(1000);
+    for (std::uint64_t id = 10; id < 500; ++id) {
+        const auto now = start + id * 10ms;
+        auto statement = makeStatement(id, 1, 10s, now);
+        statement.kind.consistency = id % 100 == 99 ? 2 : 1;
+        CHECK(queue.push(statement, now).has_value());
+        queue.noteSaturated(Lane::Any, now);
+        if (id < 60)
+            continue;
+        queue.beginPass();
+        const auto next = queue.next(now);
+        LONGS_EQUAL(id - 50, next->id);
+        queue.grant(next->id, now);
+    }
+}
+
 TEST(WaitQueue, UrgentGoesFirstAndLateLast)
 {
     WaitQueue queue(100);
--- a/test/admission/waiting_load.cpp
+++ b/test/admission/waiting_load.cpp
@@ -154,6 +154,14 @@
         {
             for (std::size_t i = 0; i < site.daemons; ++i)
                 this->daemons.push_back({ .order = makeOrder(), .health = std::vector<placement::UpstreamHealth>(site.upstreams), .running = std::vector<std::uint32_t>(site.upstreams) });
+            // The daemons have measured the routes before the load rises: at a congested upstream they don't.
+            constexpr int samples = 40;
+            for (int i = 0; i < samples; ++i) {
+                for (auto& daemon : this->daemons) {
+                    for (const auto& route : site.routes)
+                        noteServiceTime(daemon.times, route.kind, route.work);
+                }
+            }
         }
 
         std::vector<Outcome> run()
