Keep scarce connections for statements in progress, and open them in the order of what waits

Cause: sessions idle in transactions could hold all connections of a daemon to an upstream, so that other statements waited for their end. After a loss of all daemons each one opened up to a connection for each slot at once, for whichever organisation came first, whatever the upstream still served.

Elsewhere nothing changes.

--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -275,16 +275,6 @@
         ++service.lanes[waiter.requirements.needsLeader ? 1 : 0].waiting;
 }
 
-/// Returns whether more statements of an organisation wait than links are being opened for it.
-bool Dispatcher::needsAnotherOpening(const Service& service, std::string_view organisation)
-{
-    const auto waiting = std::count_if(service.waiters.begin(), service.waiters.end(), [organisation](const Waiter& waiter) { return waiter.requirements.organisation == organisation; });
-    std::uint32_t openings = 0;
-    for (const auto& pool : service.pools)
-        openings += pool->openingFor(organisation);
-    return openings < static_cast<std::size_t>(waiting);
-}
-
 /// Grants an idle link of the chosen upstream, or opens a new link that the statement waits for.
 void Dispatcher::grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step)
 {
@@ -298,7 +288,9 @@
         --lane.waiting;
         admission::noteGrant(lane, this->loop.now());
     }
-    this->completeWaiter(service, waiter.ticketId, AcquiredLink(pool.shared_from_this(), pool.acquire(scopeOf(waiter.requirements), *waiter.requirements.settings)));
+    const auto link = pool.acquire(scopeOf(waiter.requirements), *waiter.requirements.settings);
+    link->isForTransaction = waiter.requirements.beginsTransaction;
+    this->completeWaiter(service, waiter.ticketId, AcquiredLink(pool.shared_from_this(), link));
 }
 
 /// Removes a statement from the queue and calls its callback with the result.
@@ -348,6 +340,7 @@
             .wasTried = std::find(requirements.tried.begin(), requirements.tried.end(), id) != requirements.tried.end(),
             .isSameZone = entry.zone == this->options.zone,
         });
+        this->applyConnectionLimits(requirements, *pool, candidates.back());
     }
     return candidates;
 }
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -44,6 +44,7 @@
     Time deadline;
     unsigned priority { 0 };
     admission::StatementClass kind;
+    bool beginsTransaction { false }; ///< The link is held until the caller ends the transaction.
     bool mayRelay { false }; ///< The statement may be relayed to another daemon if this one does not reach the leader.
     const SessionSettings* settings { nullptr };
 };
@@ -215,6 +216,7 @@
         std::optional<Time> lastUsedAt; ///< When a statement last asked for a link.
         std::optional<Time> leaderlessSince; ///< Set while no leader is usable.
         std::optional<Time> lastLeaderReplyAt; ///< When this daemon last received a reply from a leader.
+        std::map<std::string, Time, std::less<>> openingWishes; ///< By organisation: when a statement of it could last have opened a link.
         kernel::Registration replicaTimer; ///< Until a lagging replica is expected to hold the position that a waiting read needs.
         Ticket leaderCheck; ///< Set while a status query checks whether the leader has caught up.
         kernel::Registration leaderCheckTimer;
@@ -236,7 +238,9 @@
     [[nodiscard]] std::uint32_t sharedLimit(const Service& service, UpstreamPool& pool, const std::optional<load::LoadEstimate>& others, bool isLeader) const;
     [[nodiscard]] static std::optional<Duration> replicaHoldsIn(Service& service, const std::string& replica, const group::LogPoint& wanted, std::optional<freshness::Micros> reachedAt);
     void probeReplica(Service& service, const std::string& replica);
-    [[nodiscard]] static bool needsAnotherOpening(const Service& service, std::string_view organisation);
+    [[nodiscard]] bool needsAnotherOpening(Service& service, std::string_view organisation);
+    [[nodiscard]] bool hasScarceConnections(const UpstreamPool& pool) const;
+    void applyConnectionLimits(const LinkRequirements& requirements, const UpstreamPool& pool, placement::Candidate& candidate) const;
     static void countAsWaiting(Service& service, Waiter& waiter);
     void grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step);
     [[nodiscard]] bool isDrained(std::string_view upstream) const;
--- a/src/amaranthhall/engine/session_statement.cpp
+++ b/src/amaranthhall/engine/session_statement.cpp
@@ -100,6 +100,7 @@
         .deadline = execution.deadline,
         .priority = execution.route.priority,
         .kind = kindOf(execution.route),
+        .beginsTransaction = execution.mode == Mode::Begin,
         .mayRelay = this->mayRelay(),
         .settings = &this->settings,
     };
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -90,6 +90,7 @@
 {
     link->isAcquired = false;
     link->isReleasing = false;
+    link->isForTransaction = false;
     link->idleSince = this->loop.now();
     this->callbacks.available();
 }
@@ -304,6 +305,11 @@
     return static_cast<std::uint32_t>(std::count_if(this->links.begin(), this->links.end(), [](const auto& link) { return link->running > 0; }));
 }
 
+std::uint32_t UpstreamPool::heldByTransactions() const noexcept
+{
+    return static_cast<std::uint32_t>(std::count_if(this->links.begin(), this->links.end(), [](const auto& link) { return link->isAcquired && link->isForTransaction; }));
+}
+
 bool UpstreamPool::isStalled(Time sentAt, Time now) const noexcept
 {
     constexpr int latencyMultiple = 8; // statement durations vary by a factor of five at most
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -39,6 +39,7 @@
     bool isReleasing { false }; ///< Released, but a command or an open transaction has to end before reuse.
     bool isBroken { false };
     bool inTransaction { false };
+    bool isForTransaction { false }; ///< Acquired for a transaction of a caller, which may be idle in it.
 };
 
 /// @brief Pool of links from this daemon to one upstream.
@@ -89,6 +90,9 @@
     [[nodiscard]] std::size_t size() const noexcept { return this->links.size(); }
     [[nodiscard]] std::uint32_t idle(const LinkScope& scope) const noexcept;
     [[nodiscard]] std::uint32_t running() const noexcept;
+
+    /// @brief Returns the number of links that transactions of callers hold.
+    [[nodiscard]] std::uint32_t heldByTransactions() const noexcept;
     [[nodiscard]] std::uint32_t opening() const noexcept { return static_cast<std::uint32_t>(this->openings.size()); }
 
     /// @brief Returns the number of links that are being opened for an organisation.
--- a/src/amaranthhall/placement/connection_share.cpp
+++ b/src/amaranthhall/placement/connection_share.cpp
@@ -31,4 +31,22 @@
     return { .warm = std::min(1U, share.warm), .limit = std::min(share.limit, limit) };
 }
 
+std::uint32_t transactionLimit(const ConnectionShare& share) noexcept
+{
+    constexpr std::uint32_t reservedFraction = 4; // one in four, at least one
+    if (share.limit <= 1)
+        return share.limit;
+    return share.limit - std::max(1U, share.limit / reservedFraction);
+}
+
+bool mayOpenAnother(const OpeningInputs& inputs) noexcept
+{
+    return inputs.openings == 0 || inputs.running + inputs.openings + inputs.runningOfOthers < std::max(1U, inputs.slots);
+}
+
+bool isNextToOpen(const OpeningDemand& own, std::span<const OpeningDemand> others) noexcept
+{
+    return own.uncovered() > 0 && std::all_of(others.begin(), others.end(), [&own](const OpeningDemand& other) { return other.uncovered() <= own.uncovered(); });
+}
+
 }
--- a/src/amaranthhall/placement/connection_share.hpp
+++ b/src/amaranthhall/placement/connection_share.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 
 namespace amaranthhall::placement {
 
@@ -39,4 +40,43 @@
  */
 [[nodiscard]] ConnectionShare limitAfterStart(const ConnectionShare& share, std::uint32_t connections, std::size_t sharers) noexcept;
 
+/// @brief Returns whether a daemon has fewer connections to an upstream than statements it could run there.
+[[nodiscard]] constexpr bool isScarce(const ConnectionShare& share, std::uint32_t slots) noexcept
+{
+    return share.limit < slots;
+}
+
+/**
+ * @brief Returns how many connections to an upstream transactions may hold where connections are scarce.
+ *
+ * The others stay for statements outside transactions, which would otherwise wait until a session that is idle in its transaction is aborted.
+ */
+[[nodiscard]] std::uint32_t transactionLimit(const ConnectionShare& share) noexcept;
+
+/// @brief What decides whether another connection to an upstream is opened now.
+struct OpeningInputs {
+    std::uint32_t slots { 1 };
+    std::uint32_t running { 0 }; ///< Statements of this daemon on the upstream.
+    std::uint32_t openings { 0 }; ///< Connections that this daemon is opening.
+    double runningOfOthers { 0 };
+};
+
+/**
+ * @brief Returns whether the upstream can open another connection beside the statements that it serves; each opening occupies a slot.
+ *
+ * One at a time is opened on a full upstream, so that a daemon that has just started gets connections.
+ */
+[[nodiscard]] bool mayOpenAnother(const OpeningInputs& inputs) noexcept;
+
+/// @brief Statements of an organisation that wait, and connections that are being opened for it.
+struct OpeningDemand {
+    std::size_t waiting { 0 };
+    std::size_t openings { 0 };
+
+    [[nodiscard]] std::size_t uncovered() const noexcept { return this->waiting > this->openings ? this->waiting - this->openings : 0; }
+};
+
+/// @brief Returns whether the next connection is for an organisation: it has statements for which none is being opened, and no other has more of them.
+[[nodiscard]] bool isNextToOpen(const OpeningDemand& own, std::span<const OpeningDemand> others) noexcept;
+
 }
--- a/test/engine/test_session.cpp
+++ b/test/engine/test_session.cpp
@@ -1,6 +1,7 @@
 #include "engine/session_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 
 using namespace amaranthhall;
 using namespace std::chrono_literals;
@@ -113,6 +114,32 @@
     CHECK(this->write().succeeded());
 }
 
+// Guards against sessions idle in transactions that hold all connections to a primary, so that writes outside transactions wait for their end.
+TEST(EngineSession, IdleTransactionsLeaveAConnectionForOtherStatements)
+{
+    auto fresh = configuration();
+    fresh.version = 2;
+    fresh.services["s"].maximumConnections = 4; // three for this daemon, fewer than the slots
+    this->testCatalog.apply(std::move(fresh));
+    this->testCatalog.put({ .id = "p", .service = "s", .role = catalog::Role::Primary, .slots = 4 }, { .number = 3 }, this->loop.now());
+    this->dispatcher->onCatalogChanged();
+    std::array<engine::fakes::RecordingChannel, 4> channels;
+    std::vector<std::unique_ptr<engine::Session>> sessions;
+    for (auto& each : channels) {
+        sessions.push_back(std::make_unique<engine::Session>(*this->context, each));
+        sessions.back()->start("strict", "");
+        sessions.back()->handle({ .id = "b" + std::to_string(sessions.size()), .kind = RequestKind::Begin, .text = "BEGIN" });
+        this->runFor(10ms);
+    }
+    LONGS_EQUAL(2, std::count_if(channels.begin(), channels.end(), [](const auto& each) { return each.answers.size() == 1; }));
+    this->open("strict");
+    CHECK(this->write().succeeded());
+    sessions.front()->handle({ .id = "c", .kind = RequestKind::Commit, .text = "COMMIT" });
+    this->runFor(20ms);
+    LONGS_EQUAL(2, channels.front().answers.size());
+    LONGS_EQUAL(3, std::count_if(channels.begin(), channels.end(), [](const auto& each) { return !each.answers.empty(); }));
+}
+
 TEST(EngineSession, ATransactionUsesASingleLink)
 {
     this->open("strict");
--- a/test/placement/test_connection_share.cpp
+++ b/test/placement/test_connection_share.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/placement/connection_share.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <vector>
 
 using namespace amaranthhall;
 
@@ -47,3 +48,31 @@
         }
     }
 }
+
+// Guards against sessions idle in transactions that hold all connections of an upstream.
+TEST(ConnectionShare, TransactionsLeaveConnectionsForOtherStatements)
+{
+    const auto limit = [](std::uint32_t connections) { return placement::transactionLimit({ .limit = connections }); };
+    LONGS_EQUAL(1, limit(1));
+    LONGS_EQUAL(1, limit(2));
+    LONGS_EQUAL(2, limit(3));
+    LONGS_EQUAL(9, limit(12));
+    CHECK_TRUE(placement::isScarce({ .limit = 3 }, 6));
+    CHECK_FALSE(placement::isScarce({ .limit = 24 }, 6));
+}
+
+// Guards against openings that take all slots from statements after a loss of all daemons.
+TEST(ConnectionShare, OpeningsAreFewWhileTheUpstreamServesStatements)
+{
+    CHECK_TRUE(placement::mayOpenAnother({ .slots = 6, .running = 6, .runningOfOthers = 20 }));
+    CHECK_FALSE(placement::mayOpenAnother({ .slots = 6, .running = 1, .openings = 1, .runningOfOthers = 4 }));
+    CHECK_TRUE(placement::mayOpenAnother({ .slots = 6, .running = 1, .openings = 1, .runningOfOthers = 3 }));
+}
+
+TEST(ConnectionShare, TheOrganisationWithTheMostWaitingStatementsGetsTheNextConnection)
+{
+    const std::vector<placement::OpeningDemand> others { { .waiting = 5, .openings = 3 }, { .waiting = 2 } };
+    CHECK_TRUE(placement::isNextToOpen({ .waiting = 2 }, others));
+    CHECK_FALSE(placement::isNextToOpen({ .waiting = 2, .openings = 1 }, others));
+    CHECK_FALSE(placement::isNextToOpen({ .waiting = 1, .openings = 1 }, {}));
+}
