--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -37,7 +37,7 @@
     {
         constexpr char separator = '\n';
         std::string flow = requirements.organisation;
-        flow.append({ separator, requirements.acceptsAnyLink ? 'a' : 'o', requirements.needsLeader ? 'l' : 'u', requirements.mayRelay ? 'r' : 'h' }).append(requirements.requiredUpstream);
+        flow.append({ separator, requirements.acceptsAnyLink ? 'a' : 'o', requirements.needsLeader ? 'l' : 'u', requirements.mayRelay ? 'r' : 'h', requirements.beginsTransaction ? 't' : 's' }).append(requirements.requiredUpstream);
         for (const auto& upstream : requirements.tried)
             flow.append(1, separator).append(upstream);
         return flow;
@@ -330,16 +330,6 @@
     return isForAll && std::all_of(candidates.begin(), candidates.end(), isSaturated) ? Served::LaneBlocked : Served::FlowBlocked;
 }
 
-/// Returns whether more statements of an organisation wait than links are being opened for it.
-bool Dispatcher::needsAnotherOpening(const Service& service, std::string_view organisation)
-{
-    const auto waiting = service.queue.waitingFor(organisation);
-    std::uint32_t openings = 0;
-    for (const auto& pool : service.pools)
-        openings += pool->openingFor(organisation);
-    return openings < waiting;
-}
-
 /// Grants an idle link of the chosen upstream, or opens a new link that the statement waits for.
 Dispatcher::Served Dispatcher::grantOrOpen(Service& service, Waiter& waiter, UpstreamPool& pool, placement::Choice::Step step)
 {
@@ -350,7 +340,9 @@
         return Served::Opening;
     }
     service.queue.grant(waiter.ticketId, this->loop.now());
-    this->completeWaiter(service, waiter.ticketId, AcquiredLink(pool.shared_from_this(), pool.acquire(scopeOf(waiter.requirements), *waiter.requirements.settings)));
+    const auto link = pool.acquire(scopeOf(waiter.requirements), *waiter.requirements.settings);
+    link->isForTransaction = waiter.requirements.beginsTransaction;
+    this->completeWaiter(service, waiter.ticketId, AcquiredLink(pool.shared_from_this(), link));
     return Served::Completed;
 }
 
@@ -400,6 +392,7 @@
             .zone = entry.zone,
             .crossingCost = this->crossingCost(entry.zone),
         });
+        this->applyConnectionLimits(requirements, *pool, candidates.back());
     }
     this->preferZone(service, requirements, candidates);
     return candidates;
