--- a/src/amaranthhall/quota/ownership.cpp
+++ b/src/amaranthhall/quota/ownership.cpp
@@ -148,7 +148,7 @@
         .sentAt = toMicroseconds(now),
         .tenure = toMicroseconds(ownership.changedAt),
         .lineage = ownership.lineage,
-        .lentPerSecond = std::max(ownership.shares.lent, ownership.shares.reserved),
+        .lentPerSecond = std::max(ownership.shares.ownLent, ownership.shares.reserved),
         .isStarting = ownership.isStarting,
     };
 }
--- a/src/amaranthhall/quota/shares.cpp
+++ b/src/amaranthhall/quota/shares.cpp
@@ -40,7 +40,8 @@
 
     void update(Shares& shares, const catalog::OperationLimit& limit, const Room& room, Time now) noexcept
     {
-        shares.lent = earlierLent(shares, limit, now) + std::max(0.0, announcedToOthers(shares, {}, now) - room.announcedPerSecond);
+        shares.ownLent = std::max(0.0, announcedToOthers(shares, {}, now) - room.announcedPerSecond);
+        shares.lent = earlierLent(shares, limit, now) + shares.ownLent;
         shares.updatedAt = now;
     }
 
--- a/src/amaranthhall/quota/shares.hpp
+++ b/src/amaranthhall/quota/shares.hpp
@@ -48,6 +48,7 @@
     Time earlierUntil;
     Time announcedFrom; ///< The demand of all holders is not known before.
     double reserved { 0 }; ///< Operations a second that may be lent, as the voters have been told.
+    double ownLent { 0 }; ///< The part of `lent` that this owner has announced itself.
     double lent { 0 }; ///< Operations a second of the limit that holders may run on their own, as of the last update.
     Time updatedAt;
 };
--- a/src/amaranthhall/quota/support.hpp
+++ b/src/amaranthhall/quota/support.hpp
@@ -47,7 +47,7 @@
     std::uint64_t sentAt { 0 }; ///< µs of the owner's clock; the reply has the same.
     std::uint64_t tenure { 0 }; ///< When the owner's tenure started; see Tenure::startedAt.
     std::vector<Tenure> lineage; ///< Earlier tenures that ended as the bucket was handed over, and with it the leases.
-    double lentPerSecond { 0 }; ///< Operations a second that the owner may have announced as shares; see Shares.
+    double lentPerSecond { 0 }; ///< Operations a second that the owner itself may have announced as shares; what earlier owners did, the voters know with its expiry.
     bool isStarting { false }; ///< The owner started without a bucket and has not received the initial tokens.
 };
 
--- a/test/quota/test_owner.cpp
+++ b/test/quota/test_owner.cpp
@@ -168,6 +168,11 @@
     quota::applyVote(alone, "c", reply, this->room, this->now + 1ms);
     DOUBLES_EQUAL(this->room.initialTokens, alone.owned.startTokens, 1e-9);
     CHECK_FALSE(quota::leaseRequest(alone, this->now + 1ms).isStarting);
+    // What is deducted for unknown shares must not be told as lent, or each change of the owner would deduct it for another five seconds.
+    quota::noteUnknownShares(alone.shares, this->now);
+    quota::reserveShares(alone.shares, this->limit, this->room, this->now);
+    CHECK(alone.shares.lent > 0);
+    DOUBLES_EQUAL(0, quota::leaseRequest(alone, this->now).lentPerSecond, 1e-9);
     quota::Ownership unanswered;
     quota::beginAdoption(unanswered, { "dead" }, this->now);
     quota::endAdoption(unanswered, this->limit, this->now + 35ms);
