Queue: only a wait for capacity measures its speed; probes, delays of replicas, freed links

A statement that waits for a replica, an opening or a change of primary made the gap between arrivals count as the speed of the lane, so that others were refused while links were idle; reads that need different positions waited for each other; the timer for a lagging replica was moved back by later reads; a draining primary blocked its lane; a status query could be refused by the queue that waits for it; an internal retry took back a grant that was not recorded. Change: noteSaturated only where an upstream is at its limit or all its links are in use; the flow of a read names the magnitude of each replica's delay; the earliest timer is kept; probes are exempt from limits and averages; a freed link wakes the queue.

--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -82,7 +82,7 @@
     auto& lane = this->laneOf(laneId);
     const auto classIndex = indexOf(statement.kind);
     auto& state = lane.classes[classIndex];
-    if (statement.attempt == 0) {
+    if (statement.attempt == 0 && !statement.isProbe) {
         constexpr double averagingWeight = 1.0 / 16;
         const auto latency = seconds(std::max(Duration::zero(), statement.target - now));
         state.targetLatency += state.targetLatency > 0 ? (latency - state.targetLatency) * averagingWeight : latency;
@@ -91,7 +91,8 @@
         state.demand.add(workOf(statement), now);
         state.keepsShare = this->hasOther(true, statement, now) || this->hasOther(false, statement, now) || deferral(lane, classIndex, now) > 0;
     }
-    if (statement.attempt > 0)
+    // A grant is recorded only while statements wait.
+    if (statement.attempt > 0 && lane.servedAt)
         this->takeBackGrant(lane, state, workOf(statement));
     const auto key = this->keyFor(statement, now);
     this->noteUsage(statement, now);
@@ -101,7 +102,7 @@
         latestStart = statement.target - statement.work;
     bool isLate = now > latestStart;
     // While connections are free, nothing is known to wait; and a statement with none ahead of it shows whether the speed has recovered.
-    const bool mustWait = lane.servedAt && lane.count > 0;
+    const bool mustWait = lane.servedAt && lane.count > 0 && !statement.isProbe;
     if (const auto wait = mustWait ? this->estimateWait(statement, key, isLate, now) : std::nullopt) {
         auto expected = *wait;
         // The wait of less urgent statements grows with bursts of more urgent ones, so it needs a margin.
@@ -116,10 +117,10 @@
         if (now + expected + statement.expectedServiceTime > (isLate ? statement.deadline : statement.target))
             return tl::unexpected(Shed { .reason = ShedReason::TooSlow, .retryAfter = std::max(minimumRetryAfter, *wait) });
     }
-    if (this->isFullFor(statement, isLate))
+    if (!statement.isProbe && this->isFullFor(statement, isLate))
         return tl::unexpected(Shed { .reason = ShedReason::QueueFull, .retryAfter = minimumRetryAfter });
     const auto work = workOf(statement);
-    if (!isLate)
+    if (!isLate && !statement.isProbe)
         state.arrivals.add(work, now);
     const auto flow = this->flows.try_emplace(std::string(statement.flow)).first;
     const auto organisation = this->waitingByOrganisation.try_emplace(std::string(statement.organisation), 0).first;
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -39,6 +39,7 @@
     Duration work { 0 }; ///< Expected service time on an uncongested upstream.
     unsigned attempt { 0 }; ///< Number of earlier attempts by this daemon.
     bool needsLeader { false };
+    bool isProbe { false }; ///< A query of the daemon itself: never refused, and not counted in averages, as statements may wait for its reply.
 };
 
 /**
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -195,6 +195,7 @@
         .work = expected.work,
         .attempt = static_cast<unsigned>(requirements.tried.size()),
         .needsLeader = requirements.needsLeader,
+        .isProbe = !requirements.requiredUpstream.empty(),
     };
     Waiter waiter { .ticketId = ticketId, .callback = std::move(callback) };
     if (const auto pushed = service.queue.push(statement, this->loop.now()); !pushed) {
@@ -303,8 +304,10 @@
     if (!requirements.needsLeader)
         return this->chooseForRead(service, requirements, candidates);
     auto choice = placement::chooseLeader(candidates, now);
-    if (choice.step == Step::Serve)
+    if (choice.step == Step::Serve) {
+        service.leaderlessSince.reset();
         return choice;
+    }
     // Other daemons reach the leader, so relaying is faster than waiting for a local link.
     if (requirements.mayRelay && this->isLeaderUnreachable(service))
         return { .step = Step::Refuse };
@@ -320,11 +323,16 @@
 {
     const auto now = this->loop.now();
     const auto& requirements = waiter.requirements;
-    service.queue.noteSaturated(laneOf(requirements), now);
-    const auto isSaturated = [&](const placement::Candidate& candidate) {
-        const bool isRelevant = !candidate.isDraining && candidate.health->avoidUntil <= now && (candidate.isLeader || !requirements.needsLeader);
-        return !isRelevant || candidate.running >= candidate.limit || candidate.health->paceUntil > now;
+    const auto isRelevant = [&](const placement::Candidate& candidate) {
+        const bool isEligible = requirements.needsLeader ? candidate.isLeader : !candidate.isDraining;
+        return isEligible && candidate.health->avoidUntil <= now;
     };
+    const auto isAtLimit = [&](const placement::Candidate& candidate) { return candidate.running >= candidate.limit || candidate.health->paceUntil > now; };
+    const auto isSaturated = [&](const placement::Candidate& candidate) { return !isRelevant(candidate) || isAtLimit(candidate); };
+    // Only a wait for capacity measures the rate at which statements are served; others wait for a replica, an opening or a change of primary.
+    const auto lacksCapacity = [&](const placement::Candidate& candidate) { return isRelevant(candidate) && !candidate.isLagging && (isAtLimit(candidate) || this->pool(candidate.id)->isFullyUsed()); };
+    if (std::any_of(candidates.begin(), candidates.end(), lacksCapacity))
+        service.queue.noteSaturated(laneOf(requirements), now);
     const bool hasLeader = std::any_of(candidates.begin(), candidates.end(), [](const auto& candidate) { return candidate.isLeader; });
     const bool isForAll = requirements.requiredUpstream.empty() && (hasLeader || !requirements.needsLeader);
     return isForAll && std::all_of(candidates.begin(), candidates.end(), isSaturated) ? Served::LaneBlocked : Served::FlowBlocked;
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -248,6 +248,7 @@
         std::optional<Time> leaderlessSince; ///< Set while no leader is usable.
         std::optional<Time> lastLeaderReplyAt; ///< When this daemon last received a reply from a leader.
         std::map<std::string, Time, std::less<>> openingWishes; ///< By organisation: when a statement of it could last have opened a link.
+        Time replicaTimerDue; ///< When replicaTimer fires.
         kernel::Registration replicaTimer; ///< Until a lagging replica is expected to hold the position that a waiting read needs.
         Ticket leaderCheck; ///< Set while a status query checks whether the leader has caught up.
         kernel::Registration leaderCheckTimer;
@@ -271,6 +272,7 @@
     [[nodiscard]] std::uint32_t sharedLimit(const Service& service, UpstreamPool& pool, const std::optional<load::LoadEstimate>& others, bool isLeader) const;
     [[nodiscard]] static std::optional<Duration> replicaHoldsIn(Service& service, const std::string& replica, const group::LogPoint& wanted, std::optional<freshness::Micros> reachedAt);
     [[nodiscard]] static std::string replicasBehind(Service& service, const LinkRequirements& requirements);
+    void processQueueAfter(Service& service, Duration delay);
     void probeReplica(Service& service, const std::string& replica);
     [[nodiscard]] bool needsAnotherOpening(Service& service, std::string_view organisation);
     [[nodiscard]] bool hasScarceConnections(const UpstreamPool& pool) const;
--- a/src/amaranthhall/engine/dispatcher_reads.cpp
+++ b/src/amaranthhall/engine/dispatcher_reads.cpp
@@ -14,6 +14,18 @@
 
     constexpr Duration probeTimeout = 1s; // a reply may have to wait for statements on the upstream
 
+    /// Returns a character for the order of magnitude of the time until a replica holds a position, so that a read does not wait behind one that has to wait much longer.
+    char delayClass(const std::optional<Duration>& holdsIn)
+    {
+        constexpr auto firstBound = 1ms;
+        if (!holdsIn)
+            return 'z';
+        char delay = 'a';
+        for (auto bound = Duration::zero(); *holdsIn > bound && delay < 'y'; bound = std::max<Duration>(firstBound, bound * 2))
+            ++delay;
+        return delay;
+    }
+
 }
 
 /// Returns when a replica is expected to hold a position, as a time from now; std::nullopt if that cannot be predicted.
@@ -33,8 +45,7 @@
     const auto reachedAt = service.samples.reachedAt(*requirements.after);
     for (const auto& pool : service.pools) {
         const auto holdsIn = replicaHoldsIn(service, pool->entry().id, *requirements.after, reachedAt);
-        const bool isBehind = !holdsIn || *holdsIn > Duration::zero();
-        behind.append(1, isBehind ? 'b' : 'h');
+        behind.append(1, delayClass(holdsIn));
     }
     return behind;
 }
@@ -60,10 +71,21 @@
     if (choice.step == placement::Choice::Step::Refuse && isAnyLagging && mayLeaderReturn && this->mayWaitForLeader(service))
         choice.step = placement::Choice::Step::Wait;
     if (choice.retryAfter)
-        service.replicaTimer = this->loop.after(*choice.retryAfter, [this, &service] { this->scheduleQueueProcessing(service); });
+        this->processQueueAfter(service, *choice.retryAfter);
     return choice;
 }
 
+/// Processes the queue once a time has passed, or earlier if that is already planned.
+void Dispatcher::processQueueAfter(Service& service, Duration delay)
+{
+    const auto now = this->loop.now();
+    const auto due = now + delay;
+    if (service.replicaTimer && service.replicaTimerDue > now && service.replicaTimerDue <= due)
+        return;
+    service.replicaTimerDue = due;
+    service.replicaTimer = this->loop.after(delay, [this, &service] { this->scheduleQueueProcessing(service); });
+}
+
 /// Asks a lagging replica for its position if a probe is due and a link is idle; the reply updates the estimate like any other.
 void Dispatcher::probeReplica(Service& service, const std::string& replica)
 {
--- a/src/amaranthhall/engine/upstream_pool.cpp
+++ b/src/amaranthhall/engine/upstream_pool.cpp
@@ -112,6 +112,8 @@
     link->isBroken = true;
     link->running = 0;
     link->link->close();
+    if (link->isAcquired)
+        this->callbacks.available(); // statements may wait for the number of links in use to fall
     // Deferred to a later loop iteration because a callback of the link may be running.
     this->loop.post([keepAlive = std::shared_ptr<Link>(std::move(link->link))] {});
 }
--- a/src/amaranthhall/engine/upstream_pool.hpp
+++ b/src/amaranthhall/engine/upstream_pool.hpp
@@ -92,6 +92,9 @@
     [[nodiscard]] std::uint32_t idle(const LinkScope& scope) const noexcept;
     [[nodiscard]] std::uint32_t running() const noexcept;
 
+    /// @brief Returns whether there are links and all of them are acquired.
+    [[nodiscard]] bool isFullyUsed() const noexcept { return !this->links.empty() && this->idle({ .isAny = true }) == 0; }
+
     /// @brief Returns the number of links that transactions of callers hold.
     [[nodiscard]] std::uint32_t heldByTransactions() const noexcept;
     [[nodiscard]] std::uint32_t opening() const noexcept { return static_cast<std::uint32_t>(this->openings.size()); }
