--- a/src/amaranthhall/quota/support.cpp
+++ b/src/amaranthhall/quota/support.cpp
@@ -33,7 +33,7 @@
     const bool isHandedOver = std::find(request.lineage.begin(), request.lineage.end(), lease.tenure) != request.lineage.end();
     // A daemon owns a bucket once, so its earlier tenure has ended.
     const bool isSameOwner = lease.tenure.owner == owner;
-    const bool isFree = now >= lease.until && now - knownSince >= leaseTime;
+    const bool isFree = now >= lease.until;
     if (!isSameOwner && !isHandedOver && !isFree) {
         reply.owner = lease.tenure.owner;
         return reply;
