--- a/test/quota/test_quota_simulation.cpp
+++ b/test/quota/test_quota_simulation.cpp
@@ -671,3 +671,10 @@
             CHECK(servedInPartition(limit, cutOff, 0.1) > 0.95);
     }
 }
+
+// The same for the smallest limit seen, of which a tenth is one operation in two seconds.
+TEST(QuotaSimulation, APartitionedOrganisationIsServedATenthOfASmallLimit)
+{
+    for (const std::size_t cutOff : { 1U, 2U, 3U, 4U })
+        CHECK(servedInPartition(small, cutOff, 0.1) > 0.95);
+}
