--- a/src/amaranthhall/admission/wait_queue.cpp
+++ b/src/amaranthhall/admission/wait_queue.cpp
@@ -315,7 +315,7 @@
         return std::nullopt;
     const auto& entry = this->entries.at(head->key.id);
     const bool hasWaited = this->laneOf(entry.lane).servedAt.has_value();
-    return Next { .id = head->key.id, .isHopeless = hasWaited && now + fromSeconds(entry.work / 2) > entry.deadline };
+    return Next { .id = head->key.id, .willTimeOut = hasWaited && now + fromSeconds(entry.work / 2) > entry.deadline };
 }
 
 std::optional<WaitQueue::Key> WaitQueue::headOf(Lane lane, const Group& group) const noexcept
--- a/src/amaranthhall/admission/wait_queue.hpp
+++ b/src/amaranthhall/admission/wait_queue.hpp
@@ -67,7 +67,7 @@
     /// @brief The statement to be served next.
     struct Next {
         std::uint64_t id { 0 };
-        bool isHopeless { false }; ///< It would time out before it is answered.
+        bool willTimeOut { false }; ///< It would time out before it is answered.
     };
 
     /// @brief Queues a statement, or refuses it if it can't be served before its deadline or would be late where others occupy the capacity.
--- a/src/amaranthhall/budget/decision.hpp
+++ b/src/amaranthhall/budget/decision.hpp
@@ -78,4 +78,27 @@
 /// @brief Chooses idle connections that make room for new ones: first those that never had a request, then those quiet for longest.
 [[nodiscard]] std::vector<std::size_t> chooseReplaced(std::span<const ConnectionState> connections, std::size_t count);
 
+/**
+ * @brief Closes idle connections of a port to make room for new ones.
+ * @param connections Range of pointers to connections with `describe()` and `shed()`; none leaves the range within the call.
+ * @param noteShed Called for each connection that is closed.
+ * @return Number of connections closed.
+ */
+template <typename Connections, typename NoteShed>
+std::size_t shedReplaced(const Connections& connections, std::size_t count, Time now, const NoteShed& noteShed)
+{
+    std::vector<typename Connections::value_type::pointer> all;
+    std::vector<ConnectionState> states;
+    for (const auto& connection : connections) {
+        all.push_back(connection.get());
+        states.push_back(connection->describe(now));
+    }
+    const auto chosen = chooseReplaced(states, count);
+    for (const auto index : chosen) {
+        all[index]->shed();
+        noteShed();
+    }
+    return chosen.size();
+}
+
 }
--- a/src/amaranthhall/engine/dispatcher.cpp
+++ b/src/amaranthhall/engine/dispatcher.cpp
@@ -253,8 +253,8 @@
             return;
         auto& waiter = service.waiters.at(next->id);
         const auto lane = laneOf(waiter.requirements);
-        const auto served = next->isHopeless ? Served::Completed : this->serveWhileOpening(service, waiter);
-        if (next->isHopeless) {
+        const auto served = next->willTimeOut ? Served::Completed : this->serveWhileOpening(service, waiter);
+        if (next->willTimeOut) {
             this->noteRefusal(service, waiter.requirements, QueueRefusal::Timeout, Duration::zero());
             this->refuse(service, next->id, timeoutReason);
         }
--- a/src/amaranthhall/engine/dispatcher.hpp
+++ b/src/amaranthhall/engine/dispatcher.hpp
@@ -247,7 +247,7 @@
         std::optional<Time> lastUsedAt; ///< When a statement last asked for a link.
         std::optional<Time> leaderlessSince; ///< Set while no leader is usable.
         std::optional<Time> lastLeaderReplyAt; ///< When this daemon last received a reply from a leader.
-        std::map<std::string, Time, std::less<>> openingWishes; ///< By organisation: when a statement of it could last have opened a link.
+        std::map<std::string, Time, std::less<>> openingRequests; ///< By organisation: when a statement of it could last have opened a link.
         Time replicaTimerDue; ///< When replicaTimer fires.
         kernel::Registration replicaTimer; ///< Until a lagging replica is expected to hold the position that a waiting read needs.
         Ticket leaderCheck; ///< Set while a status query checks whether the leader has caught up.
--- a/src/amaranthhall/engine/dispatcher_connections.cpp
+++ b/src/amaranthhall/engine/dispatcher_connections.cpp
@@ -12,7 +12,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr Duration wishLifetime = 100ms; // an organisation whose statements can't open a link any more holds up others for this long
+    constexpr Duration openingRequestLifetime = 100ms; // an organisation whose statements can't open a link any more holds up others for this long
 
 }
 
@@ -40,10 +40,10 @@
 bool Dispatcher::needsAnotherOpening(Service& service, std::string_view organisation)
 {
     const auto now = this->loop.now();
-    service.openingWishes[std::string(organisation)] = now;
-    std::erase_if(service.openingWishes, [now](const auto& wish) { return now - wish.second > wishLifetime; });
+    service.openingRequests[std::string(organisation)] = now;
+    std::erase_if(service.openingRequests, [now](const auto& request) { return now - request.second > openingRequestLifetime; });
     std::map<std::string_view, placement::OpeningDemand> demands; // of organisations that could open a link now
-    for (const auto& [name, at] : service.openingWishes)
+    for (const auto& [name, at] : service.openingRequests)
         demands[name] = { .waiting = service.queue.waitingFor(name) };
     bool isScarce = false;
     for (const auto& pool : service.pools) {
--- a/src/amaranthhall/quota/io/quota_holder.cpp
+++ b/src/amaranthhall/quota/io/quota_holder.cpp
@@ -20,7 +20,7 @@
     constexpr unsigned maximumTargets = 4; // per request, redirects included
     constexpr Duration avoidance = 1s; // of a daemon that did not reply
     constexpr Duration isolationPause = 250ms; // until an owner is asked again after none replied
-    constexpr Duration unsupportedPatience = 1s; // a new owner may have to wait for the leases of a killed one, which takes half of it
+    constexpr Duration unsupportedTimeout = 1s; // a new owner may have to wait for the leases of a killed one, which takes half of it
     constexpr Duration logInterval = 1s; // of the refusals of one organisation
     constexpr Duration unusedTimeout = 60s;
 
@@ -215,7 +215,7 @@
     const auto now = this->transport.now();
     account.held.refusedUntil = {};
     account.unsupportedSince = std::min(account.unsupportedSince, now);
-    if (now - account.unsupportedSince < unsupportedPatience) {
+    if (now - account.unsupportedSince < unsupportedTimeout) {
         this->becomeIsolated(account, "the owner has too few votes");
         return;
     }
--- a/src/amaranthhall/quota/io/quota_owner.cpp
+++ b/src/amaranthhall/quota/io/quota_owner.cpp
@@ -20,7 +20,7 @@
     constexpr Duration adoptionTimeout = 45ms; // several repetitions, as a bucket that is adopted without its predecessor's state is paid from the room
     constexpr Duration unusedTimeout = 60s;
     constexpr Duration confirmationRepeatDelay = 8ms;
-    constexpr Duration youngProcess = 10s; // within it a daemon may not know all others yet, and believes the holders as to the size of the fleet
+    constexpr Duration discoveryTime = 10s; // within it a daemon may not know all others yet, and believes the holders as to the size of the fleet
     constexpr Duration logInterval = 1s; // of changes of one organisation's support
 
 }
@@ -237,8 +237,8 @@
 
 std::size_t QuotaOwner::countVoters(const Entry& entry) const
 {
-    const bool isYoung = this->transport.now() - this->startedAt < youngProcess;
-    const auto daemons = std::max<std::size_t>(this->transport.daemons(), isYoung ? entry.daemons : 0);
+    const bool isDiscovering = this->transport.now() - this->startedAt < discoveryTime;
+    const auto daemons = std::max<std::size_t>(this->transport.daemons(), isDiscovering ? entry.daemons : 0);
     return std::min(maximumVoters, daemons);
 }
 
--- a/src/amaranthhall/relay/relay_server.cpp
+++ b/src/amaranthhall/relay/relay_server.cpp
@@ -289,17 +289,7 @@
     const auto now = this->loop.now();
     if (this->replaced == 0 && now - this->roomMadeAt >= replacementInterval) {
         this->roomMadeAt = now;
-        std::vector<ServedConnection*> all;
-        std::vector<budget::ConnectionState> states;
-        for (const auto& connection : this->connections) {
-            all.push_back(connection.get());
-            states.push_back(connection->describe(now));
-        }
-        for (const auto index : budget::chooseReplaced(states, replacedAtOnce)) {
-            all[index]->shed();
-            ++this->replaced;
-            this->context.guard->noteRefused("relay", "replaced");
-        }
+        this->replaced += budget::shedReplaced(this->connections, replacedAtOnce, now, [this] { this->context.guard->noteRefused("relay", "replaced"); });
     }
     if (this->replaced == 0)
         return false;
--- a/test/admission/test_wait_queue.cpp
+++ b/test/admission/test_wait_queue.cpp
@@ -177,8 +177,8 @@
     CHECK(queue.push(statement, start).has_value());
     queue.noteSaturated(Lane::Any, start);
     queue.beginPass();
-    CHECK(!queue.next(start + 190ms)->isHopeless);
-    CHECK(queue.next(start + 196ms)->isHopeless);
+    CHECK(!queue.next(start + 190ms)->willTimeOut);
+    CHECK(queue.next(start + 196ms)->willTimeOut);
 }
 
 TEST(WaitQueue, ABlockedFlowDoesNotHoldUpOthers)
--- a/test/admission/waiting_load.cpp
+++ b/test/admission/waiting_load.cpp
@@ -273,7 +273,7 @@
             daemon.order->beginPass();
             while (const auto next = daemon.order->next(this->now)) {
                 auto& attempt = *daemon.waiting.at(next->id);
-                if (next->isHopeless) {
+                if (next->willTimeOut) {
                     daemon.order->remove(next->id);
                     daemon.waiting.erase(next->id);
                     this->refuse(attempt);
