--- a/src/amaranthhall/standin/control_function.cpp
+++ b/src/amaranthhall/standin/control_function.cpp
@@ -105,8 +105,8 @@
         const auto position = number(call, 1);
         const bool isShown = call.function != waitAppliedFunction || status.applied >= position;
         const bool isReached = isShown && server.log().confirms(term, position);
-        const bool willTimeOut = status.term > term;
-        if (!isReached && !willTimeOut && !isLast)
+        const bool isHopeless = status.term > term;
+        if (!isReached && !isHopeless && !isLast)
             return std::nullopt;
         return selectCells(call, withOutcome("reached", isReached, server));
     }
