--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -64,7 +64,7 @@
     explicit Deployment(const DeploymentOptions& usedOptions)
         : options(usedOptions)
         , store(this->loop)
-        , cloud(this->loop, { .requiresFence = usedOptions.requiresFence, .execute = [this](const auto& call) { return this->databases->promote(call.id); }, .delayOf = usedOptions.delayOf, .log = [this](const auto& text) { this->record.line(text); } })
+        , cloud(this->loop, { .requiresFence = usedOptions.requiresFence, .execute = [this](const auto& call) { return this->databases->promote(call.id); }, .delayOf = usedOptions.delayOf, .log = [this](const auto& text) { this->record.line(text); }, .broken = [this](const auto& rule, const auto& what) { this->breakRule(rule, what); } })
         , databases(std::make_unique<DatabaseService>(this->loop, this->store,
               DatabaseService::Options {
                   .name = "ledger",
--- a/review/standin-2/store.hpp
+++ b/review/standin-2/store.hpp
@@ -318,6 +318,7 @@
         std::function<int(const FailoverCall&)> execute; ///< Carries a call out; returns the status.
         std::function<std::optional<Millis>(const FailoverCall&)> delayOf; ///< Delay of a call that gets no answer and is carried out late; empty for others.
         std::function<void(const std::string&)> log;
+        std::function<void(const std::string& rule, const std::string& what)> broken;
     };
 
     Cloud(Loop& usedLoop, Options usedOptions)
@@ -335,6 +336,7 @@
     {
         const auto json = Json::parse(request.body);
         const FailoverCall call { .service = json.at("service"), .id = json.at("id"), .holder = request.headers.at("lease-holder"), .token = std::stoull(request.headers.at("fencing-token")) };
+        this->checkToken(call);
         const auto text = "failover of " + call.service + " to " + call.id + " by " + call.holder + " with token " + std::to_string(call.token);
         if (const auto late = this->options.delayOf ? this->options.delayOf(call) : std::nullopt) {
             this->options.log(text + ": no answer, carried out " + std::to_string(late->count()) + " ms later");
@@ -346,6 +348,18 @@
         answer(status, "{}");
     }
 
+    /// Where the platform doesn't check fences, no daemon may send a lower one than it has seen; nowhere may two holders use the same.
+    void checkToken(const FailoverCall& call)
+    {
+        auto& newest = this->newestSent[call.service];
+        if (!this->options.requiresFence && call.token < newest)
+            this->options.broken("ONE", call.holder + " sends a call for " + call.id + " with the fence " + std::to_string(call.token) + ", and the platform has seen " + std::to_string(newest));
+        newest = std::max(newest, call.token);
+        const auto [known, isFirst] = this->holders.try_emplace({ call.service, call.token }, call.holder);
+        if (!isFirst && known->second != call.holder)
+            this->options.broken("ONE", call.holder + " and " + known->second + " use the fence " + std::to_string(call.token));
+    }
+
     /// The fence is checked when the call is carried out.
     int carryOut(const FailoverCall& call)
     {
@@ -361,7 +375,9 @@
 
     Loop& loop;
     Options options;
-    std::map<std::string, std::uint64_t> newestToken;
+    std::map<std::string, std::uint64_t> newestToken; ///< Of the calls that were carried out.
+    std::map<std::string, std::uint64_t> newestSent;
+    std::map<std::pair<std::string, std::uint64_t>, std::string> holders; ///< By service and fence.
     std::vector<FailoverCall> done;
     HttpServer server;
 };
