Succession: the rows of leases have a keeper of their own

Change: LeaseKeeper reads rows, knows the era and the holder before a restore, and writes rows in one function. The service decides when. A daemon whose write meets a conflict now polls the table in all three cases, before in one.

--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -31,15 +31,21 @@
     constexpr Duration supersededTimeout = 30s; // wait for an upstream of the last term to return before its commits are abandoned
     constexpr retry::BackoffOptions failedSelectionBackoff { .first = 100ms, .limit = 800ms };
 
+    /// Returns the outcome of writing a lease's row for logs.
+    std::string_view outcomeOf(const tl::expected<store::Version, LeaseWriteFailure>& result)
+    {
+        return result ? "written" : result.error().reason;
+    }
+
 }
 
 SuccessionService::SuccessionService(Parts usedParts, Options usedOptions, std::function<void()> usedRequestGossip)
     : parts(usedParts)
     , options(std::move(usedOptions))
     , requestGossip(std::move(usedRequestGossip))
+    , leases({ .loop = usedParts.loop, .store = usedParts.store, .fleet = usedParts.fleet }, { .self = this->options.self, .table = this->options.table })
     , lastTickAt(usedParts.loop.now())
     , resumedAt(usedParts.loop.now())
-    , eraChange { .startedAt = usedParts.loop.now() }
     , tickTimer(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
 {
 }
@@ -51,7 +57,7 @@
         logEvent(LogLevel::Warning, "daemon.woken");
         this->resumedAt = now;
     }
-    this->updateEra(now);
+    this->leases.updateEra();
     const auto& served = this->parts.served();
     for (auto& [service, state] : this->serviceStates) {
         if (!std::binary_search(served.begin(), served.end(), service))
@@ -59,7 +65,7 @@
     }
     for (const auto& service : served) {
         auto& state = this->serviceStates[service];
-        this->updateHolder(service, state);
+        this->leases.observe(service);
         this->rewriteLease(service, state);
         this->checkPrimary(service, state);
         this->queryRequestedCandidate(service, state);
@@ -67,31 +73,13 @@
     }
 }
 
-/// Detects a restore of the store from a backup, which starts a new era.
-void SuccessionService::updateEra(Time now)
-{
-    const auto era = std::max(this->parts.store.era(), this->parts.fleet.newestRow().era);
-    if (era == this->currentEra)
-        return;
-    this->currentEra = era;
-    this->eraChange.observedAt = now;
-    logEvent(LogLevel::Warning, "succession.new_era", { { "era", era } });
-}
-
-/// Updates the observed holder of a lease, unless the row does not name one in the current era.
-void SuccessionService::updateHolder(const std::string& service, ServiceState& state) const
-{
-    const auto* row = this->parts.fleet.find(leaseKey(service));
-    state.holder = holderOf(row, this->options.self, this->currentEra).value_or(state.holder);
-}
-
 /// Rewrites the row of a lease that this daemon held when the store was restored.
 void SuccessionService::rewriteLease(const std::string& service, ServiceState& state)
 {
     const auto now = this->parts.loop.now();
     const bool isIdle = state.stage == Stage::Monitoring && state.termBeingWritten == 0 && now >= state.retryAt;
-    if (this->eraChange.observedAt && state.holder == Holder::Self && isIdle && !this->heldLeaseVersion(service))
-        this->writeLease(service, [](const auto&) {});
+    if (isIdle && this->leases.isLostByRestore(service))
+        this->acquireLease(service, [](const auto&) {});
 }
 
 /// Returns the other daemons of a service's group that are alive.
@@ -124,7 +112,7 @@
     }
     if (cause == FailoverCause::None || !this->shouldAct(service, state))
         return;
-    const auto leaseVersion = this->heldLeaseVersion(service);
+    const auto leaseVersion = this->leases.heldVersion(service);
     if (!leaseVersion || state.needsNewToken) {
         this->takeOver(service);
         return;
@@ -137,43 +125,26 @@
 void SuccessionService::renewLease(const std::string& service, const store::Version& leaseVersion, std::function<void(const store::Version&)> onHeld)
 {
     auto& state = this->serviceStates[service];
-    auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
-    const auto& clock = this->parts.store.clock();
-    const auto earliest = clock.earliestStoreTime(freshness::bootNow());
-    const auto latest = clock.latestStoreTime(freshness::bootNow());
-    const bool isFresh = lease && latest && *latest - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration / 2).count();
+    const auto lease = this->leases.find(service);
     // After a request that failed the lease is left to expire, as another daemon may reach the platform.
-    if (!lease || !earliest || isFresh || state.hasOrderFailed) {
+    if (!lease || this->leases.needsNoRenewal(*lease) || state.hasOrderFailed) {
         onHeld(leaseVersion);
         return;
     }
-    lease->takenAt = *earliest;
-    const store::Row put { .key = { .table = this->options.table, .key = leaseKey(service) }, .value = encodeLease(*lease), .version = leaseVersion };
     const auto renewal = ++state.lastRenewal;
     state.queryTimer = this->parts.loop.after(renewalTimeout, [this, service, leaseVersion, onHeld] {
         ++this->serviceStates[service].lastRenewal;
         onHeld(leaseVersion);
     });
-    this->parts.store.commit({ .conditions = { { .key = put.key, .version = leaseVersion } }, .puts = { put } }, [this, service, put, renewal, onHeld](store::StoreResult<store::Version> result) {
+    this->leases.write(service, this->leases.makeLease(lease->term), leaseVersion, [this, service, leaseVersion, renewal, onHeld](const auto& result) {
         auto& current = this->serviceStates[service];
         const bool isAwaited = current.lastRenewal == renewal;
-        const bool isRenewed = result && result->era == put.version.era;
-        const bool isLost = !result && result.error() == store::StoreError::Conflict;
-        logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", isRenewed ? "written" : result ? "committed in another era"
-                                                                                                                             : store::nameOf(result.error()) },
-                                                           { "in_time", isAwaited } });
-        if (isRenewed) {
-            auto row = put;
-            row.version = *result;
-            this->parts.fleet.merge({ row });
-        }
-        if (isRenewed || isLost)
-            this->parts.fleet.poll();
+        logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", outcomeOf(result) }, { "in_time", isAwaited } });
         if (!isAwaited)
             return;
         current.queryTimer.reset();
-        if (!isLost) {
-            onHeld(isRenewed ? *result : put.version);
+        if (result || !result.error().isConflict) {
+            onHeld(result.value_or(leaseVersion));
             return;
         }
         current.stage = Stage::Monitoring;
@@ -233,30 +204,17 @@
 
 std::string SuccessionService::holderName(const std::string& service) const
 {
-    const auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
+    const auto lease = this->leases.find(service);
     return lease ? lease->holder.vm : std::string();
 }
 
-std::optional<store::Version> SuccessionService::heldLeaseVersion(const std::string& service) const
-{
-    return heldVersion(this->parts.fleet.find(leaseKey(service)), this->options.self, this->currentEra);
-}
-
 /// Returns true if another daemon acquired the lease or requested a promotion so recently that it may still be acting.
 bool SuccessionService::isHeldByOther(const std::string& service, const ServiceState& state) const
 {
-    if (this->heldLeaseVersion(service))
+    if (this->leases.heldVersion(service))
         return false;
-    const auto now = this->parts.loop.now();
-    if (state.promotion && now - state.promotion->at < leaseDuration)
-        return true;
-    if (mayBeHeldAfterRestore(this->eraChange, state.holder, now))
-        return true;
-    const auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
-    const auto latestStoreTime = this->parts.store.clock().latestStoreTime(freshness::bootNow());
-    if (!lease || !latestStoreTime)
-        return false;
-    return *latestStoreTime - lease->takenAt < std::chrono::duration_cast<std::chrono::microseconds>(leaseDuration).count();
+    const bool isRequestRecent = state.promotion && this->parts.loop.now() - state.promotion->at < leaseDuration;
+    return isRequestRecent || this->leases.isFreshOfOther(service);
 }
 
 /// Queries the candidate of this daemon's promotion request whether it leads. Its registration shows this as well, but not while the store is unavailable.
@@ -285,7 +243,7 @@
 /// Returns the newest term known to this daemon or recorded in the lease row, whose holder may have been on the other side of a partition.
 group::Term SuccessionService::newestTerm(const std::string& service) const
 {
-    const auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
+    const auto lease = this->leases.find(service);
     return std::max(this->parts.dispatcher.newestTerm(service), lease ? lease->term : 0);
 }
 
@@ -293,71 +251,51 @@
 void SuccessionService::writeTerm(const std::string& service, ServiceState& state)
 {
     const auto now = this->parts.loop.now();
-    const auto leaseVersion = this->heldLeaseVersion(service);
+    const auto leaseVersion = this->leases.heldVersion(service);
     const bool mayWrite = leaseVersion && state.stage == Stage::Monitoring && state.termBeingWritten == 0 && now >= state.nextTermWriteAt;
     if (!mayWrite)
         return;
-    const auto lease = decodeLease(this->parts.fleet.find(leaseKey(service)));
+    auto lease = *this->leases.find(service);
     const auto term = this->parts.dispatcher.newestTerm(service);
-    if (term <= lease->term)
+    if (term <= lease.term)
         return;
     state.termBeingWritten = term;
-    auto changed = *lease;
-    changed.term = term;
-    const store::Row put { .key = { .table = this->options.table, .key = leaseKey(service) }, .value = encodeLease(changed), .version = *leaseVersion };
-    this->parts.store.commit({ .conditions = { { .key = put.key, .version = *leaseVersion } }, .puts = { put } }, [this, service, put, term](store::StoreResult<store::Version> result) {
-        auto& state = this->serviceStates[service];
-        state.termBeingWritten = 0;
-        state.nextTermWriteAt = this->parts.loop.now() + termWriteInterval;
-        logEvent(LogLevel::Info, "succession.term_recorded", { { "service", service }, { "term", term }, { "outcome", result ? "written" : store::nameOf(result.error()) } });
-        if (!result || result->era != put.version.era)
-            return;
-        auto row = put;
-        row.version = *result;
-        this->parts.fleet.merge({ row });
-        this->parts.fleet.poll();
+    lease.term = term;
+    this->leases.write(service, lease, *leaseVersion, [this, service, term](const auto& result) {
+        auto& current = this->serviceStates[service];
+        current.termBeingWritten = 0;
+        current.nextTermWriteAt = this->parts.loop.now() + termWriteInterval;
+        logEvent(LogLevel::Info, "succession.term_recorded", { { "service", service }, { "term", term }, { "outcome", outcomeOf(result) } });
     });
 }
 
 void SuccessionService::takeOver(const std::string& service)
 {
-    this->writeLease(service, [this, service](const store::Version& leaseVersion) { this->queryCandidates(service, leaseVersion); });
+    this->acquireLease(service, [this, service](const store::Version& leaseVersion) { this->queryCandidates(service, leaseVersion); });
 }
 
 /// Acquires a lease for this daemon, on condition that the row is unchanged since it was last read.
-void SuccessionService::writeLease(const std::string& service, std::function<void(const store::Version& leaseVersion)> onWritten)
+void SuccessionService::acquireLease(const std::string& service, std::function<void(const store::Version& leaseVersion)> onAcquired)
 {
     auto& state = this->serviceStates[service];
-    const store::RowKey key { .table = this->options.table, .key = leaseKey(service) };
-    const auto* row = this->parts.fleet.find(key.key);
-    if (!isVersionOfEra(row, this->currentEra)) {
-        state.retryAt = this->parts.loop.now() + retryDelay;
-        return;
-    }
     state.stage = Stage::AcquiringLease;
-    const auto expected = row ? row->version : store::Version {};
-    const auto takenAt = this->parts.store.clock().earliestStoreTime(freshness::bootNow()).value_or(0);
-    store::Row put { .key = key, .value = encodeLease({ .holder = this->options.self, .takenAt = takenAt, .era = this->currentEra, .term = this->newestTerm(service) }) };
-    logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
-    this->parts.store.commit({ .conditions = { { .key = key, .version = expected } }, .puts = { put } }, [this, service, put, era = this->currentEra, onWritten = std::move(onWritten)](store::StoreResult<store::Version> result) {
+    const bool isTried = this->leases.acquire(service, this->newestTerm(service), [this, service, onAcquired = std::move(onAcquired)](const auto& result) {
         auto& current = this->serviceStates[service];
         current.stage = Stage::Monitoring;
-        // After a restore the store reuses version numbers, so the condition may have matched a different row.
-        const bool isOfOtherEra = result && result->era != era;
-        if (!result || isOfOtherEra) {
-            logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", isOfOtherEra ? "committed in another era" : store::nameOf(result.error()) } });
+        if (!result) {
+            logEvent(LogLevel::Warning, "succession.not_taken", { { "service", service }, { "error", result.error().reason } });
             current.retryAt = this->parts.loop.now() + retryDelay;
             return;
         }
         current.needsNewToken = false;
         current.hasOrderFailed = false;
-        auto row = put;
-        row.version = *result;
-        this->parts.fleet.merge({ row });
-        this->parts.fleet.poll();
         logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", fencingTokenOf(*result) } });
-        onWritten(*result);
+        onAcquired(*result);
     });
+    if (isTried)
+        return;
+    state.stage = Stage::Monitoring;
+    state.retryAt = this->parts.loop.now() + retryDelay;
 }
 
 void SuccessionService::queryCandidates(const std::string& service, store::Version leaseVersion)
@@ -456,7 +394,7 @@
 void SuccessionService::requestPromotion(const std::string& service, store::Version leaseVersion)
 {
     auto& state = this->serviceStates[service];
-    if (leaseVersion.era != this->currentEra) {
+    if (leaseVersion.era != this->leases.era()) {
         logEvent(LogLevel::Warning, "succession.fence_outdated", { { "service", service }, { "fence", fencingTokenOf(leaseVersion) } });
         state.stage = Stage::Monitoring;
         return;
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -11,6 +11,7 @@
 #include "amaranthhall/succession/candidate_selection.hpp"
 #include "amaranthhall/succession/failover_lease.hpp"
 #include "amaranthhall/succession/failover_policy.hpp"
+#include "amaranthhall/succession/lease_keeper.hpp"
 #include "amaranthhall/succession/promoter.hpp"
 
 #include <functional>
@@ -28,10 +29,6 @@
  * For each service one daemon is in charge: the holder of the failover lease, a row of the store. The fencing token of
  * its promotion requests is derived from the version of that row. If the holder does not act, another daemon takes the lease over by a
  * conditional write.
- *
- * After a restore of the store from a backup, the row may be outdated or missing. A lease is valid only in the era in
- * which its row was written: the holder rewrites the row and thereby gets a new fencing token. Other daemons do not
- * take over a lease that they saw held by another daemon until `leaseDuration` after the restore.
  */
 class SuccessionService {
 public:
@@ -96,7 +93,6 @@
 
     /// Failover state of one service.
     struct ServiceState {
-        Holder holder { Holder::None }; ///< Last observed holder; retained from the previous era until the current row names one.
         Stage stage { Stage::Monitoring };
         std::optional<Suspicion> suspicion;
         std::string observedPrimary; ///< Leader at the latest check.
@@ -131,14 +127,11 @@
 
     [[nodiscard]] std::vector<std::string> livePeersOf(const std::string& service) const;
     void tick();
-    void updateEra(Time now);
-    void updateHolder(const std::string& service, ServiceState& state) const;
     void rewriteLease(const std::string& service, ServiceState& state);
-    void writeLease(const std::string& service, std::function<void(const store::Version& leaseVersion)> onWritten);
+    void acquireLease(const std::string& service, std::function<void(const store::Version& leaseVersion)> onAcquired);
     void checkPrimary(const std::string& service, ServiceState& state);
     [[nodiscard]] FailoverInput collectInput(const std::string& service, const std::string& leader, ServiceState& state) const;
     [[nodiscard]] bool shouldAct(const std::string& service, const ServiceState& state) const;
-    [[nodiscard]] std::optional<store::Version> heldLeaseVersion(const std::string& service) const;
     [[nodiscard]] bool isHeldByOther(const std::string& service, const ServiceState& state) const;
     [[nodiscard]] std::string holderName(const std::string& service) const;
     void queryRequestedCandidate(const std::string& service, ServiceState& state);
@@ -171,12 +164,11 @@
     Parts parts;
     Options options;
     std::function<void()> requestGossip;
+    LeaseKeeper leases;
     std::map<std::string, ServiceState> serviceStates;
     std::map<std::pair<std::string, std::string>, PeerSuspicion> peerSuspicions; ///< By service and VM.
     Time lastTickAt;
     Time resumedAt;
-    store::Era currentEra { 0 };
-    EraChange eraChange;
     kernel::Registration tickTimer;
 };
 
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -152,7 +152,7 @@
 void SuccessionService::orderPrepared(const std::string& service)
 {
     auto& state = this->serviceStates[service];
-    if (this->heldLeaseVersion(service) != state.preparation->leaseVersion) {
+    if (this->leases.heldVersion(service) != state.preparation->leaseVersion) {
         this->cancelPreparation(service, "the lease is lost");
         return;
     }
