Pending orders are one state, recorded in the lease's row before they are sent

Cause: which order may still be carried out was kept by the daemons that were there when it was announced, and told for 5 s; a daemon that starts later heard of none, and held nothing back.

Change: succession/pending_orders holds the orders of a service, OrderTracker owns them. They lie in the row of the failover lease before an order is sent; a daemon that starts takes every upstream for a candidate until it has read the rows. The commit guard only asks whether all candidates have a commit. New lines succession.orders_pending (with their source) and .order_not_recorded, gauges of pending orders and held commits. It works because the store hands the row to every daemon that starts, and no order precedes its row.

The test SynchronousReplicas TheLeaseNamesTheCandidateBeforeItsPromotionIsOrdered fails on the commit before (no "orders" in the row).

--- a/src/amaranthhall/engine/commit_guard.cpp
+++ b/src/amaranthhall/engine/commit_guard.cpp
@@ -1,7 +1,5 @@
 #include "amaranthhall/engine/commit_guard.hpp"
 
-#include "amaranthhall/telemetry/log.hpp"
-
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -22,6 +20,21 @@
         return spec && spec->synchronousReplicas > 0;
     }
 
+    bool contains(const std::vector<std::string>& names, const std::string& name)
+    {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    /// Moves the items that a predicate selects out of a list.
+    template <typename Item, typename Predicate>
+    std::vector<Item> extractIf(std::vector<Item>& items, Predicate isSelected)
+    {
+        const auto first = std::stable_partition(items.begin(), items.end(), [&](const auto& item) { return !isSelected(item); });
+        std::vector<Item> selected(std::make_move_iterator(first), std::make_move_iterator(items.end()));
+        items.erase(first, items.end());
+        return selected;
+    }
+
 }
 
 CommitInclusion inclusionOf(const group::LogPoint& commit, const group::LogPoint& end) noexcept
@@ -31,52 +44,86 @@
     return end >= commit ? CommitInclusion::Included : CommitInclusion::Pending;
 }
 
-void CommitGuard::expectPromotion(const std::string& service, const std::string& candidate, Time until)
-{
-    auto& state = this->services[service];
-    if (state.candidate != candidate && hasSynchronousReplicas(this->catalog, service))
-        telemetry::logEvent(telemetry::LogLevel::Info, "commits.awaiting_candidate", { { "service", service }, { "candidate", candidate } });
-    state.candidate = candidate;
-    state.until = std::max(state.until, until);
-}
-
-bool CommitGuard::mustHold(std::string_view service, std::string_view upstream) const
+bool CommitGuard::mustHold(const std::string& service, const std::string& upstream) const
 {
-    const auto found = this->services.find(service);
-    const bool isExpected = found != this->services.end() && this->loop.now() < found->second.until;
-    return isExpected && found->second.candidate != upstream && hasSynchronousReplicas(this->catalog, service);
+    if (!hasSynchronousReplicas(this->catalog, service))
+        return false;
+    const auto awaited = this->candidates(service);
+    return std::any_of(awaited.begin(), awaited.end(), [&upstream](const auto& candidate) { return candidate != upstream; });
 }
 
 void CommitGuard::hold(const std::string& service, HeldCommit commit)
 {
     auto& state = this->services[service];
-    state.held.push_back(std::move(commit));
+    state.held.push_back({ .commit = std::move(commit) });
     if (!state.timer)
         state.timer = this->loop.after(Duration::zero(), [this, service] { this->poll(service); });
 }
 
+std::size_t CommitGuard::heldCount() const noexcept
+{
+    std::size_t count = 0;
+    for (const auto& [service, state] : this->services)
+        count += state.held.size();
+    return count;
+}
+
 void CommitGuard::poll(const std::string& service)
 {
     auto& state = this->services[service];
-    std::erase_if(state.held, [now = this->loop.now()](const auto& commit) { return commit.deadline <= now; });
+    std::erase_if(state.held, [now = this->loop.now()](const auto& waiting) { return waiting.commit.deadline <= now; });
+    this->complete(service);
     state.timer.reset();
     if (state.held.empty())
         return;
     state.timer = this->loop.after(pollInterval, [this, service] { this->poll(service); });
-    state.query = this->dispatcher.queryStatus(service, state.candidate, this->loop.now() + statusTimeout, [this, service, candidate = state.candidate](const auto& status) { this->onStatus(service, candidate, status); });
+    for (const auto& candidate : this->candidates(service)) {
+        const bool isAwaited = std::any_of(state.held.begin(), state.held.end(), [&](const auto& waiting) { return waiting.commit.upstream != candidate && !contains(waiting.includedIn, candidate); });
+        if (isAwaited)
+            this->query(service, candidate);
+    }
+}
+
+/// Asks a candidate for its position, unless it has been asked and may still answer.
+void CommitGuard::query(const std::string& service, const std::string& candidate)
+{
+    const auto now = this->loop.now();
+    auto& query = this->services[service].queries[candidate];
+    if (query.isPending && now - query.askedAt < statusTimeout)
+        return;
+    query.isPending = true;
+    query.askedAt = now;
+    query.ticket = this->dispatcher.queryStatus(service, candidate, now + statusTimeout, [this, service, candidate](const auto& status) { this->onStatus(service, candidate, status); });
 }
 
 void CommitGuard::onStatus(const std::string& service, const std::string& candidate, const std::optional<UpstreamStatus>& status)
 {
     auto& state = this->services[service];
-    if (!status || candidate != state.candidate)
+    state.queries[candidate].isPending = false;
+    if (!status)
         return;
-    const auto isPending = [&](const auto& commit) { return inclusionOf(commit.point, status->received) == CommitInclusion::Pending; };
-    const auto resolved = std::stable_partition(state.held.begin(), state.held.end(), isPending);
-    std::vector<HeldCommit> decided(std::make_move_iterator(resolved), std::make_move_iterator(state.held.end()));
-    state.held.erase(resolved, state.held.end());
-    for (const auto& commit : decided)
-        commit.done(inclusionOf(commit.point, status->received) == CommitInclusion::Included);
+    const auto inclusion = [&](const Waiting& waiting) { return inclusionOf(waiting.commit.point, status->received); };
+    for (auto& waiting : state.held) {
+        if (inclusion(waiting) == CommitInclusion::Included && !contains(waiting.includedIn, candidate))
+            waiting.includedIn.push_back(candidate);
+    }
+    const auto doubtful = extractIf(state.held, [&](const Waiting& waiting) {
+        return waiting.commit.upstream != candidate && !contains(waiting.includedIn, candidate) && inclusion(waiting) == CommitInclusion::Unknown;
+    });
+    for (const auto& waiting : doubtful)
+        waiting.commit.done(false);
+    this->complete(service);
+}
+
+/// Reports the commits that all candidates have.
+void CommitGuard::complete(const std::string& service)
+{
+    const auto awaited = this->candidates(service);
+    const auto included = extractIf(this->services[service].held, [&](const Waiting& waiting) {
+        return std::all_of(awaited.begin(), awaited.end(), [&](const auto& candidate) { return candidate == waiting.commit.upstream || contains(waiting.includedIn, candidate); });
+    });
+    for (const auto& waiting : included)
+        waiting.commit.done(true);
 }
 
 }
--- a/src/amaranthhall/engine/commit_guard.hpp
+++ b/src/amaranthhall/engine/commit_guard.hpp
@@ -5,7 +5,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace amaranthhall::engine {
@@ -21,55 +20,72 @@
 [[nodiscard]] CommitInclusion inclusionOf(const group::LogPoint& commit, const group::LogPoint& end) noexcept;
 
 /**
- * @brief Holds back acknowledgements of commits while a promotion is expected.
+ * @brief Holds back acknowledgements of commits until each upstream that may be promoted has them.
  *
  * A promoted upstream leads with what it has received, and nothing more. A service with synchronous replicas confirms a commit once any
- * replica has it, which may not be the one that is promoted. From the moment that a candidate is known, its callers are told of a commit only when
- * the candidate has it. Services without synchronous replicas are not affected.
+ * replica has it, which may not be the one that is promoted. Services without synchronous replicas are not affected.
  */
 class CommitGuard {
 public:
-    /// @brief Called once, with whether the candidate has the commit; not called after the deadline.
+    /// @brief Returns the upstreams of a service that may be promoted by an order which can't be called back.
+    using Candidates = std::function<std::vector<std::string>(const std::string& service)>;
+
+    /// @brief Called once, with whether all candidates have the commit; not called after the deadline.
     using Done = std::function<void(bool isIncluded)>;
 
-    /// @brief A commit that waits for the candidate.
+    /// @brief A commit that waits for the candidates.
     struct HeldCommit {
         group::LogPoint point;
+        std::string upstream; ///< Has confirmed it.
         Time deadline;
         Done done;
     };
 
-    CommitGuard(kernel::Loop& loop, const catalog::Catalog& catalog, Dispatcher& dispatcher) noexcept
+    CommitGuard(kernel::Loop& loop, const catalog::Catalog& catalog, Dispatcher& dispatcher, Candidates candidates)
         : loop(loop)
         , catalog(catalog)
         , dispatcher(dispatcher)
+        , candidates(std::move(candidates))
     {
     }
 
-    /// @brief Records that an upstream is about to be promoted, or may still be, until the given time.
-    void expectPromotion(const std::string& service, const std::string& candidate, Time until);
-
-    /// @brief Returns whether a commit that an upstream has confirmed must wait for another one that is about to be promoted.
-    [[nodiscard]] bool mustHold(std::string_view service, std::string_view upstream) const;
+    /// @brief Returns whether a commit that an upstream has confirmed must wait for another one that may be promoted.
+    [[nodiscard]] bool mustHold(const std::string& service, const std::string& upstream) const;
 
-    /// @brief Waits until the candidate of a service has a commit; `done` is called on a later turn of the loop.
+    /// @brief Waits until all candidates of a service have a commit; `done` is called on a later turn of the loop.
     void hold(const std::string& service, HeldCommit commit);
 
+    /// @brief Returns the number of commits that are held back.
+    [[nodiscard]] std::size_t heldCount() const noexcept;
+
 private:
+    struct Waiting {
+        HeldCommit commit;
+        std::vector<std::string> includedIn; ///< Candidates whose log was seen to have it.
+    };
+
+    /// A question to a candidate for its position.
+    struct Query {
+        Dispatcher::Ticket ticket;
+        Time askedAt;
+        bool isPending { false };
+    };
+
     struct ServiceState {
-        std::string candidate;
-        Time until;
-        std::vector<HeldCommit> held;
-        Dispatcher::Ticket query;
+        std::vector<Waiting> held;
+        std::map<std::string, Query> queries; ///< By candidate.
         kernel::Registration timer;
     };
 
     void poll(const std::string& service);
+    void query(const std::string& service, const std::string& candidate);
     void onStatus(const std::string& service, const std::string& candidate, const std::optional<UpstreamStatus>& status);
+    void complete(const std::string& service);
 
     kernel::Loop& loop;
     const catalog::Catalog& catalog;
     Dispatcher& dispatcher;
+    Candidates candidates;
     std::map<std::string, ServiceState, std::less<>> services;
 };
 
--- a/src/amaranthhall/engine/session.hpp
+++ b/src/amaranthhall/engine/session.hpp
@@ -28,7 +28,7 @@
     RequestLog& log;
     retry::Budget budget;
     OperationLimiter* limiter { nullptr }; ///< Limits the operations of organisations; nullptr if there are no limits.
-    CommitGuard* commitGuard { nullptr }; ///< Holds back acknowledgements while a promotion is expected; nullptr if none are.
+    CommitGuard* commitGuard { nullptr }; ///< Holds back acknowledgements of commits that an upstream which may be promoted lacks; nullptr if none are.
     RelayRouter* relays { nullptr }; ///< Routes statements to other daemons; nullptr if there are none.
     budget::BudgetGuard* guard { nullptr }; ///< Limits what connections hold; nullptr if nothing does.
 };
--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -120,7 +120,7 @@
         else
             this->sendError(ReplyCode::InDoubt, droppedReason);
     });
-    guard->hold(service, { .point = *reply.point, .deadline = this->execution->deadline, .done = std::move(done) });
+    guard->hold(service, { .point = *reply.point, .upstream = upstream, .deadline = this->execution->deadline, .done = std::move(done) });
 }
 
 }
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -77,7 +77,7 @@
     , settings(usedSettings)
     , platform(usedPlatform)
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
-    , commitGuard(usedLoop, this->catalog, this->dispatcher)
+    , commitGuard(usedLoop, this->catalog, this->dispatcher, [this](const auto& service) { return this->succession.pendingOrders().candidatesOf(service); })
     , guard(usedLoop, readVmLimits(usedSettings), this->metrics)
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard, .guard = &this->guard }
     , listDelay(chooseListDelay(usedSettings))
@@ -98,6 +98,8 @@
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
     , configurationVersion(this->metrics.gauge("amaranthhall_configuration_version", "Version of the configuration in force"))
     , storeEra(this->metrics.gauge("amaranthhall_store_era", "Times that the store came back from a copy"))
+    , heldCommits(this->metrics.gauge("amaranthhall_held_commits", "Commits whose acknowledgement waits for upstreams that may be promoted"))
+    , pendingOrders(this->metrics.gauge("amaranthhall_pending_orders", "Orders of promotion that may still be carried out, of services with synchronous replicas"))
     , configurationAge(this->copyAgeGauge("configuration"))
     , upstreamsAge(this->copyAgeGauge("upstreams"))
     , fleetAge(this->copyAgeGauge("daemons"))
@@ -194,7 +196,6 @@
         .fleet = this->fleetWatch,
         .peers = this->gossip.peers(),
         .promoter = this->platform.promoter,
-        .commitGuard = &this->commitGuard,
         .group = [this](const auto& service) -> const std::vector<std::string>& { return this->homes.homes(service); },
         .served = [this]() -> const std::vector<std::string>& { return this->homes.localServices(); },
     };
@@ -273,6 +274,8 @@
     this->livePeers.Set(static_cast<double>(this->gossip.peers().liveNames(this->loop.now()).size()));
     this->knownUpstreams.Set(static_cast<double>(this->catalog.upstreams().size()));
     this->configurationVersion.Set(configuration ? static_cast<double>(configuration->version) : 0);
+    this->heldCommits.Set(static_cast<double>(this->commitGuard.heldCount()));
+    this->pendingOrders.Set(static_cast<double>(this->succession.pendingOrders().count()));
     this->relayedStreams.Set(static_cast<double>(this->relays.streamCount()));
     this->ownZoneShare.Set(this->dispatcher.lowestOwnZoneShare());
     this->platform.traffic.publish(this->metrics, this->settings.zone);
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -142,6 +142,8 @@
     prometheus::Gauge& knownUpstreams;
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& storeEra;
+    prometheus::Gauge& heldCommits;
+    prometheus::Gauge& pendingOrders;
     prometheus::Gauge& configurationAge;
     prometheus::Gauge& upstreamsAge;
     prometheus::Gauge& fleetAge;
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -22,13 +22,18 @@
     using PackedVerifications = std::tuple<PackedVerification, PackedVerification, PackedVerification>; // the second and the third as differences to the first, which take fewer bytes
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
-    using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t>;
+    using PackedPendingOrder = std::tuple<std::string, PackedVersion, freshness::Micros>;
+    using PackedPendingOrders = std::tuple<std::string, PackedVersion, std::vector<PackedPendingOrder>>;
+    using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t, std::vector<PackedPendingOrders>>;
 
     PackedVersions packVersions(const TableCopies& copies) { return { packVersion(copies.configuration.newestRow), packVersion(copies.upstreams.newestRow), packVersion(copies.fleet.newestRow) }; }
     PackedVerification packVerification(const store::CopyState& copy) { return { copy.verifiedAt / microsPerMillisecond, static_cast<std::int64_t>(copy.verifiedVersion) }; }
     PackedLeader packLeader(const LeaderReport& report) { return { report.service, report.upstream, report.term, report.point.term, report.point.position, report.at, report.hasRecentAnswer }; }
     PackedOrder packOrder(const PromotionReport& report) { return { report.service, report.candidate, packVersion(report.fence), report.at, report.isLeading, report.term }; }
 
+    PackedPendingOrder packPendingOrder(const PendingOrderReport& order) { return { order.candidate, packVersion(order.fence), order.recordedAt }; }
+    PackedPendingOrders packPendingOrders(const PendingOrdersReport& report) { return { report.service, packVersion(report.version), packed::packAll(report.orders, packPendingOrder) }; }
+
     /// Adds without overflow, whatever the sender has sent.
     std::int64_t wrappingSum(std::int64_t left, std::int64_t right)
     {
@@ -81,6 +86,18 @@
         return { .service = std::move(service), .candidate = std::move(candidate), .fence = unpackVersion(fence), .at = at, .isLeading = isLeading, .term = term };
     }
 
+    PendingOrderReport unpackPendingOrder(PackedPendingOrder&& from)
+    {
+        auto& [candidate, fence, recordedAt] = from;
+        return { .candidate = std::move(candidate), .fence = unpackVersion(fence), .recordedAt = recordedAt };
+    }
+
+    PendingOrdersReport unpackPendingOrders(PackedPendingOrders&& from)
+    {
+        auto& [service, version, orders] = from;
+        return { .service = std::move(service), .version = unpackVersion(version), .orders = packed::unpackAll(std::move(orders), unpackPendingOrder) };
+    }
+
 }
 
 Digest filterServices(const Digest& digest, std::span<const std::string> services)
@@ -110,6 +127,7 @@
         packed::packAll(digest.peers, packPart),
         packVerifications(digest.copies),
         digest.configurationVersion,
+        packed::packAll(digest.pendingOrders, packPendingOrders),
     });
 }
 
@@ -118,7 +136,7 @@
     auto unpacked = packing::unpack<PackedDigest>(bytes);
     if (!unpacked)
         return decodePlainDigest(bytes);
-    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion] = *unpacked;
+    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion, pendingOrders] = *unpacked;
     if (!packed::isUsable(std::get<0>(profile)) || !std::all_of(peers.begin(), peers.end(), packed::isUsable))
         return std::nullopt;
     const auto unpackPart = []<typename Part>(Part&& part) { return packed::unpack(std::forward<Part>(part)); };
@@ -133,6 +151,7 @@
         .orders = packed::unpackAll(std::move(orders), unpackOrder),
         .activityAges = packed::unpackAll(std::move(activityAges), unpackPart),
         .peers = packed::unpackAll(std::move(peers), unpackPart),
+        .pendingOrders = packed::unpackAll(std::move(pendingOrders), unpackPendingOrders),
     };
 }
 
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -44,6 +44,24 @@
     group::Term term { 0 }; ///< Term of its leadership; 0 while it is not the leader.
 };
 
+/// @brief An order of promotion that may still be carried out.
+struct PendingOrderReport {
+    std::string candidate;
+    store::Version fence; ///< Fencing token of the order.
+    freshness::Micros recordedAt { 0 };
+
+    friend bool operator==(const PendingOrderReport&, const PendingOrderReport&) = default;
+};
+
+/// @brief The orders of a service that may still be carried out, as the newest row of its lease that the sender knows records them.
+struct PendingOrdersReport {
+    std::string service;
+    store::Version version; ///< Version of the row.
+    std::vector<PendingOrderReport> orders;
+
+    friend bool operator==(const PendingOrdersReport&, const PendingOrdersReport&) = default;
+};
+
 /// @brief How much a daemon has of each store table.
 struct TableCopies {
     store::CopyState configuration;
@@ -70,10 +88,11 @@
     std::vector<PromotionReport> orders;
     std::vector<ActivityAge> activityAges; ///< Of a sample of the daemons that the sender considers live.
     std::vector<kernel::Address> peers; ///< Response to `requestsPeers`.
+    std::vector<PendingOrdersReport> pendingOrders; ///< Of services with synchronous replicas.
 };
 
 /**
- * @brief Returns a copy of a digest that has only the reports of the given services.
+ * @brief Returns a copy of a digest that has only the reports of the given services; pending orders are kept, as another daemon may know more of its services.
  * @param services Names of services, sorted.
  */
 [[nodiscard]] Digest filterServices(const Digest& digest, std::span<const std::string> services);
--- a/src/amaranthhall/succession/failover_lease.cpp
+++ b/src/amaranthhall/succession/failover_lease.cpp
@@ -6,6 +6,30 @@
 
 namespace amaranthhall::succession {
 
+namespace {
+
+    using Json = nlohmann::json;
+
+    Json encodeOrder(const PendingOrder& order)
+    {
+        Json json { { "candidate", order.candidate }, { "recorded_at", order.recordedAt } };
+        if (order.fence != store::Version {})
+            json["fence"] = store::formatVersion(order.fence);
+        return json;
+    }
+
+    PendingOrder decodeOrder(const Json& json, const store::Version& rowVersion)
+    {
+        const auto fence = json.find("fence");
+        return {
+            .candidate = json.at("candidate").get<std::string>(),
+            .fence = fence == json.end() ? rowVersion : store::parseVersion(fence->get<std::string>()),
+            .recordedAt = json.at("recorded_at").get<freshness::Micros>(),
+        };
+    }
+
+}
+
 std::string leaseKey(std::string_view service)
 {
     return "duty/" + std::string(service);
@@ -13,14 +37,16 @@
 
 std::string encodeLease(const FailoverLease& lease)
 {
-    return nlohmann::json {
+    Json json {
         { "holder", lease.holder.vm },
         { "incarnation", lease.holder.incarnation },
         { "taken_at", lease.takenAt },
         { "era", lease.era },
         { "term", lease.term },
-    }
-        .dump();
+    };
+    for (const auto& order : lease.orders)
+        json["orders"].push_back(encodeOrder(order));
+    return json.dump();
 }
 
 std::optional<FailoverLease> decodeLease(const store::Row* row)
@@ -28,14 +54,17 @@
     if (!row)
         return std::nullopt;
     try {
-        const auto json = nlohmann::json::parse(row->value);
-        return FailoverLease {
+        const auto json = Json::parse(row->value);
+        FailoverLease lease {
             .holder = { .vm = json.at("holder").get<std::string>(), .incarnation = json.at("incarnation").get<std::uint64_t>() },
             .takenAt = json.at("taken_at").get<freshness::Micros>(),
             .era = json.value("era", store::Era { 0 }),
             .term = json.value("term", group::Term { 0 }),
         };
-    } catch (const nlohmann::json::exception& exception) {
+        for (const auto& order : json.value("orders", Json::array()))
+            lease.orders.push_back(decodeOrder(order, row->version));
+        return lease;
+    } catch (const Json::exception& exception) {
         telemetry::logEvent(telemetry::LogLevel::Warning, "succession.row_skipped", { { "key", row->key.key }, { "problem", exception.what() } });
         return std::nullopt;
     }
--- a/src/amaranthhall/succession/failover_lease.hpp
+++ b/src/amaranthhall/succession/failover_lease.hpp
@@ -4,11 +4,13 @@
 #include "amaranthhall/group/log_point.hpp"
 #include "amaranthhall/kernel/time.hpp"
 #include "amaranthhall/store/store.hpp"
+#include "amaranthhall/succession/pending_orders.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthhall::succession {
 
@@ -32,6 +34,7 @@
     freshness::Micros takenAt { 0 }; ///< Store time at which the holder acquired the lease.
     store::Era era { 0 }; ///< Era in which the row was written; a restored backup may bring it into a later one.
     group::Term term { 0 }; ///< Newest term of the service known to have started.
+    std::vector<PendingOrder> orders; ///< See PendingOrders. An order without a fence is sent under the version of the row in which it stands.
 };
 
 /// @brief Returns the row key of the failover lease of a service.
@@ -40,7 +43,7 @@
 /// @brief Encodes a lease as JSON.
 [[nodiscard]] std::string encodeLease(const FailoverLease& lease);
 
-/// @brief Decodes the lease in a row; empty if the row is null, or malformed, which is logged.
+/// @brief Decodes the lease in a row; empty if the row is null, or malformed, which is logged. Orders without a fence get the version of the row.
 [[nodiscard]] std::optional<FailoverLease> decodeLease(const store::Row* row);
 
 /// @brief Holder of a lease from the point of view of one daemon.
--- a/src/amaranthhall/succession/lease_keeper.cpp
+++ b/src/amaranthhall/succession/lease_keeper.cpp
@@ -89,10 +89,22 @@
     return !latest || *latest - lease.takenAt < microsOf(leaseDuration / 2);
 }
 
-FailoverLease LeaseKeeper::makeLease(group::Term term) const
+store::Version LeaseKeeper::rowVersion(const std::string& service) const
+{
+    const auto* known = this->row(service);
+    return known ? known->version : store::Version {};
+}
+
+PendingOrders LeaseKeeper::pendingOrders(const std::string& service) const
+{
+    auto lease = this->find(service);
+    return lease ? PendingOrders { .version = this->rowVersion(service), .orders = std::move(lease->orders) } : PendingOrders {};
+}
+
+FailoverLease LeaseKeeper::makeLease(group::Term term, std::vector<PendingOrder> orders) const
 {
     const auto takenAt = this->parts.store.clock().earliestStoreTime(freshness::bootNow()).value_or(0);
-    return { .holder = this->options.self, .takenAt = takenAt, .era = this->currentEra, .term = term };
+    return { .holder = this->options.self, .takenAt = takenAt, .era = this->currentEra, .term = term, .orders = std::move(orders) };
 }
 
 void LeaseKeeper::write(const std::string& service, const FailoverLease& lease, const store::Version& expected, Written done)
@@ -118,14 +130,13 @@
     });
 }
 
-bool LeaseKeeper::acquire(const std::string& service, group::Term term, Written done)
+bool LeaseKeeper::acquire(const std::string& service, const FailoverLease& lease, Written done)
 {
-    const auto* known = this->row(service);
-    if (!isVersionOfEra(known, this->currentEra))
+    if (!isVersionOfEra(this->row(service), this->currentEra))
         return false;
-    const auto expected = known ? known->version : store::Version {};
+    const auto expected = this->rowVersion(service);
     logEvent(LogLevel::Info, "succession.taking_over", { { "service", service }, { "expected", store::formatVersion(expected) } });
-    this->write(service, this->makeLease(term), expected, std::move(done));
+    this->write(service, lease, expected, std::move(done));
     return true;
 }
 
--- a/src/amaranthhall/succession/lease_keeper.hpp
+++ b/src/amaranthhall/succession/lease_keeper.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace amaranthhall::succession {
 
@@ -68,14 +69,20 @@
     /// @brief Returns whether the lease was acquired or renewed so recently that no other daemon takes it over soon; true if the time is unknown.
     [[nodiscard]] bool needsNoRenewal(const FailoverLease& lease) const;
 
+    /// @brief Returns the pending orders in a row; none, of the lowest version, if there is no such row or it is malformed.
+    [[nodiscard]] PendingOrders pendingOrders(const std::string& service) const;
+
+    /// @brief Returns the version of a row; the lowest version if it does not exist.
+    [[nodiscard]] store::Version rowVersion(const std::string& service) const;
+
     /// @brief Returns a lease of this daemon that is acquired now.
-    [[nodiscard]] FailoverLease makeLease(group::Term term) const;
+    [[nodiscard]] FailoverLease makeLease(group::Term term, std::vector<PendingOrder> orders) const;
 
     /// @brief Writes a row on condition that it has the expected version; `done` receives the new version, from which the fencing token is derived.
     void write(const std::string& service, const FailoverLease& lease, const store::Version& expected, Written done);
 
     /// @brief Acquires a lease, on condition that its row is unchanged since it was last read; returns false if no valid version of it is known.
-    bool acquire(const std::string& service, group::Term term, Written done);
+    bool acquire(const std::string& service, const FailoverLease& lease, Written done);
 
 private:
     [[nodiscard]] const store::Row* row(const std::string& service) const;
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -44,6 +44,7 @@
     , options(std::move(usedOptions))
     , requestGossip(std::move(usedRequestGossip))
     , leases({ .loop = usedParts.loop, .store = usedParts.store, .fleet = usedParts.fleet }, { .self = this->options.self, .table = this->options.table })
+    , orders({ .loop = usedParts.loop, .catalog = usedParts.catalog, .store = usedParts.store, .fleet = usedParts.fleet, .leases = this->leases })
     , lastTickAt(usedParts.loop.now())
     , resumedAt(usedParts.loop.now())
     , tickTimer(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
@@ -66,6 +67,8 @@
     for (const auto& service : served) {
         auto& state = this->serviceStates[service];
         this->leases.observe(service);
+        if (this->hasSynchronousReplicas(service))
+            this->orders.refresh(service);
         this->rewriteLease(service, state);
         this->checkPrimary(service, state);
         this->queryRequestedCandidate(service, state);
@@ -136,7 +139,7 @@
         ++this->serviceStates[service].lastRenewal;
         onHeld(leaseVersion);
     });
-    this->leases.write(service, this->leases.makeLease(lease->term), leaseVersion, [this, service, leaseVersion, renewal, onHeld](const auto& result) {
+    this->leases.write(service, this->leases.makeLease(lease->term, lease->orders), leaseVersion, [this, service, leaseVersion, renewal, onHeld](const auto& result) {
         auto& current = this->serviceStates[service];
         const bool isAwaited = current.lastRenewal == renewal;
         logEvent(LogLevel::Info, "succession.renewed", { { "service", service }, { "outcome", outcomeOf(result) }, { "in_time", isAwaited } });
@@ -279,7 +282,7 @@
 {
     auto& state = this->serviceStates[service];
     state.stage = Stage::AcquiringLease;
-    const bool isTried = this->leases.acquire(service, this->newestTerm(service), [this, service, onAcquired = std::move(onAcquired)](const auto& result) {
+    const bool isTried = this->leases.acquire(service, this->leases.makeLease(this->newestTerm(service), this->orders.refresh(service).orders), [this, service, onAcquired = std::move(onAcquired)](const auto& result) {
         auto& current = this->serviceStates[service];
         current.stage = Stage::Monitoring;
         if (!result) {
@@ -449,6 +452,7 @@
 void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock) const
 {
     const auto now = this->parts.loop.now();
+    this->orders.fill(digest);
     for (const auto& [service, state] : this->serviceStates) {
         if (state.suspicion)
             digest.suspicions.push_back({ .service = service, .upstream = state.observedPrimary, .isRefusing = state.suspicion->isRefusing });
@@ -471,8 +475,6 @@
         if (report.isLeading)
             this->parts.dispatcher.noteClaim(report.service, report.candidate, report.fence);
         auto& state = this->serviceStates[report.service];
-        if (state.preparation && state.preparation->candidate == report.candidate && state.preparation->leaseVersion == report.fence)
-            state.preparation->confirmedBy.insert(digest.vm);
         const auto boot = freshness::bootNow();
         const auto local = clock.earliestLocalTime(report.at, boot);
         const auto age = std::chrono::microseconds(local ? std::max<freshness::Micros>(0, boot - *local) : 0);
@@ -487,11 +489,9 @@
             continue;
         }
         state.promotion = KnownPromotion { .candidate = report.candidate, .leaseVersion = report.fence, .at = now - age, .isLeading = report.isLeading, .term = report.term };
-        this->expectPromotion(report.service, *state.promotion);
         logEvent(LogLevel::Info, "succession.order_heard", { { "service", report.service }, { "heir", report.candidate }, { "fence", fencingTokenOf(report.fence) }, { "from", digest.vm } });
-        if (this->hasSynchronousReplicas(report.service))
-            this->requestGossip(); // the holder waits for the confirmation
     }
+    this->mergePendingOrders(digest);
 }
 
 }
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "amaranthhall/catalog/catalog.hpp"
-#include "amaranthhall/engine/commit_guard.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/freshness/store_clock.hpp"
 #include "amaranthhall/gossip/digest.hpp"
@@ -12,6 +11,7 @@
 #include "amaranthhall/succession/failover_lease.hpp"
 #include "amaranthhall/succession/failover_policy.hpp"
 #include "amaranthhall/succession/lease_keeper.hpp"
+#include "amaranthhall/succession/order_tracker.hpp"
 #include "amaranthhall/succession/promoter.hpp"
 
 #include <functional>
@@ -41,7 +41,6 @@
         store::TableWatch& fleet; ///< Table that contains the lease rows.
         gossip::PeerRegistry& peers;
         Promoter& promoter;
-        engine::CommitGuard* commitGuard { nullptr }; ///< Told of expected promotions; may be left out.
         std::function<const std::vector<std::string>&(const std::string& service)> group; ///< Daemons with connections to a service, including this one.
         std::function<const std::vector<std::string>&()> served; ///< Sorted names of the services to which this daemon has connections.
     };
@@ -56,6 +55,9 @@
     /// @param requestGossip Called when there is new information to send to peers without delay.
     SuccessionService(Parts parts, Options options, std::function<void()> requestGossip);
 
+    /// @brief Returns the pending orders of services with synchronous replicas.
+    [[nodiscard]] OrderTracker& pendingOrders() noexcept { return this->orders; }
+
     /// @brief Adds this daemon's suspicions and the recent promotion requests to a digest.
     void fill(gossip::Digest& digest, const freshness::StoreClock& clock) const;
 
@@ -86,7 +88,7 @@
         std::string candidate;
         store::Version leaseVersion;
         Time startedAt;
-        std::set<std::string> confirmedBy; ///< Daemons that have told that they know of the candidate, and hold back commits that it lacks.
+        std::set<std::string> confirmedBy; ///< Daemons that have told that they know of the order, and hold back commits that its candidate lacks.
         std::optional<group::LogPoint> required; ///< Position that the candidate must reach; known once the daemons hold back commits.
         bool givesUpReplicas { false }; ///< As decided when the candidate was chosen.
     };
@@ -150,7 +152,8 @@
     void prepare(const std::string& service, Preparation preparation);
     void announce(const std::string& service, KnownPromotion promotion);
     void withdrawAnnouncement(const std::string& service);
-    void expectPromotion(const std::string& service, const KnownPromotion& promotion) const;
+    void recordOrder(const std::string& service, const store::Version& leaseVersion, const Selection& selection);
+    void mergePendingOrders(const gossip::Digest& digest);
     void awaitConfirmations(const std::string& service);
     void determineRequiredPoint(const std::string& service);
     void awaitCandidate(const std::string& service);
@@ -165,6 +168,7 @@
     Options options;
     std::function<void()> requestGossip;
     LeaseKeeper leases;
+    OrderTracker orders;
     std::map<std::string, ServiceState> serviceStates;
     std::map<std::pair<std::string, std::string>, PeerSuspicion> peerSuspicions; ///< By service and VM.
     Time lastTickAt;
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -15,11 +15,11 @@
     using telemetry::logEvent;
     using telemetry::LogLevel;
 
-    constexpr Duration expectationLifetime = 10s; // an order without an answer may still be carried out seconds later
     constexpr Duration confirmationTimeout = 250ms; // for the other daemons to tell that they know of the candidate
     constexpr Duration catchUpTimeout = 1s; // for a candidate to receive what its primary had when the daemons knew of it
     constexpr Duration pollInterval = 20ms;
     constexpr Duration statusTimeout = 80ms;
+    constexpr Duration recordRetryDelay = 100ms; // after the store did not take the row of a lease
     constexpr retry::BackoffOptions failedSelectionBackoff { .first = 100ms, .limit = 800ms };
 
 }
@@ -59,11 +59,45 @@
     if (selection.givesUpReplicas)
         logEvent(LogLevel::Error, "succession.replicas_given_up", { { "service", service }, { "heir", *selection.candidate }, { "silent", input.silentReplicas } });
     state.failedSelections = 0;
-    this->renewLease(service, leaseVersion, [this, service, selection](const auto& version) {
-        this->prepare(service, { .candidate = *selection.candidate, .leaseVersion = version, .startedAt = this->parts.loop.now(), .givesUpReplicas = selection.givesUpReplicas });
+    this->recordOrder(service, leaseVersion, selection);
+}
+
+/// Writes into the lease's row that the candidate may be promoted, then prepares its promotion. Nothing is ordered while the store does not take the row: a daemon
+/// that starts, or is cut off from the others, knows of the order by the row alone.
+void SuccessionService::recordOrder(const std::string& service, const store::Version& leaseVersion, const Selection& selection)
+{
+    auto& state = this->serviceStates[service];
+    auto lease = this->leases.makeLease(this->newestTerm(service), {});
+    lease.orders.push_back({ .candidate = *selection.candidate, .recordedAt = lease.takenAt });
+    const auto known = this->leases.find(service);
+    // After a request that failed the lease is left to expire, as another daemon may reach the platform.
+    if (state.hasOrderFailed && known)
+        lease.takenAt = known->takenAt;
+    this->leases.write(service, lease, leaseVersion, [this, service, selection](const auto& result) {
+        auto& current = this->serviceStates[service];
+        if (!result) {
+            logEvent(LogLevel::Warning, "succession.order_not_recorded", { { "service", service }, { "heir", *selection.candidate }, { "error", result.error().reason } });
+            current.stage = Stage::Monitoring;
+            current.retryAt = this->parts.loop.now() + recordRetryDelay;
+            return;
+        }
+        this->orders.refresh(service);
+        this->prepare(service, { .candidate = *selection.candidate, .leaseVersion = *result, .startedAt = this->parts.loop.now(), .givesUpReplicas = selection.givesUpReplicas });
     });
 }
 
+/// Takes over the pending orders that another daemon knows, and notes that it knows of the one that this daemon prepares.
+void SuccessionService::mergePendingOrders(const gossip::Digest& digest)
+{
+    for (const auto& report : digest.pendingOrders) {
+        auto& preparation = this->serviceStates[report.service].preparation;
+        if (preparation && report.version >= preparation->leaseVersion)
+            preparation->confirmedBy.insert(digest.vm);
+        if (this->orders.merge(report, digest.vm))
+            this->requestGossip(); // the holder of the lease waits for the confirmation
+    }
+}
+
 /// Announces the candidate, and has its promotion ordered once it has what was acknowledged.
 void SuccessionService::prepare(const std::string& service, Preparation preparation)
 {
@@ -78,7 +112,6 @@
 /// Takes note of a promotion of this daemon, and tells the other daemons.
 void SuccessionService::announce(const std::string& service, KnownPromotion promotion)
 {
-    this->expectPromotion(service, promotion);
     this->serviceStates[service].promotion = std::move(promotion);
     this->requestGossip();
 }
@@ -91,12 +124,6 @@
         promotion.reset();
 }
 
-void SuccessionService::expectPromotion(const std::string& service, const KnownPromotion& promotion) const
-{
-    if (this->parts.commitGuard)
-        this->parts.commitGuard->expectPromotion(service, promotion.candidate, promotion.at + expectationLifetime);
-}
-
 /// Waits until the other daemons hold back commits that the candidate lacks, or the time for that is over.
 void SuccessionService::awaitConfirmations(const std::string& service)
 {
--- a/test/engine/test_commit_guard.cpp
+++ b/test/engine/test_commit_guard.cpp
@@ -9,22 +9,23 @@
 using engine::ReplyCode;
 using engine::RequestKind;
 
-/// "r" is about to be promoted in place of "p", whose commits are confirmed once one replica has them.
+/// "r" may be promoted in place of "p", whose commits are confirmed once one replica has them.
 TEST_GROUP_BASE(CommitGuard, engine::fakes::SessionFixture)
 {
     std::unique_ptr<engine::CommitGuard> guard;
+    std::vector<std::string> candidates;
 
     void setup() override
     {
         engine::fakes::SessionFixture::setup();
         this->applyReplicas(2, 1);
-        this->guard = std::make_unique<engine::CommitGuard>(this->loop, this->testCatalog, *this->dispatcher);
+        this->guard = std::make_unique<engine::CommitGuard>(this->loop, this->testCatalog, *this->dispatcher, [this](const auto& service) { return service == "s" ? this->candidates : std::vector<std::string>(); });
         this->context->commitGuard = this->guard.get();
         this->links.upstreams["r"].isReplica = true;
         this->links.upstreams["p"].point = { .term = 1, .position = 20 };
         this->open("own");
         CHECK_TRUE(this->write().succeeded());
-        this->guard->expectPromotion("s", "r", this->loop.now() + 5s);
+        this->candidates = { "r" };
     }
 
     void applyReplicas(std::uint64_t version, std::uint32_t count)
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -18,6 +18,7 @@
     sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = { .era = 1, .number = 77 }, .at = 5, .isLeading = true, .term = 4 });
     sent.activityAges.push_back({ .shortId = 77, .age = std::chrono::milliseconds(1200) });
     sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
+    sent.pendingOrders.push_back({ .service = "s", .version = { .era = 1, .number = 80 }, .orders = { { .candidate = "i-1", .fence = { .number = 77 }, .recordedAt = 9 } } });
     const auto decoded = gossip::decodeDigest(gossip::encodeDigest(sent));
     CHECK_TRUE(decoded.has_value());
     CHECK_EQUAL(sent.vm, decoded->vm);
@@ -33,6 +34,7 @@
     LONGS_EQUAL(4, decoded->orders[0].term);
     LONGS_EQUAL(1200, decoded->activityAges.at(0).age.count());
     CHECK(decoded->peers.at(0) == sent.peers[0]);
+    CHECK(decoded->pendingOrders.at(0) == sent.pendingOrders[0]);
 }
 
 TEST(Digest, ArbitraryBytesNeverCrashTheDecoder)
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/succession/succession_service.hpp"
 #include "engine/fake_links.hpp"
+#include "succession/immediate_store.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -8,48 +9,10 @@
 
 using namespace amaranthhall;
 using namespace std::chrono_literals;
+using succession::testing::ImmediateStore;
 
 namespace {
 
-/// Store that commits each transaction in the next loop iteration; its clock is the boot clock.
-class ImmediateStore final : public store::Store {
-public:
-    explicit ImmediateStore(kernel::Loop& loop)
-        : loop(loop)
-    {
-        const auto now = freshness::bootNow();
-        this->storeClock.observe(now, now, now);
-    }
-
-    void read(const std::string&, const std::string&, const std::string&, RowsCallback) override { }
-    void follow(const std::string&, store::Version, std::chrono::milliseconds, RowsCallback) override { }
-    void commit(const store::Transaction& transaction, CommitCallback done) override
-    {
-        ++this->commits;
-        this->lastPut = transaction.puts.front();
-        this->lastCondition = transaction.conditions.front().version;
-        if (this->error) {
-            this->loop.post([error = *this->error, done = std::move(done)] { done(tl::unexpected(error)); });
-            return;
-        }
-        const store::Version made { .era = this->newestEra, .number = ++this->version };
-        this->loop.post([made, done = std::move(done)] { done(made); });
-    }
-    [[nodiscard]] store::Era era() const noexcept override { return this->newestEra; }
-    [[nodiscard]] const freshness::StoreClock& clock() const noexcept override { return this->storeClock; }
-
-    int commits { 0 };
-    std::optional<store::StoreError> error; ///< Of all transactions.
-    store::Row lastPut;
-    store::Version lastCondition;
-    store::Era newestEra { 0 };
-    std::uint64_t version { 100 };
-
-private:
-    kernel::Loop& loop;
-    freshness::StoreClock storeClock;
-};
-
 class RecordingPromoter final : public succession::Promoter {
 public:
     void promote(const succession::PromotionRequest& request, Done done) override
@@ -356,6 +319,19 @@
     CHECK_EQUAL(std::string("b"), digest.orders.front().candidate);
 }
 
+// Failure: a daemon that was restarted while an order had no answer was told of it by nobody, and acknowledged commits that its candidate lacked.
+TEST(SynchronousReplicas, TheLeaseNamesTheCandidateBeforeItsPromotionIsOrdered)
+{
+    this->storage.error = store::StoreError::Unreachable;
+    CHECK_FALSE(this->awaitOrder(1500ms));
+    this->links.upstreams["b"].point.position = 97;
+    this->storage.error.reset();
+    CHECK_TRUE(this->awaitOrder(1500ms));
+    const auto row = nlohmann::json::parse(this->storage.lastPut.value);
+    CHECK_EQUAL(this->promoter.requests.front().candidate, row.value(nlohmann::json::json_pointer("/orders/0/candidate"), std::string()));
+    LONGS_EQUAL(this->promoter.requests.front().fencingToken, this->storage.version);
+}
+
 // Failure: as above; what was acknowledged before the daemons knew of the candidate may lie beyond its log.
 TEST(SynchronousReplicas, TheCandidateIsPromotedOnceItHasWhatThePrimaryHad)
 {
@@ -373,7 +349,7 @@
     const auto confirm = this->loop.every(5ms, [&] {
         gossip::Digest own;
         this->service->fill(own, this->storage.clock());
-        digest.orders = own.orders;
+        digest.pendingOrders = own.pendingOrders;
         this->service->mergeDigest(digest, this->storage.clock());
     });
     CHECK_TRUE(this->awaitOrder(1s));
