A replica is gone when the catalog says so, not when its entry is missing

What callers saw: a service with sync_replicas 1; the store was away, the entry of the replica that had every commit lapsed with it, and the primary crashed 0.1 s after the store's return.

Cause: queryPositions() neither asked nor counted a replica whose entry was missing at that moment.

Evidence: the holder's log had one succession.heir_answered, that of the replica that was behind, and no succession.replicas_awaited; upstream.missing of the other one stands 0.14 s before, upstream.gone never.

Change: an upstream is gone when the catalog has dropped it. Missing replicas are asked and waited for, also of services without sync_replicas; a daemon that has known the table for less than 2.5 s doesn't take the answers of the others for all. A primary is gone by the same rule: it was replaced after 1 s without an entry, and by nobody once the catalog had dropped it, which with the first change would have met a primary and a replica that crash together.

With the old conditions put back, AReplicaWhoseEntryIsMissingIsAskedAndAwaited and APrimaryThatIsGoneIsReplaced fail.

--- a/src/amaranthhall/catalog/catalog.hpp
+++ b/src/amaranthhall/catalog/catalog.hpp
@@ -41,7 +41,7 @@
     /// @brief Time for which departed upstreams are remembered; a copy of the store is only a few seconds old.
     static constexpr Duration departureRetention = std::chrono::seconds(60);
 
-    /// @brief Time for which an entry is still used after its removal from a reachable store.
+    /// @brief Time for which an entry is still used after its removal from a reachable store: entries that expired while the store was unavailable are back within it.
     static constexpr Duration missingGracePeriod = std::chrono::milliseconds(2500);
 
     /**
@@ -77,6 +77,15 @@
      */
     std::vector<std::string> expire(Time now, std::optional<Time> storeSince);
 
+    /// @brief Records that the catalog has all entries of the store; only the first call counts.
+    void noteComplete(Time now) noexcept { this->completeSince = this->completeSince.value_or(now); }
+
+    /// @brief Returns whether an upstream may be alive that this daemon has never seen registered, as its entry expired while the store was unavailable and is not back yet.
+    [[nodiscard]] bool mayLackUpstreams(Time now) const noexcept { return !this->completeSince || now - *this->completeSince < missingGracePeriod; }
+
+    /// @brief Returns whether an upstream is gone: its entry has been missing for the grace period, or was never there.
+    [[nodiscard]] bool isGone(std::string_view id, Time now) const noexcept { return !this->find(id) && !this->mayLackUpstreams(now); }
+
     [[nodiscard]] const UpstreamRecord* find(std::string_view id) const noexcept;
 
     [[nodiscard]] const std::map<std::string, UpstreamRecord, std::less<>>& upstreams() const noexcept { return this->upstreamsById; }
@@ -120,6 +129,7 @@
     std::map<std::string, Departure, std::less<>> departures; ///< By id.
     std::map<std::string, RestoredEntry, std::less<>> restoredEntries; ///< By id.
     std::uint64_t limitsChangeCount { 0 };
+    std::optional<Time> completeSince;
 };
 
 }
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -154,6 +154,8 @@
 void Gateway::onCatalogSettled()
 {
     this->stopDiscoveryIfDone();
+    if (this->upstreamWatch.isComplete())
+        this->catalog.noteComplete(this->loop.now());
     this->dispatcher.onCatalogChanged();
 }
 
--- a/src/amaranthhall/succession/candidate_selection.cpp
+++ b/src/amaranthhall/succession/candidate_selection.cpp
@@ -11,7 +11,7 @@
     /// Returns whether commits may exist that neither the primary's position nor a replica's shows.
     bool isIncomplete(const SelectionInput& input)
     {
-        return !input.primary && input.silentReplicas > 0;
+        return !input.primary && (input.silentReplicas > 0 || input.mayLackReplicas);
     }
 
     bool mayWait(const SelectionInput& input)
--- a/src/amaranthhall/succession/candidate_selection.hpp
+++ b/src/amaranthhall/succession/candidate_selection.hpp
@@ -11,12 +11,13 @@
 /// @brief What is known of a service with synchronous replicas when a candidate is chosen. Its upstreams hold every acknowledged commit together, not each of them.
 struct SelectionInput {
     std::span<const PromotionCandidate> answered; ///< Replicas of the newest term that told their positions.
-    std::size_t silentReplicas { 0 }; ///< Registered replicas that did not answer.
+    std::size_t silentReplicas { 0 }; ///< Replicas that did not answer and are not gone.
+    bool mayLackReplicas { false }; ///< This daemon may not know all replicas yet.
     std::optional<group::LogPoint> primary; ///< Position of the primary, if it answered and leads; its log has every acknowledged commit.
     Duration waiting { 0 }; ///< Time since the first selection that found no candidate.
 };
 
-/// @brief Time for which a registered replica that does not answer is waited for, as it may be the only one that has a commit.
+/// @brief Time for which a replica that does not answer and is not gone is waited for, as it may be the only one that has a commit.
 inline constexpr Duration silentReplicaTimeout = std::chrono::seconds(30);
 
 /// @brief Result of a selection.
@@ -28,7 +29,7 @@
 /**
  * @brief Chooses the candidate of a service with synchronous replicas.
  *
- * While the primary does not answer, all registered replicas must, and a draining one may be chosen, as it may have received the most.
+ * While the primary does not answer, all replicas that are not gone must, and a draining one may be chosen, as it may have received the most.
  */
 [[nodiscard]] Selection selectWithSynchronousReplicas(const SelectionInput& input);
 
--- a/src/amaranthhall/succession/failover_policy.cpp
+++ b/src/amaranthhall/succession/failover_policy.cpp
@@ -15,7 +15,7 @@
 
     constexpr Duration silenceTimeout = 350ms; // an overloaded primary that is slower by a factor of five still answers on one connection within this time
     constexpr Duration soleSuspicionTimeout = 800ms; // a serving primary gives some daemon a proof many times within this period
-    constexpr Duration missingTimeout = 1s; // for a missing registration, and for the age of the last proof
+    constexpr Duration proofLifetime = 1s; // an older proof does not show that a primary without a registration still leads
     constexpr Duration holderGrace = 400ms; // the lease holder detects a failure at about the same time
     constexpr Duration rankDelay = 120ms; // time for a conditional write and its propagation to the other daemons
 
@@ -23,7 +23,7 @@
 
 std::string_view nameOf(FailoverCause cause) noexcept
 {
-    constexpr std::array<std::string_view, 5> names { "none", "draining", "refusing", "silent", "missing" };
+    constexpr std::array<std::string_view, 5> names { "none", "draining", "refusing", "silent", "gone" };
     return names[static_cast<std::size_t>(cause)];
 }
 
@@ -52,10 +52,9 @@
     const bool hasLaterProof = suspicion && input.provenAt && *input.provenAt > suspicion->since;
     if (hasLaterProof)
         return FailoverCause::None;
-    const bool isRegistrationExpired = input.own.missingSince && input.now - *input.own.missingSince >= missingTimeout;
-    const bool isProofExpired = !input.provenAt || input.now - *input.provenAt >= missingTimeout;
-    if (isRegistrationExpired && isProofExpired)
-        return FailoverCause::Missing;
+    const bool isProofExpired = !input.provenAt || input.now - *input.provenAt >= proofLifetime;
+    if (input.own.isGone && isProofExpired)
+        return FailoverCause::Gone;
     if (!suspicion)
         return FailoverCause::None;
     const bool isIsolated = input.livePeers * 2 < input.peers;
--- a/src/amaranthhall/succession/failover_policy.hpp
+++ b/src/amaranthhall/succession/failover_policy.hpp
@@ -18,7 +18,7 @@
     std::optional<Time> failingSince; ///< First failure since its last answer.
     bool isRefusing { false }; ///< Connections are refused or reset rather than unanswered.
     Duration silence { 0 }; ///< Time for which a request is outstanding without any data received.
-    std::optional<Time> missingSince; ///< When its registration disappeared.
+    bool isGone { false }; ///< Its registration has been missing for so long that it does not come back.
     std::optional<Time> drainingSince; ///< When it announced that it is draining.
 };
 
@@ -45,7 +45,7 @@
     Draining, ///< It announced that it is draining.
     Refusing, ///< It refuses connections, and a majority of the live daemons suspects it.
     Silent, ///< It is suspected, and no daemon has had a proof for the timeout.
-    Missing, ///< Its registration is missing, and no daemon has a recent proof.
+    Gone, ///< Its registration is gone, and no daemon has a recent proof.
 };
 
 /// @brief Returns the name of a cause for logs.
@@ -59,7 +59,7 @@
  *
  * A network partition of one daemon must not depose a primary that serves the others: a proof by any daemon that is
  * newer than the suspicion clears the primary, and a daemon that hears from less than half of its peers acts only on
- * a missing registration or a draining primary.
+ * a registration that is gone or a draining primary.
  */
 [[nodiscard]] FailoverCause decideFailover(const FailoverInput& input) noexcept;
 
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -165,10 +165,9 @@
         input.own.isRefusing = pool->health().isRefusing;
         input.own.silence = pool->silence(now);
     }
-    if (const auto* known = this->parts.catalog.find(leader)) {
-        input.own.missingSince = known->missingSince;
+    input.own.isGone = this->parts.catalog.isGone(leader, now);
+    if (const auto* known = this->parts.catalog.find(leader))
         input.own.drainingSince = known->drainingSince;
-    }
     input.suspicion = suspect(input.own, now);
     const bool isNews = input.suspicion.has_value() != state.suspicion.has_value() || state.observedPrimary != leader;
     state.suspicion = input.suspicion;
@@ -313,6 +312,7 @@
 }
 
 /// Asks the replicas of a service for their log positions; for one with synchronous replicas also those that are not to be promoted, and the primary.
+/// One whose registration is missing is asked, too: until the catalog drops it, it may be back.
 void SuccessionService::queryPositions(const std::string& service, std::function<void()> onAnswered)
 {
     auto& state = this->serviceStates[service];
@@ -326,9 +326,8 @@
         const auto& id = known->entry.id;
         const auto refused = state.refusedCandidates.find(id);
         const bool wasRefused = refused != state.refusedCandidates.end() && now - refused->second < refusalLifetime;
-        const bool isMissing = known->missingSince && *known->missingSince <= now;
         const bool isPrimary = id == state.observedPrimary;
-        if (isMissing || (!asksAll && (isPrimary || known->entry.draining || wasRefused)))
+        if (!asksAll && (isPrimary || known->entry.draining || wasRefused))
             continue;
         const PromotionCandidate candidate { .upstream = id, .isSameZone = known->entry.zone == this->options.zone, .isDraining = known->entry.draining, .wasRefused = wasRefused };
         state.queriedCandidates += isPrimary ? 0 : 1;
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -39,6 +39,7 @@
     return {
         .answered = answered,
         .silentReplicas = state.queriedCandidates - state.candidates.size(),
+        .mayLackReplicas = this->parts.catalog.mayLackUpstreams(this->parts.loop.now()),
         .primary = isLeading ? std::optional(status->received) : std::nullopt,
         .waiting = state.unselectedSince ? this->parts.loop.now() - *state.unselectedSince : Duration::zero(),
     };
@@ -52,7 +53,7 @@
     const auto selection = selectWithSynchronousReplicas(input);
     if (!selection.candidate) {
         state.unselectedSince = state.unselectedSince.value_or(this->parts.loop.now());
-        logEvent(LogLevel::Warning, "succession.replicas_awaited", { { "service", service }, { "silent", input.silentReplicas }, { "primary_answers", input.primary.has_value() } });
+        logEvent(LogLevel::Warning, "succession.replicas_awaited", { { "service", service }, { "silent", input.silentReplicas }, { "may_lack", input.mayLackReplicas }, { "primary_answers", input.primary.has_value() } });
         this->onNoCandidate(service, state);
         return;
     }
@@ -148,7 +149,7 @@
     const auto eligible = this->eligibleCandidates(service, state);
     state.preparation->required = requiredPoint(this->selectionInput(service, state, eligible));
     if (!state.preparation->required) {
-        this->cancelPreparation(service, "a replica is silent");
+        this->cancelPreparation(service, "a replica is silent or not known yet");
         return;
     }
     const auto found = std::find_if(eligible.begin(), eligible.end(), [&](const auto& candidate) { return candidate.upstream == state.preparation->candidate; });
--- a/test/succession/test_candidate_selection.cpp
+++ b/test/succession/test_candidate_selection.cpp
@@ -39,6 +39,8 @@
     CHECK_FALSE(selectWithSynchronousReplicas({ .answered = this->answered, .silentReplicas = 1 }).candidate.has_value());
     CHECK_FALSE(requiredPoint({ .answered = this->answered, .silentReplicas = 1 }).has_value());
     CHECK_FALSE(selectWithSynchronousReplicas({ .answered = this->answered, .silentReplicas = 1, .waiting = succession::silentReplicaTimeout - 1ms }).candidate.has_value());
+    CHECK_FALSE(selectWithSynchronousReplicas({ .answered = this->answered, .mayLackReplicas = true }).candidate.has_value());
+    CHECK_FALSE(requiredPoint({ .answered = this->answered, .mayLackReplicas = true }).has_value());
     const auto late = selectWithSynchronousReplicas({ .answered = this->answered, .silentReplicas = 1, .waiting = succession::silentReplicaTimeout });
     CHECK(late.candidate == std::optional<std::string>("b"));
     CHECK_TRUE(late.givesUpReplicas);
--- a/test/succession/test_failover_policy.cpp
+++ b/test/succession/test_failover_policy.cpp
@@ -57,15 +57,18 @@
     CHECK(succession::decideFailover(input) == FailoverCause::Silent);
 }
 
-TEST(FailoverPolicy, MinorityActsOnlyOnMissingRegistration)
+TEST(FailoverPolicy, MinorityActsOnlyOnARegistrationThatIsGone)
 {
     auto input = this->healthyFleet();
     input.livePeers = 3;
     input.agreeingPeers = 3;
     input.suspicion = Suspicion { .isRefusing = true, .since = this->now - 5s };
     CHECK(succession::decideFailover(input) == FailoverCause::None);
-    input.own.missingSince = this->now - 2s;
-    CHECK(succession::decideFailover(input) == FailoverCause::Missing);
+    input.own.isGone = true;
+    CHECK(succession::decideFailover(input) == FailoverCause::Gone);
+    input.provenAt = this->now - 900ms;
+    input.suspicion.reset();
+    CHECK(succession::decideFailover(input) == FailoverCause::None);
 }
 
 TEST(FailoverPolicy, ReplacesDrainingPrimary)
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -46,9 +46,7 @@
     void setup() override
     {
         this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .maximumConnections = 30 } } } });
-        this->putUpstream("p", catalog::Role::Primary, true, 1);
-        this->putUpstream("a", catalog::Role::Replica, false, 2);
-        this->putUpstream("b", catalog::Role::Replica, false, 3);
+        this->putUpstreams();
         this->links.upstreams["a"].point = { .term = 1, .position = 90 };
         this->links.upstreams["b"].point = { .term = 1, .position = 95 };
         this->dispatcher.onCatalogChanged();
@@ -67,6 +65,13 @@
         this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .self = { .vm = "me", .incarnation = 1 }, .zone = "z", .table = "t" }, [] {});
     }
 
+    void putUpstreams()
+    {
+        this->putUpstream("p", catalog::Role::Primary, true, 1);
+        this->putUpstream("a", catalog::Role::Replica, false, 2);
+        this->putUpstream("b", catalog::Role::Replica, false, 3);
+    }
+
     void putUpstream(const char* id, catalog::Role role, bool draining, std::uint64_t number)
     {
         this->known.put({ .id = id, .service = "s", .role = role, .draining = draining, .slots = 2 }, { .number = number }, this->loop.now());
@@ -291,12 +296,18 @@
 TEST_GROUP_BASE(SynchronousReplicas, TEST_GROUP_CppUTestGroupSuccessionService) {
     void setup() override {
         TEST_GROUP_CppUTestGroupSuccessionService::setup();
-this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
+this->configure();
+this->known.noteComplete(this->loop.now() - 10s);
 this->links.upstreams["p"].point = { .term = 1, .position = 97 };
 this->links.upstreams["a"].isReplica = this->links.upstreams["b"].isReplica = true;
 this->putLease("me", 1, longAgo);
 }
 
+void configure()
+{
+    this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
+}
+
 /// Runs until an order is sent; returns false if none is within the limit.
 bool awaitOrder(Duration limit)
 {
@@ -368,15 +379,54 @@
     CHECK_EQUAL(std::string("a"), this->promoter.requests.front().candidate);
 }
 
-TEST(SynchronousReplicas, AReplicaWhoseRegistrationIsGoneIsNotAwaited)
+// Failure: an entry lapsed with the store and was back two seconds later; meanwhile the replica that alone had all commits was passed over at a promotion.
+TEST(SynchronousReplicas, AReplicaWhoseEntryIsMissingIsAskedAndAwaited)
 {
     this->links.upstreams["p"].isSilent = true;
     this->links.upstreams["a"].isSilent = true;
+    this->links.upstreams["a"].point.position = 99;
     this->known.markMissing("a", { .number = 9 }, this->loop.now());
+    CHECK_FALSE(this->awaitOrder(2500ms));
+    this->links.upstreams["a"].isSilent = false;
+    CHECK_TRUE(this->awaitOrder(2500ms));
+    CHECK_EQUAL(std::string("a"), this->promoter.requests.front().candidate);
+}
+
+TEST(SynchronousReplicas, AReplicaThatIsGoneIsNotAwaited)
+{
+    this->links.upstreams["p"].isSilent = true;
+    this->links.upstreams["a"].isSilent = true;
+    this->known.markMissing("a", { .number = 9 }, this->loop.now() - catalog::Catalog::missingGracePeriod);
+    LONGS_EQUAL(1, this->known.expire(this->loop.now(), this->loop.now() - 10s).size());
+    this->dispatcher.onCatalogChanged();
     CHECK_TRUE(this->awaitOrder(2500ms));
     CHECK_EQUAL(std::string("b"), this->promoter.requests.front().candidate);
 }
 
+// Failure: as with a missing entry, on a daemon that started after the entry had lapsed and does not know that there is another replica.
+TEST(SynchronousReplicas, ADaemonThatMayNotKnowAllReplicasAwaitsThem)
+{
+    this->links.upstreams["p"].isSilent = true;
+    this->known = {};
+    this->configure();
+    this->putUpstreams();
+    this->known.noteComplete(this->loop.now());
+    this->dispatcher.onCatalogChanged();
+    CHECK_FALSE(this->awaitOrder(catalog::Catalog::missingGracePeriod - 200ms));
+    CHECK_TRUE(this->awaitOrder(2500ms));
+}
+
+// Failure: a primary that crashed together with a replica was dropped from the catalog while the replica was awaited, and then replaced by nobody.
+TEST(SynchronousReplicas, APrimaryThatIsGoneIsReplaced)
+{
+    this->dispatcher.confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
+    this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 97 }, .at = this->loop.now() }, freshness::bootNow());
+    this->known.markMissing("p", { .number = 9 }, this->loop.now() - catalog::Catalog::missingGracePeriod);
+    LONGS_EQUAL(1, this->known.expire(this->loop.now(), this->loop.now() - 10s).size());
+    this->dispatcher.onCatalogChanged();
+    CHECK_TRUE(this->awaitOrder(4s));
+}
+
 // The store is restored from a backup: its rows may be outdated, and it reuses version numbers.
 TEST_GROUP_BASE(SuccessionAfterRestore, TEST_GROUP_CppUTestGroupSuccessionService)
 {
