--- a/src/amaranthhall/engine/commit_guard.cpp
+++ b/src/amaranthhall/engine/commit_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace amaranthhall::engine {
@@ -20,11 +21,6 @@
         return spec && spec->synchronousReplicas > 0;
     }
 
-    bool contains(const std::vector<std::string>& names, const std::string& name)
-    {
-        return std::find(names.begin(), names.end(), name) != names.end();
-    }
-
     /// Moves the items that a predicate selects out of a list.
     template <typename Item, typename Predicate>
     std::vector<Item> extractIf(std::vector<Item>& items, Predicate isSelected)
@@ -44,12 +40,13 @@
     return end >= commit ? CommitInclusion::Included : CommitInclusion::Pending;
 }
 
-bool CommitGuard::mustHold(const std::string& service, const std::string& upstream) const
+bool CommitGuard::mustHold(const std::string& service, const std::string& upstream, Time sentAt) const
 {
     if (!hasSynchronousReplicas(this->catalog, service))
         return false;
-    const auto awaited = this->candidates(service);
-    return std::any_of(awaited.begin(), awaited.end(), [&upstream](const auto& candidate) { return candidate != upstream; });
+    const auto candidates = this->candidates.candidatesOf(service);
+    const bool isOtherAwaited = std::any_of(candidates.upstreams.begin(), candidates.upstreams.end(), [&upstream](const auto& candidate) { return candidate != upstream; });
+    return isOtherAwaited || sentAt < candidates.unchangedSince;
 }
 
 void CommitGuard::hold(const std::string& service, HeldCommit commit)
@@ -77,52 +74,81 @@
     if (state.held.empty())
         return;
     state.timer = this->loop.after(pollInterval, [this, service] { this->poll(service); });
-    for (const auto& candidate : this->candidates(service)) {
-        const bool isAwaited = std::any_of(state.held.begin(), state.held.end(), [&](const auto& waiting) { return waiting.commit.upstream != candidate && !contains(waiting.includedIn, candidate); });
-        if (isAwaited)
-            this->query(service, candidate);
+    const auto candidates = this->candidates.candidatesOf(service);
+    std::set<std::string> awaited;
+    for (const auto& waiting : state.held) {
+        for (const auto& candidate : candidates.upstreams) {
+            if (lacks(waiting, candidate))
+                awaited.insert(candidate);
+        }
+        if (mustStillLead(waiting, candidates.unchangedSince))
+            awaited.insert(waiting.commit.upstream);
     }
+    for (const auto& upstream : awaited)
+        this->query(service, upstream);
 }
 
-/// Asks a candidate for its position, unless it has been asked and may still answer.
-void CommitGuard::query(const std::string& service, const std::string& candidate)
+/// Returns whether a candidate was not seen to have a commit.
+bool CommitGuard::lacks(const Waiting& waiting, const std::string& candidate)
+{
+    return waiting.commit.upstream != candidate && std::find(waiting.includedIn.begin(), waiting.includedIn.end(), candidate) == waiting.includedIn.end();
+}
+
+/// Returns whether the upstream that confirmed a commit must be seen to lead after the candidates have changed.
+bool CommitGuard::mustStillLead(const Waiting& waiting, Time changedAt)
+{
+    return std::max(waiting.commit.sentAt, waiting.ledAt.value_or(waiting.commit.sentAt)) < changedAt;
+}
+
+/// Asks an upstream for its position, unless it has been asked and may still answer.
+void CommitGuard::query(const std::string& service, const std::string& upstream)
 {
     const auto now = this->loop.now();
-    auto& query = this->services[service].queries[candidate];
+    auto& query = this->services[service].queries[upstream];
     if (query.isPending && now - query.askedAt < statusTimeout)
         return;
     query.isPending = true;
     query.askedAt = now;
-    query.ticket = this->dispatcher.queryStatus(service, candidate, now + statusTimeout, [this, service, candidate](const auto& status) { this->onStatus(service, candidate, status); });
+    query.ticket = this->dispatcher.queryStatus(service, upstream, now + statusTimeout, [this, service, upstream](const auto& status) {
+        this->services[service].queries[upstream].isPending = false;
+        if (status)
+            this->onStatus(service, upstream, *status);
+    });
 }
 
-void CommitGuard::onStatus(const std::string& service, const std::string& candidate, const std::optional<UpstreamStatus>& status)
+void CommitGuard::onStatus(const std::string& service, const std::string& upstream, const UpstreamStatus& status)
 {
     auto& state = this->services[service];
-    state.queries[candidate].isPending = false;
-    if (!status)
-        return;
-    const auto inclusion = [&](const Waiting& waiting) { return inclusionOf(waiting.commit.point, status->received); };
+    this->dispatcher.noteTerm(service, status.term);
+    const auto askedAt = state.queries[upstream].askedAt;
+    const auto newestTerm = this->dispatcher.newestTerm(service);
+    const auto isDoubtful = [&](const Waiting& waiting) {
+        if (waiting.commit.upstream == upstream)
+            return !status.isPrimary || status.term < newestTerm || inclusionOf(waiting.commit.point, status.received) != CommitInclusion::Included;
+        return lacks(waiting, upstream) && inclusionOf(waiting.commit.point, status.received) == CommitInclusion::Unknown;
+    };
+    const auto doubtful = extractIf(state.held, isDoubtful);
     for (auto& waiting : state.held) {
-        if (inclusion(waiting) == CommitInclusion::Included && !contains(waiting.includedIn, candidate))
-            waiting.includedIn.push_back(candidate);
+        if (waiting.commit.upstream == upstream)
+            waiting.ledAt = askedAt;
+        else if (lacks(waiting, upstream) && inclusionOf(waiting.commit.point, status.received) == CommitInclusion::Included)
+            waiting.includedIn.push_back(upstream);
     }
-    const auto doubtful = extractIf(state.held, [&](const Waiting& waiting) {
-        return waiting.commit.upstream != candidate && !contains(waiting.includedIn, candidate) && inclusion(waiting) == CommitInclusion::Unknown;
-    });
     for (const auto& waiting : doubtful)
         waiting.commit.done(false);
     this->complete(service);
 }
 
-/// Reports the commits that all candidates have.
+/// Reports the commits that can be acknowledged.
 void CommitGuard::complete(const std::string& service)
 {
-    const auto awaited = this->candidates(service);
-    const auto included = extractIf(this->services[service].held, [&](const Waiting& waiting) {
-        return std::all_of(awaited.begin(), awaited.end(), [&](const auto& candidate) { return candidate == waiting.commit.upstream || contains(waiting.includedIn, candidate); });
-    });
-    for (const auto& waiting : included)
+    const auto candidates = this->candidates.candidatesOf(service);
+    const auto isSafe = [&](const Waiting& waiting) {
+        const bool isAwaited = std::any_of(candidates.upstreams.begin(), candidates.upstreams.end(), [&](const auto& candidate) { return lacks(waiting, candidate); });
+        return !isAwaited && !mustStillLead(waiting, candidates.unchangedSince);
+    };
+    const auto safe = extractIf(this->services[service].held, isSafe);
+    for (const auto& waiting : safe)
         waiting.commit.done(true);
 }
 
--- a/src/amaranthhall/engine/session_transaction.cpp
+++ b/src/amaranthhall/engine/session_transaction.cpp
@@ -105,7 +105,7 @@
         this->sendReply({ .rows = std::move(confirmed.rows), .digest = std::move(confirmed.digest) });
     };
     auto* guard = this->context.commitGuard;
-    if (!guard || !guard->mustHold(service, upstream)) {
+    if (!guard || !guard->mustHold(service, upstream, this->execution->sentAt)) {
         acknowledge(std::move(reply));
         return;
     }
@@ -120,7 +120,7 @@
         else
             this->sendError(ReplyCode::InDoubt, droppedReason);
     });
-    guard->hold(service, { .point = *reply.point, .upstream = upstream, .deadline = this->execution->deadline, .done = std::move(done) });
+    guard->hold(service, { .point = *reply.point, .upstream = upstream, .sentAt = this->execution->sentAt, .deadline = this->execution->deadline, .done = std::move(done) });
 }
 
 }
--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -77,7 +77,6 @@
     , settings(usedSettings)
     , platform(usedPlatform)
     , dispatcher(usedLoop, usedPlatform.links, this->catalog, this->dispatcherOptions())
-    , commitGuard(usedLoop, this->catalog, this->dispatcher, [this](const auto& service) { return this->succession.pendingOrders().candidatesOf(service); })
     , guard(usedLoop, readVmLimits(usedSettings), this->metrics)
     , context { .loop = usedLoop, .catalog = this->catalog, .dispatcher = this->dispatcher, .log = this->requestLog, .budget = {}, .commitGuard = &this->commitGuard, .guard = &this->guard }
     , listDelay(chooseListDelay(usedSettings))
@@ -93,6 +92,7 @@
     , rowExchange(
           usedLoop, usedSettings.peers, [this](const auto& table, auto after) { return this->rowsAfter(table, after); }, { .traffic = &usedPlatform.traffic, .limits = this->httpLimits("peers", this->guard.shares().peers) })
     , succession(this->successionParts(), this->successionOptions(), [this] { this->gossip.sendUrgently(); })
+    , commitGuard(usedLoop, this->catalog, this->dispatcher, this->succession.pendingOrders())
     , metricsServer(usedLoop, { .listen = usedSettings.metrics, .limits = this->httpLimits("metrics", this->guard.shares().http) })
     , livePeers(this->metrics.gauge("amaranthhall_live_peers", "Other daemons heard of lately"))
     , knownUpstreams(this->metrics.gauge("amaranthhall_upstreams", "Upstreams that are registered"))
@@ -207,6 +207,7 @@
         .self = { .vm = this->settings.vm, .incarnation = kernel::randomSeed() },
         .zone = this->settings.zone,
         .table = std::string(fleetTable),
+        .fenceCheck = this->settings.checksFences ? succession::FenceCheck::Present : succession::FenceCheck::Absent,
     };
 }
 
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -4,6 +4,7 @@
 #include "amaranthhall/catalog/catalog.hpp"
 #include "amaranthhall/catalog/row_reader.hpp"
 #include "amaranthhall/engine/caller_server.hpp"
+#include "amaranthhall/engine/commit_guard.hpp"
 #include "amaranthhall/engine/dispatcher.hpp"
 #include "amaranthhall/engine/session.hpp"
 #include "amaranthhall/gateway/drain_decision.hpp"
@@ -119,7 +120,6 @@
     catalog::Catalog catalog;
     telemetry::Metrics metrics;
     engine::Dispatcher dispatcher;
-    engine::CommitGuard commitGuard;
     engine::RequestLog requestLog { this->metrics };
     budget::BudgetGuard guard;
     engine::SessionContext context;
@@ -134,6 +134,7 @@
     relay::RelayServer relays;
     gossip::RowExchange rowExchange;
     succession::SuccessionService succession;
+    engine::CommitGuard commitGuard;
     std::map<std::string, gossip::PendingFetches> pendingFetches; ///< By table.
     std::size_t followerRank { std::numeric_limits<std::size_t>::max() }; ///< Position among the live daemons in the order in which they ask the store; updated by tick().
     std::string rowSource { storeSource }; ///< Where the rows that are being applied come from: a peer's VM or `storeSource`; for logs.
--- a/src/amaranthhall/gateway/gateway_settings.cpp
+++ b/src/amaranthhall/gateway/gateway_settings.cpp
@@ -17,13 +17,19 @@
         return { name, [&target](const auto& node, const auto& path) { target = readDuration(node, path); } };
     }
 
+    /// Returns a key whose value may be left empty, for the default.
+    Key optionalBoolKey(std::string_view name, bool& target)
+    {
+        return { name, [&target](const auto& node, const auto& path) { target = node.IsNull() ? target : readBool(node, path); } };
+    }
+
     std::vector<Key> settingsKeys(GatewaySettings& settings)
     {
         return {
             mapKey("vm", { textKey("id", settings.vm), textKey("zone", settings.zone), positiveKey("cores", settings.cores), positiveKey("memory", settings.memoryMegabytes), positiveKey("descriptors", settings.descriptors) }),
             mapKey("listen", { addressKey("callers", settings.callers), addressKey("ready", settings.ready), addressKey("peers", settings.peers), addressKey("relay", settings.relay), addressKey("metrics", settings.metrics) }),
             listKey("seeds", settings.seeds, readAddress),
-            mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.promotionEndpoint) }),
+            mapKey("platform", { addressKey("store", settings.store), addressKey("orders", settings.promotionEndpoint), optionalBoolKey("checks_fences", settings.checksFences) }),
             mapKey("drain", { durationKey("daemon", settings.drainLimit), durationKey("upstream", settings.upstreamDrainLimit) }),
             mapKey("configuration", { durationKey("limit", settings.configurationLimit) }),
             mapKey("limits", { durationKey("window", settings.quotaWindow), nonNegativeKey("excess", settings.quotaExcess), nonNegativeKey("slack", settings.quotaSlack) }),
--- a/src/amaranthhall/gateway/gateway_settings.hpp
+++ b/src/amaranthhall/gateway/gateway_settings.hpp
@@ -26,6 +26,7 @@
     kernel::Address metrics; ///< Listen address for metrics.
     kernel::Address store; ///< Address of the platform's metadata store.
     kernel::Address promotionEndpoint; ///< Address of the platform's endpoint for promotion requests.
+    bool checksFences { true }; ///< The platform refuses a promotion request whose fencing token is older than one that it has seen.
     std::chrono::milliseconds drainLimit { 5000 }; ///< Maximum time from SIGTERM to the end of the process.
     std::chrono::milliseconds upstreamDrainLimit { 7000 }; ///< Time after which a draining upstream gets no new work.
     std::chrono::milliseconds configurationLimit { 3000 }; ///< Time within which a confirmed configuration must be in force.
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -22,7 +22,7 @@
     using PackedVerifications = std::tuple<PackedVerification, PackedVerification, PackedVerification>; // the second and the third as differences to the first, which take fewer bytes
     using PackedLeader = std::tuple<std::string, std::string, group::Term, group::Term, group::Position, freshness::Micros, bool>;
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
-    using PackedPendingOrder = std::tuple<std::string, PackedVersion, freshness::Micros>;
+    using PackedPendingOrder = std::tuple<std::string, PackedVersion>;
     using PackedPendingOrders = std::tuple<std::string, PackedVersion, std::vector<PackedPendingOrder>>;
     using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t, std::vector<PackedPendingOrders>>;
 
@@ -31,7 +31,7 @@
     PackedLeader packLeader(const LeaderReport& report) { return { report.service, report.upstream, report.term, report.point.term, report.point.position, report.at, report.hasRecentAnswer }; }
     PackedOrder packOrder(const PromotionReport& report) { return { report.service, report.candidate, packVersion(report.fence), report.at, report.isLeading, report.term }; }
 
-    PackedPendingOrder packPendingOrder(const PendingOrderReport& order) { return { order.candidate, packVersion(order.fence), order.recordedAt }; }
+    PackedPendingOrder packPendingOrder(const PendingOrderReport& order) { return { order.candidate, packVersion(order.fence) }; }
     PackedPendingOrders packPendingOrders(const PendingOrdersReport& report) { return { report.service, packVersion(report.version), packed::packAll(report.orders, packPendingOrder) }; }
 
     /// Adds without overflow, whatever the sender has sent.
@@ -88,8 +88,8 @@
 
     PendingOrderReport unpackPendingOrder(PackedPendingOrder&& from)
     {
-        auto& [candidate, fence, recordedAt] = from;
-        return { .candidate = std::move(candidate), .fence = unpackVersion(fence), .recordedAt = recordedAt };
+        auto& [candidate, fence] = from;
+        return { .candidate = std::move(candidate), .fence = unpackVersion(fence) };
     }
 
     PendingOrdersReport unpackPendingOrders(PackedPendingOrders&& from)
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -48,7 +48,6 @@
 struct PendingOrderReport {
     std::string candidate;
     store::Version fence; ///< Fencing token of the order.
-    freshness::Micros recordedAt { 0 };
 
     friend bool operator==(const PendingOrderReport&, const PendingOrderReport&) = default;
 };
--- a/src/amaranthhall/succession/failover_lease.cpp
+++ b/src/amaranthhall/succession/failover_lease.cpp
@@ -12,7 +12,7 @@
 
     Json encodeOrder(const PendingOrder& order)
     {
-        Json json { { "candidate", order.candidate }, { "recorded_at", order.recordedAt } };
+        Json json { { "candidate", order.candidate } };
         if (order.fence != store::Version {})
             json["fence"] = store::formatVersion(order.fence);
         return json;
@@ -24,7 +24,6 @@
         return {
             .candidate = json.at("candidate").get<std::string>(),
             .fence = fence == json.end() ? rowVersion : store::parseVersion(fence->get<std::string>()),
-            .recordedAt = json.at("recorded_at").get<freshness::Micros>(),
         };
     }
 
--- a/src/amaranthhall/succession/pending_orders.cpp
+++ b/src/amaranthhall/succession/pending_orders.cpp
@@ -1,41 +1,59 @@
 #include "amaranthhall/succession/pending_orders.hpp"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace amaranthhall::succession {
 
-namespace {
-
-    constexpr freshness::Micros orderLifetime = std::chrono::microseconds(std::chrono::seconds(10)).count(); // an order without an answer may still be carried out seconds later
-
-    bool isExpired(const PendingOrder& order, freshness::Micros now)
-    {
-        return now - order.recordedAt >= orderLifetime;
-    }
-
-}
-
 bool update(PendingOrders& known, const PendingOrders& other)
 {
     if (other.version <= known.version)
         return false;
-    known = other;
+    known.version = other.version;
+    known.orders = other.orders;
     return true;
 }
 
 void add(std::vector<PendingOrder>& orders, PendingOrder order)
 {
-    std::erase_if(orders, [&](const auto& other) { return other.candidate == order.candidate || isExpired(other, order.recordedAt); });
+    const auto isOutdated = [known = orders](const auto& other) {
+        return std::any_of(known.begin(), known.end(), [&other](const auto& newer) { return newer.candidate == other.candidate && newer.fence > other.fence; });
+    };
+    std::erase_if(orders, isOutdated);
     orders.push_back(std::move(order));
 }
 
-std::vector<std::string> candidatesOf(const PendingOrders& pending, freshness::Micros now)
+bool withdraw(PendingOrders& pending, const store::Version& fence)
+{
+    return std::erase_if(pending.orders, [&fence](const auto& order) { return order.fence == fence; }) > 0;
+}
+
+void accept(PendingOrders& pending, const AcceptedOrder& accepted)
+{
+    if (!pending.accepted || pending.accepted->fence < accepted.fence)
+        pending.accepted = accepted;
+}
+
+bool settle(PendingOrders& pending, FenceCheck check, Time now)
+{
+    if (!pending.accepted || now - pending.accepted->at < takeoverLimit)
+        return false;
+    const auto fence = std::exchange(pending.accepted, std::nullopt)->fence;
+    const auto isSettled = [&](const auto& order) { return check == FenceCheck::Present ? order.fence <= fence : order.fence == fence; };
+    return std::erase_if(pending.orders, isSettled) > 0;
+}
+
+bool needsNewerOrder(const PendingOrders& pending, FenceCheck check)
+{
+    const auto isPending = [&pending](const auto& order) { return !pending.accepted || order.fence > pending.accepted->fence; };
+    return check == FenceCheck::Present && std::any_of(pending.orders.begin(), pending.orders.end(), isPending);
+}
+
+std::vector<std::string> candidatesOf(const std::vector<PendingOrder>& orders)
 {
     std::vector<std::string> candidates;
-    for (const auto& order : pending.orders) {
-        if (!isExpired(order, now))
+    for (const auto& order : orders) {
+        if (std::find(candidates.begin(), candidates.end(), order.candidate) == candidates.end())
             candidates.push_back(order.candidate);
     }
     return candidates;
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -21,7 +21,7 @@
     constexpr Duration statusTimeout = 80ms; // for candidates to report their log positions
     constexpr Duration renewalTimeout = 60ms; // for the store to take the row of a renewed lease
     constexpr Duration retryDelay = 100ms; // after a failed lease write or promotion request
-    constexpr Duration termWriteInterval = 200ms; // between two writes of a term to the lease row
+    constexpr Duration rowWriteInterval = 200ms; // between two updates of the lease row
     constexpr Duration promotionTimeout = 2500ms; // for an accepted request to take effect
     constexpr Duration candidateQueryInterval = 150ms; // between two queries to a candidate; a promotion takes several intervals
     constexpr Duration samePromotionTolerance = 500ms; // reported times of one request differ by the error bounds of the store clock
@@ -44,7 +44,7 @@
     , options(std::move(usedOptions))
     , requestGossip(std::move(usedRequestGossip))
     , leases({ .loop = usedParts.loop, .store = usedParts.store, .fleet = usedParts.fleet }, { .self = this->options.self, .table = this->options.table })
-    , orders({ .loop = usedParts.loop, .catalog = usedParts.catalog, .store = usedParts.store, .fleet = usedParts.fleet, .leases = this->leases })
+    , orders({ .loop = usedParts.loop, .catalog = usedParts.catalog, .fleet = usedParts.fleet, .leases = this->leases }, this->options.fenceCheck)
     , lastTickAt(usedParts.loop.now())
     , resumedAt(usedParts.loop.now())
     , tickTimer(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
@@ -67,12 +67,14 @@
     for (const auto& service : served) {
         auto& state = this->serviceStates[service];
         this->leases.observe(service);
-        if (this->hasSynchronousReplicas(service))
+        if (this->hasSynchronousReplicas(service)) {
             this->orders.refresh(service);
+            this->orders.settle(service);
+        }
         this->rewriteLease(service, state);
         this->checkPrimary(service, state);
         this->queryRequestedCandidate(service, state);
-        this->writeTerm(service, state);
+        this->updateRow(service, state);
     }
 }
 
@@ -80,7 +82,7 @@
 void SuccessionService::rewriteLease(const std::string& service, ServiceState& state)
 {
     const auto now = this->parts.loop.now();
-    const bool isIdle = state.stage == Stage::Monitoring && state.termBeingWritten == 0 && now >= state.retryAt;
+    const bool isIdle = state.stage == Stage::Monitoring && !state.isRowBeingWritten && now >= state.retryAt;
     if (isIdle && this->leases.isLostByRestore(service))
         this->acquireLease(service, [](const auto&) {});
 }
@@ -102,7 +104,8 @@
     if (!leader || state.stage != Stage::Monitoring)
         return;
     const auto input = this->collectInput(service, *leader, state);
-    const auto cause = now - this->resumedAt < resumeGracePeriod ? FailoverCause::None : decideFailover(input);
+    const bool isResuming = now - this->resumedAt < resumeGracePeriod;
+    const auto cause = isResuming ? FailoverCause::None : decideFailover(input);
     if (cause != state.cause) {
         logEvent(LogLevel::Warning, "succession.judged", { { "service", service }, { "upstream", *leader }, { "cause", nameOf(cause) }, { "peers", input.peers }, { "live_peers", input.livePeers }, { "agreeing", input.agreeingPeers } });
         state.cause = cause;
@@ -111,9 +114,11 @@
     if (cause == FailoverCause::None) {
         state.supersededSince.reset();
         state.unselectedSince.reset();
-        state.failedSelections = 0;
+        state.failedSelections = state.unsettledSince ? state.failedSelections : 0;
+        if (!isResuming)
+            this->voidOlderOrders(service, state);
     }
-    if (cause == FailoverCause::None || !this->shouldAct(service, state))
+    if (cause == FailoverCause::None || !this->shouldAct(service, state, state.causeSince))
         return;
     const auto leaseVersion = this->leases.heldVersion(service);
     if (!leaseVersion || state.needsNewToken) {
@@ -130,7 +135,7 @@
     auto& state = this->serviceStates[service];
     const auto lease = this->leases.find(service);
     // After a request that failed the lease is left to expire, as another daemon may reach the platform.
-    if (!lease || this->leases.needsNoRenewal(*lease) || state.hasOrderFailed) {
+    if (!lease || this->leases.needsNoRenewal(*lease) || state.failedOrders > 0) {
         onHeld(leaseVersion);
         return;
     }
@@ -188,7 +193,7 @@
 }
 
 /// Returns true if no other request is pending and it is this daemon's turn by lease or rank.
-bool SuccessionService::shouldAct(const std::string& service, const ServiceState& state) const
+bool SuccessionService::shouldAct(const std::string& service, const ServiceState& state, Time causeSince) const
 {
     const auto now = this->parts.loop.now();
     if (now < state.retryAt)
@@ -201,7 +206,7 @@
     if (holder == this->options.self.vm)
         return true;
     const auto rank = gossip::rendezvousRank(leaseKey(service), this->options.self.vm, this->livePeersOf(service));
-    return now - state.causeSince >= takeoverDelay(rank, this->parts.peers.isLive(holder, now));
+    return now - causeSince >= takeoverDelay(rank, this->parts.peers.isLive(holder, now));
 }
 
 std::string SuccessionService::holderName(const std::string& service) const
@@ -249,25 +254,29 @@
     return std::max(this->parts.dispatcher.newestTerm(service), lease ? lease->term : 0);
 }
 
-/// Writes the newest term to the row of a lease held by this daemon, so that the next holder learns of it.
-void SuccessionService::writeTerm(const std::string& service, ServiceState& state)
+/// Writes the newest term and the pending orders to the row of a lease held by this daemon, so that the next holder and daemons that start learn of them.
+void SuccessionService::updateRow(const std::string& service, ServiceState& state)
 {
     const auto now = this->parts.loop.now();
     const auto leaseVersion = this->leases.heldVersion(service);
-    const bool mayWrite = leaseVersion && state.stage == Stage::Monitoring && state.termBeingWritten == 0 && now >= state.nextTermWriteAt;
+    const bool mayWrite = leaseVersion && state.stage == Stage::Monitoring && !state.isRowBeingWritten && now >= state.nextRowWriteAt;
     if (!mayWrite)
         return;
     auto lease = *this->leases.find(service);
-    const auto term = this->parts.dispatcher.newestTerm(service);
-    if (term <= lease.term)
+    const auto term = std::max(lease.term, this->parts.dispatcher.newestTerm(service));
+    const auto orders = this->hasSynchronousReplicas(service) ? this->orders.refresh(service).orders : lease.orders;
+    if (term == lease.term && orders == lease.orders)
         return;
-    state.termBeingWritten = term;
+    state.isRowBeingWritten = true;
     lease.term = term;
+    lease.orders = orders;
     this->leases.write(service, lease, *leaseVersion, [this, service, term](const auto& result) {
         auto& current = this->serviceStates[service];
-        current.termBeingWritten = 0;
-        current.nextTermWriteAt = this->parts.loop.now() + termWriteInterval;
-        logEvent(LogLevel::Info, "succession.term_recorded", { { "service", service }, { "term", term }, { "outcome", outcomeOf(result) } });
+        current.isRowBeingWritten = false;
+        current.nextRowWriteAt = this->parts.loop.now() + rowWriteInterval;
+        logEvent(LogLevel::Info, "succession.row_updated", { { "service", service }, { "term", term }, { "outcome", outcomeOf(result) } });
+        if (result)
+            this->requestGossip();
     });
 }
 
@@ -290,7 +299,7 @@
             return;
         }
         current.needsNewToken = false;
-        current.hasOrderFailed = false;
+        current.failedOrders = 0;
         logEvent(LogLevel::Info, "succession.taken_over", { { "service", service }, { "fence", fencingTokenOf(*result) } });
         onAcquired(*result);
     });
@@ -305,7 +314,7 @@
     this->serviceStates[service].stage = Stage::QueryingCandidates;
     this->queryPositions(service, [this, service, leaseVersion] {
         if (this->hasSynchronousReplicas(service))
-            this->selectSynchronousCandidate(service, leaseVersion);
+            this->selectSynchronousCandidate(service);
         else
             this->requestPromotion(service, leaseVersion);
     });
@@ -429,25 +438,39 @@
     logEvent(LogLevel::Warning, "succession.ordered", { { "service", service }, { "heir", request.candidate }, { "fence", request.fencingToken }, { "outcome", nameOf(outcome) } });
     switch (outcome) {
     case PromotionOutcome::Accepted:
-        state.hasOrderFailed = false;
-        this->announce(service, { .candidate = request.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
+        state.failedOrders = 0;
+        this->orders.accept(service, leaseVersion);
+        if (request.candidate != state.observedPrimary)
+            this->announce(service, { .candidate = request.candidate, .leaseVersion = leaseVersion, .at = now, .isOwn = true });
         return;
     case PromotionOutcome::Refused:
         this->withdrawAnnouncement(service);
+        this->orders.withdraw(service, leaseVersion);
         state.refusedCandidates[request.candidate] = now;
         state.needsNewToken = true;
-        state.retryAt = this->parts.loop.now() + retryDelay;
+        state.retryAt = now + retryDelay;
         return;
     case PromotionOutcome::NotDone:
+        this->orders.withdraw(service, leaseVersion);
+        this->onOrderFailed(service);
+        return;
     case PromotionOutcome::Unknown:
-        this->withdrawAnnouncement(service);
-        state.hasOrderFailed = true;
-        // The others have been told of the candidate and wait for this daemon, which may be the only one that does not reach the platform.
-        state.retryAt = now + (this->hasSynchronousReplicas(service) ? leaseDuration + leaseDuration / 4 : retryDelay);
+        this->onOrderFailed(service);
         return;
     }
 }
 
+/// Lets this daemon try again, and others take the lease over, as they may reach the platform.
+void SuccessionService::onOrderFailed(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    this->withdrawAnnouncement(service);
+    ++state.failedOrders;
+    // The others have been told of the candidate of a service with synchronous replicas and wait for this daemon, which may be the only one that does not reach the platform.
+    const bool stepsAside = this->hasSynchronousReplicas(service) && state.failedOrders > 1;
+    state.retryAt = this->parts.loop.now() + (stepsAside ? leaseDuration + leaseDuration / 4 : retryDelay);
+}
+
 void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock) const
 {
     const auto now = this->parts.loop.now();
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -50,6 +50,7 @@
         DaemonIdentity self;
         std::string zone;
         std::string table; ///< Name of the table that contains the lease rows.
+        FenceCheck fenceCheck { FenceCheck::Present };
     };
 
     /// @param requestGossip Called when there is new information to send to peers without delay.
@@ -111,12 +112,13 @@
         std::vector<engine::Dispatcher::Ticket> statusQueries;
         std::map<std::string, Time> refusedCandidates; ///< Time of the platform's refusal by candidate.
         std::uint64_t lastRenewal { 0 }; ///< Number of the renewal of the lease that is awaited, if any.
-        bool hasOrderFailed { false }; ///< The last request got no answer or was not accepted; the lease is then left to expire.
+        unsigned failedOrders { 0 }; ///< Consecutive requests that got no answer or were not accepted; the lease is then left to expire.
+        std::optional<Time> unsettledSince; ///< Since when the primary serves while an older order may replace it.
         bool needsNewToken { false }; ///< The platform refused a request with the current fencing token.
         unsigned failedSelections { 0 }; ///< Number of consecutive selections without an eligible candidate.
         std::optional<Time> supersededSince; ///< Start of the period in which only upstreams that missed the last term have answered.
-        group::Term termBeingWritten { 0 }; ///< Term that is being written to the lease row; 0 if none is.
-        Time nextTermWriteAt;
+        bool isRowBeingWritten { false }; ///< An update of the lease row is in progress.
+        Time nextRowWriteAt;
         Time retryAt; ///< No action is taken before this time.
         kernel::Registration queryTimer;
     };
@@ -133,13 +135,13 @@
     void acquireLease(const std::string& service, std::function<void(const store::Version& leaseVersion)> onAcquired);
     void checkPrimary(const std::string& service, ServiceState& state);
     [[nodiscard]] FailoverInput collectInput(const std::string& service, const std::string& leader, ServiceState& state) const;
-    [[nodiscard]] bool shouldAct(const std::string& service, const ServiceState& state) const;
+    [[nodiscard]] bool shouldAct(const std::string& service, const ServiceState& state, Time causeSince) const;
     [[nodiscard]] bool isHeldByOther(const std::string& service, const ServiceState& state) const;
     [[nodiscard]] std::string holderName(const std::string& service) const;
     void queryRequestedCandidate(const std::string& service, ServiceState& state);
     void onCandidateStatus(const std::string& service, const std::optional<engine::UpstreamStatus>& status);
     [[nodiscard]] group::Term newestTerm(const std::string& service) const;
-    void writeTerm(const std::string& service, ServiceState& state);
+    void updateRow(const std::string& service, ServiceState& state);
     [[nodiscard]] std::vector<PromotionCandidate> eligibleCandidates(const std::string& service, ServiceState& state);
     void onNoCandidate(const std::string& service, ServiceState& state) const;
     void takeOver(const std::string& service);
@@ -148,11 +150,13 @@
     void queryPositions(const std::string& service, std::function<void()> onAnswered);
     [[nodiscard]] bool hasSynchronousReplicas(const std::string& service) const;
     [[nodiscard]] SelectionInput selectionInput(const std::string& service, const ServiceState& state, std::span<const PromotionCandidate> answered) const;
-    void selectSynchronousCandidate(const std::string& service, store::Version leaseVersion);
+    void selectSynchronousCandidate(const std::string& service);
     void prepare(const std::string& service, Preparation preparation);
     void announce(const std::string& service, KnownPromotion promotion);
     void withdrawAnnouncement(const std::string& service);
-    void recordOrder(const std::string& service, const store::Version& leaseVersion, const Selection& selection);
+    void recordOrder(const std::string& service, const Selection& selection);
+    void voidOlderOrders(const std::string& service, ServiceState& state);
+    void orderPrimaryAgain(const std::string& service);
     void mergePendingOrders(const gossip::Digest& digest);
     void awaitConfirmations(const std::string& service);
     void determineRequiredPoint(const std::string& service);
@@ -162,6 +166,7 @@
     void sendOrder(const std::string& service, const std::string& candidate, const store::Version& leaseVersion);
     void requestPromotion(const std::string& service, store::Version leaseVersion);
     void onPromotionResult(const std::string& service, const PromotionRequest& request, const store::Version& leaseVersion, PromotionOutcome outcome);
+    void onOrderFailed(const std::string& service);
     void addFallbackCandidates(const std::string& service, ServiceState& state) const;
 
     Parts parts;
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -45,7 +45,7 @@
     };
 }
 
-void SuccessionService::selectSynchronousCandidate(const std::string& service, store::Version leaseVersion)
+void SuccessionService::selectSynchronousCandidate(const std::string& service)
 {
     auto& state = this->serviceStates[service];
     const auto eligible = this->eligibleCandidates(service, state);
@@ -60,21 +60,25 @@
     if (selection.givesUpReplicas)
         logEvent(LogLevel::Error, "succession.replicas_given_up", { { "service", service }, { "heir", *selection.candidate }, { "silent", input.silentReplicas } });
     state.failedSelections = 0;
-    this->recordOrder(service, leaseVersion, selection);
+    this->recordOrder(service, selection);
 }
 
 /// Writes into the lease's row that the candidate may be promoted, then prepares its promotion. Nothing is ordered while the store does not take the row: a daemon
 /// that starts, or is cut off from the others, knows of the order by the row alone.
-void SuccessionService::recordOrder(const std::string& service, const store::Version& leaseVersion, const Selection& selection)
+void SuccessionService::recordOrder(const std::string& service, const Selection& selection)
 {
     auto& state = this->serviceStates[service];
-    auto lease = this->leases.makeLease(this->newestTerm(service), this->orders.refresh(service).orders);
-    add(lease.orders, { .candidate = *selection.candidate, .recordedAt = lease.takenAt });
+    auto lease = this->leases.makeLease(this->newestTerm(service), this->orders.with(service, *selection.candidate));
     const auto known = this->leases.find(service);
+    const auto leaseVersion = this->leases.heldVersion(service);
+    if (!leaseVersion) {
+        state.stage = Stage::Monitoring;
+        return;
+    }
     // After a request that failed the lease is left to expire, as another daemon may reach the platform.
-    if (state.hasOrderFailed && known)
+    if (state.failedOrders > 0)
         lease.takenAt = known->takenAt;
-    this->leases.write(service, lease, leaseVersion, [this, service, selection](const auto& result) {
+    this->leases.write(service, lease, *leaseVersion, [this, service, selection](const auto& result) {
         auto& current = this->serviceStates[service];
         if (!result) {
             logEvent(LogLevel::Warning, "succession.order_not_recorded", { { "service", service }, { "heir", *selection.candidate }, { "error", result.error().reason } });
@@ -87,6 +91,33 @@
     });
 }
 
+/// Has an older order made void while the primary serves: it is ordered itself, under a newer fence, which changes nothing else. Whoever holds the lease does so, like
+/// a promotion; an order without an answer would otherwise keep every commit waiting for its candidate.
+void SuccessionService::voidOlderOrders(const std::string& service, ServiceState& state)
+{
+    const auto now = this->parts.loop.now();
+    if (!this->hasSynchronousReplicas(service) || !this->orders.needsNewerOrder(service)) {
+        state.unsettledSince.reset();
+        return;
+    }
+    state.unsettledSince = state.unsettledSince.value_or(now);
+    // A holder that is alive may have had the older order made void already, and waits until no takeover can be under way.
+    const auto holdersTime = this->parts.peers.isLive(this->holderName(service), now) ? leaseDuration : Duration::zero();
+    if (!this->shouldAct(service, state, *state.unsettledSince + holdersTime))
+        return;
+    if (this->leases.heldVersion(service) && !state.needsNewToken)
+        this->orderPrimaryAgain(service);
+    else
+        this->acquireLease(service, [this, service](const auto&) { this->orderPrimaryAgain(service); });
+}
+
+void SuccessionService::orderPrimaryAgain(const std::string& service)
+{
+    auto& state = this->serviceStates[service];
+    state.stage = Stage::QueryingCandidates;
+    this->recordOrder(service, { .candidate = state.observedPrimary });
+}
+
 /// Takes over the pending orders that another daemon knows, and notes that it knows of the one that this daemon prepares.
 void SuccessionService::mergePendingOrders(const gossip::Digest& digest)
 {
@@ -106,7 +137,10 @@
     logEvent(LogLevel::Info, "succession.preparing", { { "service", service }, { "heir", preparation.candidate } });
     state.stage = Stage::Preparing;
     state.preparation = std::move(preparation);
-    this->announce(service, { .candidate = state.preparation->candidate, .leaseVersion = state.preparation->leaseVersion, .at = state.preparation->startedAt, .isOwn = true });
+    if (state.preparation->candidate == state.observedPrimary)
+        this->requestGossip();
+    else
+        this->announce(service, { .candidate = state.preparation->candidate, .leaseVersion = state.preparation->leaseVersion, .at = state.preparation->startedAt, .isOwn = true });
     this->awaitConfirmations(service);
 }
 
@@ -147,7 +181,15 @@
 {
     auto& state = this->serviceStates[service];
     const auto eligible = this->eligibleCandidates(service, state);
-    state.preparation->required = requiredPoint(this->selectionInput(service, state, eligible));
+    const auto input = this->selectionInput(service, state, eligible);
+    if (state.preparation->candidate == state.observedPrimary) {
+        if (input.primary)
+            this->orderPrepared(service);
+        else
+            this->cancelPreparation(service, "the primary does not lead");
+        return;
+    }
+    state.preparation->required = requiredPoint(input);
     if (!state.preparation->required) {
         this->cancelPreparation(service, "a replica is silent or not known yet");
         return;
@@ -194,6 +236,7 @@
 {
     auto& state = this->serviceStates[service];
     logEvent(LogLevel::Warning, "succession.preparation_cancelled", { { "service", service }, { "heir", state.preparation->candidate }, { "reason", reason } });
+    this->orders.withdraw(service, state.preparation->leaseVersion);
     state.preparation.reset();
     state.unselectedSince = state.unselectedSince.value_or(this->parts.loop.now());
     state.stage = Stage::Monitoring;
--- a/test/engine/test_commit_guard.cpp
+++ b/test/engine/test_commit_guard.cpp
@@ -9,23 +9,34 @@
 using engine::ReplyCode;
 using engine::RequestKind;
 
+namespace {
+
+class FixedCandidates final : public engine::PromotionCandidateSource {
+public:
+    [[nodiscard]] engine::PromotionCandidates candidatesOf(const std::string& service) override { return service == "s" ? this->known : engine::PromotionCandidates {}; }
+
+    engine::PromotionCandidates known;
+};
+
+}
+
 /// "r" may be promoted in place of "p", whose commits are confirmed once one replica has them.
 TEST_GROUP_BASE(CommitGuard, engine::fakes::SessionFixture)
 {
     std::unique_ptr<engine::CommitGuard> guard;
-    std::vector<std::string> candidates;
+    FixedCandidates candidates;
 
     void setup() override
     {
         engine::fakes::SessionFixture::setup();
         this->applyReplicas(2, 1);
-        this->guard = std::make_unique<engine::CommitGuard>(this->loop, this->testCatalog, *this->dispatcher, [this](const auto& service) { return service == "s" ? this->candidates : std::vector<std::string>(); });
+        this->guard = std::make_unique<engine::CommitGuard>(this->loop, this->testCatalog, *this->dispatcher, this->candidates);
         this->context->commitGuard = this->guard.get();
         this->links.upstreams["r"].isReplica = true;
         this->links.upstreams["p"].point = { .term = 1, .position = 20 };
         this->open("own");
         CHECK_TRUE(this->write().succeeded());
-        this->candidates = { "r" };
+        this->candidates.known.upstreams = { "r" };
     }
 
     void applyReplicas(std::uint64_t version, std::uint32_t count)
@@ -66,12 +77,25 @@
 TEST(CommitGuard, ACommitThatOneOfTwoCandidatesLacksIsNotAcknowledged)
 {
     this->links.upstreams["r"].point = { .term = 1, .position = 20 };
-    this->candidates = { "r", "unreachable" };
+    this->candidates.known.upstreams = { "r", "unreachable" };
     CHECK(this->write().code == ReplyCode::InDoubt);
-    this->candidates = { "r" };
+    this->candidates.known.upstreams = { "r" };
     CHECK_TRUE(this->write().succeeded());
 }
 
+// Failure: a commit waited for a candidate that was promoted without it, and was acknowledged when no order was pending any more.
+TEST(CommitGuard, ACommitFromBeforeACandidateWasLetGoIsCheckedAtItsPrimary)
+{
+    const auto letGo = this->loop.after(60ms, [this] { this->candidates.known = { .unchangedSince = this->loop.now() }; });
+    CHECK_TRUE(this->write().succeeded());
+    this->candidates.known = { .upstreams = { "r" } };
+    const auto promoted = this->loop.after(60ms, [this] {
+        this->links.upstreams["p"].isReplica = true;
+        this->candidates.known = { .unchangedSince = this->loop.now() };
+    });
+    CHECK(this->write().code == ReplyCode::InDoubt);
+}
+
 TEST(CommitGuard, ATransactionIsTreatedLikeAWrite)
 {
     const auto commit = [this] {
@@ -94,15 +118,16 @@
 TEST(CommitGuard, AServiceWithoutSynchronousReplicasIsNotAffected)
 {
     this->applyReplicas(3, 0);
-    CHECK_FALSE(this->guard->mustHold("s", "p"));
+    CHECK_FALSE(this->guard->mustHold("s", "p", this->loop.now()));
     CHECK_TRUE(this->write().succeeded());
 }
 
 TEST(CommitGuard, CommitsOfTheCandidateItselfAreNotHeld)
 {
-    CHECK_TRUE(this->guard->mustHold("s", "p"));
-    CHECK_FALSE(this->guard->mustHold("s", "r"));
-    CHECK_FALSE(this->guard->mustHold("other", "p"));
+    const auto now = this->loop.now();
+    CHECK_TRUE(this->guard->mustHold("s", "p", now));
+    CHECK_FALSE(this->guard->mustHold("s", "r", now));
+    CHECK_FALSE(this->guard->mustHold("other", "p", now));
 }
 
 TEST(CommitGuard, OnlyEntriesOfOneTermAreOrdered)
--- a/test/gateway/test_gateway_settings.cpp
+++ b/test/gateway/test_gateway_settings.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <string>
+#include <string_view>
+#include <utility>
 
 using namespace amaranthhall;
 
@@ -74,6 +76,19 @@
     DOUBLES_EQUAL(3010, with->descriptors, 1e-9);
 }
 
+TEST(GatewaySettings, FencesAreCheckedUnlessTheSettingsDenyIt)
+{
+    constexpr std::string_view orders = "  orders: \"10.200.0.160:8783\"\n";
+    const std::pair<std::string_view, bool> cases[] { { "", true }, { "  checks_fences:\n", true }, { "  checks_fences: true\n", true }, { "  checks_fences: false\n", false } };
+    for (const auto& [line, checks] : cases) {
+        std::string text(completeSettings);
+        text.insert(text.find(orders) + orders.size(), line);
+        const auto read = gateway::parseGatewaySettings(text);
+        CHECK_TRUE(read.has_value());
+        CHECK_EQUAL(checks, read->checksFences);
+    }
+}
+
 TEST(GatewaySettings, AMemoryOfNothingIsRefused)
 {
     CHECK(errorFor("  cores: 0.17\n", "  cores: 0.17\n  memory: 0\n").find("vm.memory") != std::string::npos);
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -18,7 +18,7 @@
     sent.orders.push_back({ .service = "s", .candidate = "i-1", .fence = { .era = 1, .number = 77 }, .at = 5, .isLeading = true, .term = 4 });
     sent.activityAges.push_back({ .shortId = 77, .age = std::chrono::milliseconds(1200) });
     sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
-    sent.pendingOrders.push_back({ .service = "s", .version = { .era = 1, .number = 80 }, .orders = { { .candidate = "i-1", .fence = { .number = 77 }, .recordedAt = 9 } } });
+    sent.pendingOrders.push_back({ .service = "s", .version = { .era = 1, .number = 80 }, .orders = { { .candidate = "i-1", .fence = { .number = 77 } } } });
     const auto decoded = gossip::decodeDigest(gossip::encodeDigest(sent));
     CHECK_TRUE(decoded.has_value());
     CHECK_EQUAL(sent.vm, decoded->vm);
--- a/test/succession/test_order_tracker.cpp
+++ b/test/succession/test_order_tracker.cpp
@@ -26,7 +26,7 @@
         for (const auto* id : { "p", "a", "b" })
             this->known.put({ .id = id, .service = "s" }, { .number = 1 }, this->loop.now());
         this->leases = std::make_unique<succession::LeaseKeeper>(succession::LeaseKeeper::Parts { .loop = this->loop, .store = this->storage, .fleet = this->fleet }, succession::LeaseKeeper::Options { .self = { .vm = "me", .incarnation = 1 }, .table = "t" });
-        this->tracker = std::make_unique<succession::OrderTracker>(succession::OrderTracker::Parts { .loop = this->loop, .catalog = this->known, .store = this->storage, .fleet = this->fleet, .leases = *this->leases });
+        this->tracker = std::make_unique<succession::OrderTracker>(succession::OrderTracker::Parts { .loop = this->loop, .catalog = this->known, .fleet = this->fleet, .leases = *this->leases }, succession::FenceCheck::Present);
     }
 
     /// Another daemon hands on the lease's row; its copy was that of the store until `age` ago.
@@ -36,7 +36,7 @@
         this->loop.run();
         succession::FailoverLease lease { .holder = { .vm = "other", .incarnation = 7 } };
         for (const auto& candidate : candidates)
-            lease.orders.push_back({ .candidate = candidate, .recordedAt = freshness::bootNow() });
+            lease.orders.push_back({ .candidate = candidate });
         const store::Row row { .key = { .table = "t", .key = "duty/s" }, .value = succession::encodeLease(lease), .version = { .number = version } };
         this->fleet.mergeCopy({ row }, { .newestRow = row.version, .verifiedAt = freshness::bootNow() - age });
     }
@@ -45,7 +45,7 @@
     {
         gossip::PendingOrdersReport report { .service = "s", .version = { .number = version } };
         for (const auto& candidate : candidates)
-            report.orders.push_back({ .candidate = candidate, .fence = { .number = version }, .recordedAt = freshness::bootNow() });
+            report.orders.push_back({ .candidate = candidate, .fence = { .number = version } });
         return report;
     }
 };
@@ -53,9 +53,9 @@
 // Failure: a daemon that was restarted while an order had no answer acknowledged commits that the candidate lacked, as nobody told it of the order.
 TEST(OrderTracker, ADaemonThatStartsLearnsOfOrdersFromTheLeaseRow)
 {
-    CHECK(this->tracker->candidatesOf("s") == Names({ "a", "b", "p" }));
+    CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "a", "b", "p" }));
     this->receiveRow(50, { "a" }, 0);
-    CHECK(this->tracker->candidatesOf("s") == Names({ "a" }));
+    CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "a" }));
     gossip::Digest digest;
     this->tracker->fill(digest);
     LONGS_EQUAL(1, digest.pendingOrders.size());
@@ -66,17 +66,17 @@
 TEST(OrderTracker, ACopyFromBeforeTheStartDoesNotShowThatThereAreNoOrders)
 {
     this->receiveRow(50, {}, 1'000'000);
-    CHECK(this->tracker->candidatesOf("s") == Names({ "a", "b", "p" }));
+    CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "a", "b", "p" }));
     this->receiveRow(51, {}, 0);
-    CHECK(this->tracker->candidatesOf("s").empty());
+    CHECK(this->tracker->candidatesOf("s").upstreams.empty());
 }
 
 TEST(OrderTracker, TheNewestOfRowAndReportsHolds)
 {
     this->receiveRow(50, { "a" }, 0);
     CHECK_TRUE(this->tracker->merge(this->report(60, { "b" }), "other"));
-    CHECK(this->tracker->candidatesOf("s") == Names({ "b" }));
+    CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "b" }));
     CHECK_FALSE(this->tracker->merge(this->report(55, { "p" }), "other"));
     this->receiveRow(61, {}, 0);
-    CHECK(this->tracker->candidatesOf("s").empty());
+    CHECK(this->tracker->candidatesOf("s").upstreams.empty());
 }
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 using namespace amaranthhall;
 using namespace std::chrono_literals;
@@ -41,6 +42,7 @@
     const std::vector<std::string> daemons { "me", "other" };
     const std::vector<std::string> services { "s" };
     RecordingPromoter promoter;
+    kernel::Registration proofTimer;
     std::unique_ptr<succession::SuccessionService> service;
 
     void setup() override
@@ -90,6 +92,13 @@
         this->service->mergeDigest(digest, this->storage.clock());
     }
 
+    /// Confirms the primary and records proofs periodically, so that no failover starts.
+    void keepPrimaryProven()
+    {
+        this->dispatcher.confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
+        this->proofTimer = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, freshness::bootNow()); });
+    }
+
     void runFor(Duration span)
     {
         const auto end = this->loop.after(span, [this] { this->loop.stop(); });
@@ -308,6 +317,15 @@
     this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
 }
 
+/// Returns the candidates of pending orders in the row that was written last, separated by commas.
+std::string recordedCandidates() const
+{
+    std::string names;
+    for (const auto& order : nlohmann::json::parse(this->storage.lastPut.value).value("orders", nlohmann::json::array()))
+        names += (names.empty() ? "" : ",") + order.at("candidate").get<std::string>();
+    return names;
+}
+
 /// Runs until an order is sent; returns false if none is within the limit.
 bool awaitOrder(Duration limit)
 {
@@ -338,8 +356,7 @@
     this->links.upstreams["b"].point.position = 97;
     this->storage.error.reset();
     CHECK_TRUE(this->awaitOrder(1500ms));
-    const auto row = nlohmann::json::parse(this->storage.lastPut.value);
-    CHECK_EQUAL(this->promoter.requests.front().candidate, row.value(nlohmann::json::json_pointer("/orders/0/candidate"), std::string()));
+    CHECK_EQUAL(this->promoter.requests.front().candidate, this->recordedCandidates());
     LONGS_EQUAL(this->promoter.requests.front().fencingToken, this->storage.version);
 }
 
@@ -353,9 +370,29 @@
     this->promoter.requests.clear();
     CHECK_TRUE(this->awaitOrder(6s));
     CHECK_EQUAL(std::string("a"), this->promoter.requests.front().candidate);
-    const auto row = nlohmann::json::parse(this->storage.lastPut.value);
-    CHECK_EQUAL(std::string("b"), row.value(nlohmann::json::json_pointer("/orders/0/candidate"), std::string()));
-    CHECK_EQUAL(std::string("a"), row.value(nlohmann::json::json_pointer("/orders/1/candidate"), std::string()));
+    CHECK_EQUAL(std::string("b,a"), this->recordedCandidates());
+}
+
+// Failure: an order without an answer was forgotten after ten seconds and carried out later, when the primary that it was to replace had long been back.
+TEST(SynchronousReplicas, AnOlderOrderIsMadeVoidOnceThePrimaryServesAgain)
+{
+    this->promoter.outcome = succession::PromotionOutcome::Unknown;
+    this->links.upstreams["b"].point.position = 97;
+    CHECK_TRUE(this->awaitOrder(1500ms));
+    this->promoter.outcome = succession::PromotionOutcome::Accepted;
+    this->putUpstream("p", catalog::Role::Primary, false, 9);
+    this->keepPrimaryProven();
+    const auto first = std::exchange(this->promoter.requests, {}).front();
+    CHECK_TRUE(this->awaitOrder(1s));
+    CHECK_EQUAL(std::string("p"), this->promoter.requests.front().candidate);
+    CHECK(this->promoter.requests.front().fencingToken > first.fencingToken);
+    CHECK_EQUAL(std::string("b,p"), this->recordedCandidates());
+    this->runFor(succession::takeoverLimit - 100ms);
+    CHECK_EQUAL(std::string("b,p"), this->recordedCandidates());
+    this->runFor(300ms);
+    CHECK_EQUAL(std::string(), this->recordedCandidates());
+    LONGS_EQUAL(1, this->promoter.requests.size());
+    CHECK(this->service->pendingOrders().refresh("s").orders.empty());
 }
 
 // Failure: the candidate was promoted without commits that had been acknowledged before the daemons knew of it.
@@ -443,23 +480,13 @@
 }
 
 // The store is restored from a backup: its rows may be outdated, and it reuses version numbers.
-TEST_GROUP_BASE(SuccessionAfterRestore, TEST_GROUP_CppUTestGroupSuccessionService)
-{
-    void restoreLeaseRow(const char* vm, std::uint64_t incarnation, std::uint64_t number, store::Era writtenIn)
-    {
+TEST_GROUP_BASE(SuccessionAfterRestore, TEST_GROUP_CppUTestGroupSuccessionService) {
+    void restoreLeaseRow(const char* vm, std::uint64_t incarnation, std::uint64_t number, store::Era writtenIn) {
         const nlohmann::json row { { "holder", vm }, { "incarnation", incarnation }, { "taken_at", freshness::bootNow() - longAgo }, { "era", writtenIn }, { "term", 1 } };
-        this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .era = this->storage.newestEra, .number = number } } });
-    }
-
-    /// Confirms the primary and records proofs periodically, so that no failover starts.
-    void keepPrimaryProven()
-    {
-        this->dispatcher.confirmLeader("s", { .upstream = "p", .term = 1, .lastEntryTerm = 1 });
-        this->proofTimer = this->loop.every(20ms, [this] { this->dispatcher.noteProof("s", { .upstream = "p", .point = { .term = 1, .position = 1 }, .at = this->loop.now() }, freshness::bootNow()); });
-    }
-
-    kernel::Registration proofTimer;
-};
+this->fleet.merge({ { .key = { .table = "t", .key = "duty/s" }, .value = row.dump(), .version = { .era = this->storage.newestEra, .number = number } } });
+}
+}
+;
 
 TEST(SuccessionAfterRestore, FencingTokenIncreasesAcrossEras)
 {
