Soak: synchronous replicas, and orders that are carried out late

Change: the stand-in of a group confirms a commit once a replica has it, that of the platform leaves orders unanswered and carries them out late, and the soak draws both (--synchronous-replicas), keeps the late candidate from its group for a while, and checks that no promotion drops an acknowledged write. The faults have a file of their own.

A newer era of the store now adds to the known orders in place of replacing them.

--- a/src/amaranthhall/program/soak.cpp
+++ b/src/amaranthhall/program/soak.cpp
@@ -28,6 +28,7 @@
     add("gateway", options::value<std::string>(), "path of the gateway; else beside this program");
     add("other-gateway", options::value<std::string>()->default_value(""), "path of a gateway of another build, from which the daemons are replaced, and back");
     add("without-organisations", "callers need no keys, as builds before organisations require");
+    add("synchronous-replicas", "commits are confirmed by a replica too, and orders of promotion get no answer at times");
     add("folder", options::value<std::string>(), "for settings and logs; else in the temporary folder");
     options::variables_map values;
     options::store(options::parse_command_line(count, arguments, description), values);
@@ -41,6 +42,7 @@
     chosen.program = values.count("gateway") != 0 ? values["gateway"].as<std::string>() : (own / "amaranthhall-gateway").string();
     chosen.otherProgram = values["other-gateway"].as<std::string>();
     chosen.hasOrganisations = values.count("without-organisations") == 0;
+    chosen.hasSynchronousReplicas = values.count("synchronous-replicas") != 0;
     chosen.folder = values.count("folder") != 0 ? values["folder"].as<std::string>() : (std::filesystem::temp_directory_path() / ("amaranthhall-soak-" + std::to_string(seed))).string();
     spdlog::set_level(spdlog::level::off);
     soak::SoakRun run(chosen);
--- a/src/amaranthhall/soak/oracle.cpp
+++ b/src/amaranthhall/soak/oracle.cpp
@@ -64,4 +64,16 @@
     return wrong;
 }
 
+std::vector<std::string> Oracle::checkKept(const std::string& group, const std::vector<CommittedWrite>& commits) const
+{
+    std::vector<std::string> wrong;
+    for (const auto& commit : commits) {
+        const auto found = this->writes.find(commit.data);
+        const bool isAcknowledged = found != this->writes.end() && found->second.group == group && found->second.fate == Fate::Acknowledged;
+        if (commit.isRolledBack && isAcknowledged)
+            wrong.push_back("acknowledged and dropped by a promotion: " + commit.data);
+    }
+    return wrong;
+}
+
 }
--- a/src/amaranthhall/soak/oracle.hpp
+++ b/src/amaranthhall/soak/oracle.hpp
@@ -47,6 +47,9 @@
     /// @brief Checks all writes of a group in the end; gives what is wrong.
     [[nodiscard]] std::vector<std::string> checkWrites(const std::string& group, const std::vector<CommittedWrite>& commits) const;
 
+    /// @brief Checks that no promotion has dropped an acknowledged write of a group with synchronous replicas; gives what is wrong.
+    [[nodiscard]] std::vector<std::string> checkKept(const std::string& group, const std::vector<CommittedWrite>& commits) const;
+
 private:
     struct Write {
         std::string group;
--- a/src/amaranthhall/soak/soak_caller.cpp
+++ b/src/amaranthhall/soak/soak_caller.cpp
@@ -1,5 +1,7 @@
 #include "amaranthhall/soak/soak_caller.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace amaranthhall::soak {
@@ -28,9 +30,10 @@
 
 }
 
-SoakCaller::SoakCaller(CallerContext& usedContext, std::string usedName, std::uint64_t seed)
+SoakCaller::SoakCaller(CallerContext& usedContext, std::string usedName, std::string usedOrganisation, std::uint64_t seed)
     : context(usedContext)
     , name(std::move(usedName))
+    , organisation(std::move(usedOrganisation))
     , random(seed)
 {
     this->connect();
@@ -41,13 +44,20 @@
     this->timer = this->context.loop.after(length, std::move(then));
 }
 
+SoakKey SoakCaller::drawKey()
+{
+    std::vector<SoakKey> fitting;
+    std::copy_if(this->context.keys.begin(), this->context.keys.end(), std::back_inserter(fitting), [this](const auto& candidate) { return this->organisation.empty() || candidate.organisation == this->organisation; });
+    return fitting[this->random() % fitting.size()];
+}
+
 void SoakCaller::connect()
 {
     if (this->link)
         this->context.loop.post([held = std::shared_ptr<engine::Link>(std::move(this->link))] {});
     ++this->sessions;
     this->database = this->context.databases[this->random() % this->context.databases.size()];
-    this->key = this->context.keys[this->random() % this->context.keys.size()];
+    this->key = this->drawKey();
     const auto& daemon = this->context.daemons[this->random() % this->context.daemons.size()];
     const catalog::UpstreamEntry target { .id = "soak", .service = this->database.name, .address = daemon };
     this->opening = this->context.links.open(
--- a/src/amaranthhall/soak/soak_caller.hpp
+++ b/src/amaranthhall/soak/soak_caller.hpp
@@ -49,7 +49,8 @@
 /// @brief One caller: it keeps a session open, runs one operation after the other, and checks what it is told.
 class SoakCaller {
 public:
-    SoakCaller(CallerContext& context, std::string name, std::uint64_t seed);
+    /// @param organisation Whose keys its sessions use; empty for those of any.
+    SoakCaller(CallerContext& context, std::string name, std::string organisation, std::uint64_t seed);
 
 private:
     void connect();
@@ -63,9 +64,11 @@
     void count(bool hasSucceeded);
     void finish(const engine::Reply& reply);
     [[nodiscard]] std::string drawItem();
+    [[nodiscard]] SoakKey drawKey();
 
     CallerContext& context;
     std::string name;
+    std::string organisation;
     Random random;
     SoakDatabase database;
     SoakKey key;
--- a/src/amaranthhall/soak/soak_run.cpp
+++ b/src/amaranthhall/soak/soak_run.cpp
@@ -14,15 +14,13 @@
 namespace {
 
     using namespace std::chrono_literals;
-    using fleet::standin::StoreFault;
 
     constexpr std::size_t groupCount = 2;
     constexpr std::size_t organisationCount = 3;
     constexpr catalog::OperationLimit limitOfFirstOrganisation { .perSecond = 20, .burst = 20 };
+    constexpr std::size_t limitedCallers = 2; // at least, of the limited organisation: one asks for less than its limit at times
     constexpr Duration withdrawnTime = 7s;
-    constexpr Duration faultGap = 600ms;
     constexpr Duration restartPause = 300ms;
-    constexpr Duration supersededPause = 700ms; // longer than a promotion takes
     constexpr Duration settleTime = 5s; // a change of primary, and a store's pauses
     constexpr Duration calmTime = 2s;
     constexpr Duration startTime = 2500ms;
@@ -69,6 +67,7 @@
     , context { .loop = this->loop, .links = this->links, .databases = {}, .daemons = {}, .keys = {}, .organisations = this->organisationOracle, .oracle = this->oracle, .commits = [this](const auto& service) { return this->commitsOf(service); } }
 {
     std::filesystem::create_directories(this->options.folder);
+    this->store.orderDelayed = [this](const auto& candidate, auto delay) { this->isolateBefore(candidate, delay); };
     this->makeOrganisations();
     this->makeGroups();
     this->writeConfiguration();
@@ -130,7 +129,7 @@
 {
     for (std::size_t g = 0; g < groupCount; ++g) {
         const auto service = serviceName(g);
-        this->groups.push_back(std::make_unique<fleet::standin::LineGroup>(this->loop, fleet::standin::LineGroup::Options { .service = service }));
+        this->groups.push_back(std::make_unique<fleet::standin::LineGroup>(this->loop, fleet::standin::LineGroup::Options { .service = service, .hasSynchronousReplica = this->options.hasSynchronousReplicas }));
         auto& group = *this->groups.back();
         this->proxied.emplace_back();
         for (std::size_t i = 0; i < group.size(); ++i) {
@@ -180,7 +179,7 @@
         configuration.routes[database.name] = route;
     }
     for (std::size_t g = 0; g < groupCount; ++g)
-        configuration.services[serviceName(g)] = { .name = serviceName(g), .maximumConnections = connections };
+        configuration.services[serviceName(g)] = { .name = serviceName(g), .maximumConnections = connections, .synchronousReplicas = this->options.hasSynchronousReplicas ? 1U : 0U };
     const fleet::PlatformRowReader rows;
     this->store.put(rows.configurationTable(), rows.configurationKey(), fleet::standin::encodeConfiguration(configuration, this->organisations));
 }
@@ -254,197 +253,6 @@
     this->timers.push_back(this->loop.after(delay, std::move(action)));
 }
 
-void SoakRun::record(const std::string& fault)
-{
-    this->faults.push_back(fault);
-    this->organisationOracle.noteDisturbance(this->loop.now());
-}
-
-void SoakRun::injectFault()
-{
-    if (this->isHealing)
-        return;
-    switch (this->random() % 4) {
-    case 0:
-        this->injectDaemonFault();
-        break;
-    case 1:
-        this->injectStoreFault();
-        break;
-    case 2:
-        this->injectUpstreamFault();
-        break;
-    default:
-        this->injectNetworkFault();
-    }
-    this->later(faultGap, [this] { this->injectFault(); });
-}
-
-void SoakRun::injectDaemonFault()
-{
-    const auto index = this->random() % this->daemons.size();
-    auto& daemon = this->daemons[index];
-    if (!daemon.process)
-        return;
-    switch (this->random() % 3) {
-    case 0:
-        this->record("kill " + daemon.vm);
-        daemon.process->signal(SIGKILL);
-        return;
-    case 1:
-        this->record("stop " + daemon.vm);
-        daemon.process->signal(SIGTERM);
-        return;
-    default:
-        this->record("pause " + daemon.vm);
-        daemon.process->signal(SIGSTOP);
-        this->later(std::chrono::milliseconds(300 + this->random() % 1500), [this, index] {
-            if (this->daemons[index].process)
-                this->daemons[index].process->signal(SIGCONT);
-        });
-    }
-}
-
-void SoakRun::injectStoreFault()
-{
-    const auto kind = this->random() % 8;
-    if (kind >= 6) {
-        this->injectStoreCopy();
-        return;
-    }
-    if (kind == 4) {
-        this->record("store forgets its history");
-        this->store.forgetHistory();
-        return;
-    }
-    if (kind == 5) {
-        this->withdrawKey();
-        return;
-    }
-    this->record("store fault " + std::to_string(kind + 1));
-    this->store.setFault(static_cast<StoreFault>(kind + 1));
-    this->later(std::chrono::milliseconds(500 + this->random() % 2000), [this] { this->store.setFault(StoreFault::None); });
-}
-
-/// Has the store away for a moment and back from a copy; now and then twice, with a change of configuration or beside another fault.
-void SoakRun::injectStoreCopy()
-{
-    const Duration away = std::chrono::milliseconds(200 + this->random() % 800);
-    const Duration age = std::chrono::milliseconds(500 + this->random() % 5000);
-    const Duration rewriteAfter = std::chrono::milliseconds(100 + this->random() % 1500);
-    this->record("store comes back from a copy");
-    this->store.setFault(StoreFault::Unavailable);
-    this->later(away, [this, age, rewriteAfter] {
-        this->store.restoreCopy(age, rewriteAfter);
-        this->store.setFault(StoreFault::None);
-    });
-    switch (this->random() % 4) {
-    case 0:
-        this->later(away + rewriteAfter / 2, [this, age, rewriteAfter] { this->store.restoreCopy(age / 2, rewriteAfter); });
-        return;
-    case 1:
-        this->writeConfiguration();
-        return;
-    case 2:
-        this->injectUpstreamFault();
-        return;
-    default:
-        this->injectDaemonFault();
-    }
-}
-
-void SoakRun::injectUpstreamFault()
-{
-    const auto g = this->random() % this->groups.size();
-    auto& group = *this->groups[g];
-    const auto index = this->random() % 3 == 0 ? this->random() % group.size() : group.primary();
-    const Duration span = std::chrono::milliseconds(500 + this->random() % 2500);
-    const auto name = group.idOf(index);
-    switch (this->random() % 6) {
-    case 0:
-        this->record("crash " + name);
-        group.setRunning(index, false);
-        this->later(span, [&group, index] { group.setRunning(index, true); });
-        return;
-    case 1:
-        this->record("dark " + name);
-        group.setDark(index, true);
-        this->later(span, [&group, index] { group.setDark(index, false); });
-        return;
-    case 2:
-        this->record("isolate " + name);
-        group.setIsolated(index, true);
-        this->later(span, [&group, index] { group.setIsolated(index, false); });
-        return;
-    case 3:
-        this->record("lag " + name);
-        group.setLag(800ms);
-        this->later(span, [&group] { group.setLag(8ms); });
-        return;
-    case 4:
-        this->supersede(g, span);
-        return;
-    default:
-        this->record("drain " + name);
-        this->registerUpstream(g, index, true);
-        this->later(span, [this, g, index] { this->registerUpstream(g, index, false); });
-    }
-}
-
-/// Has a primary replaced that is cut from its group and goes on serving, while a daemon that believes in it is cut from the store and paused.
-void SoakRun::supersede(std::size_t g, Duration span)
-{
-    auto& group = *this->groups[g];
-    const auto index = group.primary();
-    const auto daemon = this->random() % this->daemons.size();
-    const auto route = "store/" + std::to_string(daemon);
-    this->record("supersede " + group.idOf(index) + " unseen by " + this->daemons[daemon].vm);
-    group.setIsolated(index, true);
-    this->proxy.addRule({ .route = route, .toSource = { .drop = true } });
-    if (this->daemons[daemon].process)
-        this->daemons[daemon].process->signal(SIGSTOP);
-    this->registerUpstream(g, index, true);
-    this->later(supersededPause, [this, daemon] {
-        if (this->daemons[daemon].process)
-            this->daemons[daemon].process->signal(SIGCONT);
-    });
-    this->later(supersededPause + span, [this, g, index, route] {
-        this->groups[g]->setIsolated(index, false);
-        this->registerUpstream(g, index, false);
-        this->proxy.addRule({ .route = route, .cut = true });
-        this->later(20ms, [this] { this->proxy.clearRules(); });
-    });
-}
-
-void SoakRun::injectNetworkFault()
-{
-    auto& group = *this->groups[this->random() % this->groups.size()];
-    standin::FaultRule rule { .route = group.idOf(this->random() % group.size()) };
-    if (this->random() % 4 == 0)
-        rule.route = "store/" + std::to_string(this->random() % this->daemons.size());
-    switch (this->random() % 4) {
-    case 0:
-        rule.cut = true;
-        break;
-    case 1:
-        rule.toTarget.delay = rule.toSource.delay = 40ms;
-        rule.toSource.jitter = 30ms;
-        break;
-    case 2:
-        rule.toSource.drop = true;
-        break;
-    default:
-        rule.toTarget.drop = true;
-    }
-    this->record("network " + standin::encodeRule(rule));
-    this->proxy.addRule(rule);
-    // What a silenced connection has lost never comes, so its connections end with the fault.
-    this->later(std::chrono::milliseconds(300 + this->random() % 1200), [this, route = rule.route] {
-        this->proxy.addRule({ .route = route, .cut = true });
-        this->later(20ms, [this] { this->proxy.clearRules(); });
-    });
-}
-
 void SoakRun::healAll()
 {
     this->isHealing = true;
@@ -454,7 +262,8 @@
     this->proxy.addRule({ .cut = true });
     this->waitFor(20ms);
     this->proxy.clearRules();
-    this->store.setFault(StoreFault::None);
+    this->store.setFault(fleet::standin::StoreFault::None);
+    this->store.setOrderDelay(std::nullopt);
     for (std::size_t g = 0; g < this->groups.size(); ++g) {
         auto& group = *this->groups[g];
         group.setLag(8ms);
@@ -500,7 +309,7 @@
     const auto watcher = this->loop.every(100ms, [this] { this->watchDaemons(); });
     this->waitFor(startTime);
     for (std::size_t i = 0; i < this->options.callers; ++i)
-        this->callers.push_back(std::make_unique<SoakCaller>(this->context, "c" + std::to_string(i), this->random()));
+        this->callers.push_back(std::make_unique<SoakCaller>(this->context, "c" + std::to_string(i), i < limitedCallers ? this->context.limitedOrganisation : std::string(), this->random()));
     this->planReplacements();
     this->injectFault();
     this->waitFor(this->options.length);
@@ -525,7 +334,12 @@
     result.calmShare = calmAnswered + calmFailed > 0 ? calmAnswered / (calmAnswered + calmFailed) : 0;
     for (std::size_t g = 0; g < groupCount; ++g) {
         const auto service = serviceName(g);
-        for (auto& wrong : this->oracle.checkWrites(service, this->commitsOf(service)))
+        const auto commits = this->commitsOf(service);
+        for (auto& wrong : this->oracle.checkWrites(service, commits))
+            result.violations.push_back(std::move(wrong));
+        if (!this->options.hasSynchronousReplicas)
+            continue;
+        for (auto& wrong : this->oracle.checkKept(service, commits))
             result.violations.push_back(std::move(wrong));
     }
     return result;
--- a/src/amaranthhall/soak/soak_run.hpp
+++ b/src/amaranthhall/soak/soak_run.hpp
@@ -31,6 +31,7 @@
     std::string program; ///< Path of the gateway.
     std::string otherProgram; ///< Path of a gateway of another build; if not empty, the daemons start with it and are replaced one after the other, and back again.
     bool hasOrganisations { true }; ///< Whether callers need keys; earlier builds know no organisations.
+    bool hasSynchronousReplicas { false }; ///< Whether commits are confirmed by a replica too; orders then get no answer at times, and the store loses nothing.
     std::string folder; ///< For settings and logs.
 };
 
@@ -79,6 +80,8 @@
     void injectDaemonFault();
     void injectStoreFault();
     void injectStoreCopy();
+    void injectLateOrders();
+    void isolateBefore(const std::string& candidate, Duration delay);
     void injectUpstreamFault();
     void supersede(std::size_t g, Duration span);
     void injectNetworkFault();
--- a/src/amaranthhall/succession/pending_orders.cpp
+++ b/src/amaranthhall/succession/pending_orders.cpp
@@ -1,6 +1,7 @@
 #include "amaranthhall/succession/pending_orders.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace amaranthhall::succession {
@@ -9,8 +10,11 @@
 {
     if (other.version <= known.version)
         return false;
+    auto orders = other.orders;
+    if (other.version.era > known.version.era)
+        std::copy_if(known.orders.begin(), known.orders.end(), std::back_inserter(orders), [&other](const auto& order) { return std::find(other.orders.begin(), other.orders.end(), order) == other.orders.end(); });
     known.version = other.version;
-    known.orders = other.orders;
+    known.orders = std::move(orders);
     return true;
 }
 
--- a/src/amaranthhall/succession/pending_orders.hpp
+++ b/src/amaranthhall/succession/pending_orders.hpp
@@ -46,7 +46,7 @@
     std::optional<AcceptedOrder> accepted; ///< The newest one, if this daemon sent it.
 };
 
-/// @brief Replaces the known orders by those of a newer version; returns whether it is newer.
+/// @brief Replaces the known orders by those of a newer version; returns whether it is newer. A newer era adds to them, as a restored backup of the store may lack some.
 bool update(PendingOrders& known, const PendingOrders& other);
 
 /**
--- a/test/integration/test_gateway.cpp
+++ b/test/integration/test_gateway.cpp
@@ -19,10 +19,10 @@
     return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "amaranthhall-gateway").string();
 }
 
-soak::SoakResult play(std::uint64_t seed, std::chrono::milliseconds length)
+soak::SoakResult play(std::uint64_t seed, std::chrono::milliseconds length, bool hasSynchronousReplicas = false)
 {
     const auto folder = std::filesystem::temp_directory_path() / ("amaranthhall-gateway-" + std::to_string(seed));
-    soak::SoakRun run({ .seed = seed, .length = length, .daemons = 4, .callers = 12, .program = programBeside(), .folder = folder.string() });
+    soak::SoakRun run({ .seed = seed, .length = length, .daemons = 4, .callers = 12, .program = programBeside(), .hasSynchronousReplicas = hasSynchronousReplicas, .folder = folder.string() });
     return run.run();
 }
 
@@ -63,6 +63,12 @@
     CHECK_FALSE(isKeyLogged(2));
 }
 
+// Failure: an order of promotion that got no answer was carried out late, and its upstream lacked commits that callers had been told of.
+TEST(GatewaySoak, AcknowledgedCommitsOutlastLateOrdersOfSeed11)
+{
+    check(play(11, 20s, true));
+}
+
 TEST(GatewaySoak, AConnectionThatItsOtherEndHasClosedEndsNoProgram)
 {
     const auto folder = std::filesystem::temp_directory_path() / "amaranthhall-gateway-signals";
--- a/test/soak/test_oracle.cpp
+++ b/test/soak/test_oracle.cpp
@@ -57,6 +57,16 @@
     LONGS_EQUAL(4, wrong.size());
 }
 
+TEST(Oracle, AnAcknowledgedWriteThatAPromotionDroppedIsFound)
+{
+    this->acknowledge("two", 0s);
+    this->oracle.noteWrite("g", "s", "x", "three", Fate::Unknown, this->start);
+    CHECK_TRUE(this->oracle.checkKept("g", this->commits).empty());
+    this->commits[1].isRolledBack = this->commits[2].isRolledBack = true;
+    LONGS_EQUAL(1, this->oracle.checkKept("g", this->commits).size());
+    CHECK_TRUE(this->oracle.checkKept("other", this->commits).empty());
+}
+
 TEST(Oracle, AnUnknownFateIsNoFault)
 {
     this->oracle.noteWrite("g", "s", "x", "one", Fate::Unknown, this->start);
--- a/test/succession/test_pending_orders.cpp
+++ b/test/succession/test_pending_orders.cpp
@@ -93,6 +93,9 @@
     CHECK_FALSE(update(known, { .version = { .number = 13 } }));
     CHECK_FALSE(update(known, { .version = { .number = 12 } }));
     LONGS_EQUAL(3, known.orders.size());
-    CHECK_TRUE(update(known, { .version = { .era = 1, .number = 3 } }));
-    CHECK(known.orders.empty());
+    CHECK_TRUE(update(known, { .version = { .number = 14 }, .orders = { { .candidate = "c", .fence = { .number = 13 } } } }));
+    CHECK(candidatesOf(known.orders) == Names({ "c" }));
+    // The store was restored from a backup that lacks the order.
+    CHECK_TRUE(update(known, { .version = { .era = 1, .number = 3 }, .orders = { { .candidate = "a", .fence = { .number = 2 } } } }));
+    CHECK(candidatesOf(known.orders) == Names({ "a", "c" }));
 }
