A daemon that may not know of an order waits for all upstreams

What callers could see: a service with sync_replicas, a daemon that is cut off from the others and reaches the old primary.

Cause: the holder of the lease waited 0.25 s for other daemons to confirm that they knew of the candidate, and went on without those that had not; what a daemon knew had no age.

Evidence: the search of the model with this fault planted finds the loss.

Change: knowledge of pending orders has an age, that of the copy of the leases' rows or of what all other registered daemons have told (a store time in each datagram, where a service has synchronous replicas). After 1 s a daemon takes each upstream for a candidate; the holder waits for as long for daemons that do not confirm. At the time at which the required position is determined each daemon knows of the candidate or waits for all upstreams.

--- a/src/amaranthhall/gateway/gateway.cpp
+++ b/src/amaranthhall/gateway/gateway.cpp
@@ -21,7 +21,6 @@
     constexpr Duration maximumPollCheckInterval = 100ms;
     constexpr Duration configurationCheckTimeout = 1s;
     constexpr double maximumAgeFraction = 0.4; // of the time within which a change must be in force; the rest is for an unanswered poll and its repetition
-    constexpr Duration fleetMaximumAge = 10s; // daemons also hear of each other directly
     constexpr Duration fleetDiscoveryTimeout = 2s; // after this a daemon that has found no peers serves without them
     constexpr auto drainMargin = 1s; // a statement is queued and in transit before it reaches the upstream
     constexpr Duration drainPollInterval = 100ms;
@@ -82,7 +81,7 @@
     , listDelay(chooseListDelay(usedSettings))
     , upstreamWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.upstreamTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.upstreamDrainLimit)), this->upstreamCallbacks())
     , configurationWatch(usedLoop, usedPlatform.store, watchOptions(usedPlatform.rows.configurationTable(), pauseAfterChange, this->listDelay, maximumAgeOf(usedSettings.configurationLimit)), this->configurationCallbacks())
-    , fleetWatch(usedLoop, usedPlatform.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero(), fleetMaximumAge), this->fleetCallbacks())
+    , fleetWatch(usedLoop, usedPlatform.store, watchOptions(std::string(fleetTable), pauseAfterFleetChange, Duration::zero(), this->fleetMaximumAge()), this->fleetCallbacks())
     , gossip(usedLoop, this->gossipOptions(), this->gossipCallbacks(), usedPlatform.traffic)
     , homes(usedLoop, this->catalog, this->gossip.peers(), { .vm = usedSettings.vm, .zone = usedSettings.zone, .cores = usedSettings.cores, .relayPort = usedSettings.relay.port, .traffic = &usedPlatform.traffic })
     , quotas(usedLoop, this->catalog, this->gossip.peers(), this->quotaOptions(), this->metrics)
@@ -197,6 +196,7 @@
         .peers = this->gossip.peers(),
         .promoter = this->platform.promoter,
         .group = [this](const auto& service) -> const std::vector<std::string>& { return this->homes.homes(service); },
+        .registered = [this]() -> const std::set<std::string>& { return this->registeredDaemons; },
         .served = [this]() -> const std::vector<std::string>& { return this->homes.localServices(); },
     };
 }
--- a/src/amaranthhall/gateway/gateway.hpp
+++ b/src/amaranthhall/gateway/gateway.hpp
@@ -25,6 +25,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,6 +80,7 @@
     [[nodiscard]] store::TableWatch::Callbacks upstreamCallbacks();
     [[nodiscard]] store::TableWatch::Callbacks configurationCallbacks();
     [[nodiscard]] store::TableWatch::Callbacks fleetCallbacks();
+    [[nodiscard]] Duration fleetMaximumAge() const;
     [[nodiscard]] gossip::VmProfile profile() const;
     [[nodiscard]] gossip::GossipNode::Options gossipOptions() const;
     [[nodiscard]] gossip::GossipNode::Callbacks gossipCallbacks();
@@ -123,6 +125,7 @@
     engine::RequestLog requestLog { this->metrics };
     budget::BudgetGuard guard;
     engine::SessionContext context;
+    std::set<std::string> registeredDaemons; ///< Other daemons that have a row in the store.
     Duration listDelay; ///< Time at startup during which peers may supply the store's rows.
     store::TableWatch upstreamWatch;
     store::TableWatch configurationWatch;
--- a/src/amaranthhall/gateway/gateway_rows.cpp
+++ b/src/amaranthhall/gateway/gateway_rows.cpp
@@ -20,6 +20,8 @@
     constexpr freshness::Micros maximumLeaderReportAge = 4'000'000; // µs; older evidence of a leader is not gossiped
     constexpr Duration reregistrationGrace = 2500ms; // time for upstreams to register again after the store was restored from a backup
     constexpr std::string_view daemonPrefix = "daemon/";
+    constexpr Duration fleetMaximumAgeWithoutOrders = 10s; // daemons also hear of each other directly
+    constexpr Duration leaseMaximumAge = succession::orderKnowledgeLifetime * 4 / 5; // leaves time for an answer
 
     /// Returns the age of a copy for logs, in ms; -1 if it is unknown.
     std::int64_t ageMilliseconds(const store::TableWatch& watch)
@@ -88,6 +90,15 @@
         this->lostConfiguration = std::move(row);
 }
 
+/// Returns the age of its rows of daemons and leases at which every daemon reads them from the store.
+Duration Gateway::fleetMaximumAge() const
+{
+    const auto configuration = this->catalog.configuration();
+    const auto isSynchronous = [](const auto& entry) { return entry.second.synchronousReplicas > 0; };
+    const bool mustKnowOrders = configuration && std::any_of(configuration->services.begin(), configuration->services.end(), isSynchronous);
+    return mustKnowOrders ? leaseMaximumAge : fleetMaximumAgeWithoutOrders;
+}
+
 /// Puts a configuration into force if it is newer; returns whether it is.
 bool Gateway::applyConfiguration(const store::Row& row)
 {
@@ -103,8 +114,10 @@
     const bool isWrittenAgain = this->lostConfiguration && version >= this->catalog.configuration()->version && row.version.era > this->lostConfiguration->version.era;
     if (isWrittenAgain)
         this->lostConfiguration.reset();
-    if (isNewer)
+    if (isNewer) {
+        this->fleetWatch.setMaximumAge(this->fleetMaximumAge());
         this->configurationApplied();
+    }
     return isNewer;
 }
 
@@ -138,6 +151,10 @@
     const auto vm = std::string_view(row.key.key).substr(daemonPrefix.size());
     if (vm == this->settings.vm)
         return;
+    if (row.isRemoved)
+        this->registeredDaemons.erase(std::string(vm));
+    else
+        this->registeredDaemons.emplace(vm);
     const auto profile = gossip::decodeProfile(row.value);
     // A daemon that is missing from the restored backup may still be running; it registers again.
     const bool isMissingAfterRestore = row.isRemoved && this->fleetWatch.isApplyingNewEra() && this->gossip.peers().isLive(vm, this->loop.now());
--- a/src/amaranthhall/gossip/digest.cpp
+++ b/src/amaranthhall/gossip/digest.cpp
@@ -24,7 +24,7 @@
     using PackedOrder = std::tuple<std::string, std::string, PackedVersion, freshness::Micros, bool, group::Term>;
     using PackedPendingOrder = std::tuple<std::string, PackedVersion>;
     using PackedPendingOrders = std::tuple<std::string, PackedVersion, std::vector<PackedPendingOrder>>;
-    using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t, std::vector<PackedPendingOrders>>;
+    using PackedDigest = std::tuple<std::string, packed::Profile, bool, PackedVersions, std::vector<PackedLeader>, std::vector<packed::Suspicion>, std::vector<PackedOrder>, std::vector<packed::Age>, std::vector<packed::Address>, PackedVerifications, std::uint64_t, std::vector<PackedPendingOrders>, freshness::Micros>;
 
     PackedVersions packVersions(const TableCopies& copies) { return { packVersion(copies.configuration.newestRow), packVersion(copies.upstreams.newestRow), packVersion(copies.fleet.newestRow) }; }
     PackedVerification packVerification(const store::CopyState& copy) { return { copy.verifiedAt / microsPerMillisecond, static_cast<std::int64_t>(copy.verifiedVersion) }; }
@@ -128,6 +128,7 @@
         packVerifications(digest.copies),
         digest.configurationVersion,
         packed::packAll(digest.pendingOrders, packPendingOrders),
+        digest.pendingOrdersAt,
     });
 }
 
@@ -136,7 +137,7 @@
     auto unpacked = packing::unpack<PackedDigest>(bytes);
     if (!unpacked)
         return decodePlainDigest(bytes);
-    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion, pendingOrders] = *unpacked;
+    auto& [vm, profile, requestsPeers, versions, leaders, suspicions, orders, activityAges, peers, verifications, configurationVersion, pendingOrders, pendingOrdersAt] = *unpacked;
     if (!packed::isUsable(std::get<0>(profile)) || !std::all_of(peers.begin(), peers.end(), packed::isUsable))
         return std::nullopt;
     const auto unpackPart = []<typename Part>(Part&& part) { return packed::unpack(std::forward<Part>(part)); };
@@ -152,6 +153,7 @@
         .activityAges = packed::unpackAll(std::move(activityAges), unpackPart),
         .peers = packed::unpackAll(std::move(peers), unpackPart),
         .pendingOrders = packed::unpackAll(std::move(pendingOrders), unpackPendingOrders),
+        .pendingOrdersAt = pendingOrdersAt,
     };
 }
 
--- a/src/amaranthhall/gossip/digest.hpp
+++ b/src/amaranthhall/gossip/digest.hpp
@@ -88,6 +88,7 @@
     std::vector<ActivityAge> activityAges; ///< Of a sample of the daemons that the sender considers live.
     std::vector<kernel::Address> peers; ///< Response to `requestsPeers`.
     std::vector<PendingOrdersReport> pendingOrders; ///< Of services with synchronous replicas.
+    freshness::Micros pendingOrdersAt { 0 }; ///< Store time up to which the sender tells its own; 0 where no service has synchronous replicas.
 };
 
 /**
--- a/src/amaranthhall/store/table_watch.hpp
+++ b/src/amaranthhall/store/table_watch.hpp
@@ -70,6 +70,9 @@
     /// @return Time until the next poll, unless this daemon hears of an answer before.
     Duration pollIfDue(std::size_t rank);
 
+    /// @brief Sets the age at which every daemon asks the store itself.
+    void setMaximumAge(Duration age) noexcept { this->options.polling.maximumAge = age; }
+
     /// @brief Asks the store for changes at once; does nothing before the copy is complete or while too many polls are pending.
     void poll();
 
--- a/src/amaranthhall/succession/order_tracker.cpp
+++ b/src/amaranthhall/succession/order_tracker.cpp
@@ -1,8 +1,12 @@
 #include "amaranthhall/succession/order_tracker.hpp"
 
+#include "amaranthhall/freshness/boot_clock.hpp"
 #include "amaranthhall/telemetry/log.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <limits>
+#include <utility>
 
 namespace amaranthhall::succession {
 
@@ -106,26 +110,56 @@
     return succession::needsNewerOrder(this->refresh(service), this->fenceCheck);
 }
 
-/// Returns since when this daemon has had the rows of all leases as of a time after its start.
-std::optional<Time> OrderTracker::currentSince()
+/// Returns whether any service has synchronous replicas; the others need no knowledge of orders.
+bool OrderTracker::hasSynchronousReplicas()
+{
+    auto configuration = this->parts.catalog.configuration();
+    if (this->checkedConfiguration != configuration) {
+        this->checkedConfiguration = std::move(configuration);
+        const auto& services = this->checkedConfiguration->services;
+        this->isUsed = std::any_of(services.begin(), services.end(), [](const auto& entry) { return entry.second.synchronousReplicas > 0; });
+    }
+    return this->isUsed;
+}
+
+/// Returns the store time up to which this daemon knows all recorded orders: its copy of the rows is that of the store, or every daemon that may hold a lease has told its orders.
+freshness::Micros OrderTracker::knownUpTo() const
+{
+    const auto& others = this->parts.registered();
+    auto told = others.empty() ? 0 : std::numeric_limits<freshness::Micros>::max();
+    for (const auto& vm : others) {
+        const auto found = this->toldUpTo.find(vm);
+        told = std::min(told, found == this->toldUpTo.end() ? 0 : found->second);
+    }
+    return std::max(told, this->parts.fleet.age() ? this->parts.fleet.verifiedAt() : 0);
+}
+
+bool OrderTracker::isCurrent()
 {
     const auto now = this->parts.loop.now();
-    const auto age = this->parts.fleet.age();
-    if (!this->firstCurrentAt && age && *age <= now - this->startedAt)
-        this->firstCurrentAt = now;
-    return this->firstCurrentAt;
+    const auto storeTime = this->parts.store.clock().latestStoreTime(freshness::bootNow());
+    if (!storeTime)
+        return false;
+    const auto age = std::chrono::microseconds(*storeTime - this->knownUpTo());
+    const auto lifetime = std::min(orderKnowledgeLifetime, now - this->startedAt);
+    if (age > lifetime)
+        return false;
+    this->firstCurrentAt = this->firstCurrentAt.value_or(now);
+    return true;
 }
 
 engine::PromotionCandidates OrderTracker::candidatesOf(const std::string& service)
 {
-    if (const auto since = this->currentSince()) {
-        const auto& orders = this->refresh(service).orders;
-        return { .upstreams = this->availableCandidates(orders), .unchangedSince = std::max(*since, this->services[service].changedAt) };
+    const auto& orders = this->refresh(service).orders;
+    const bool isKnown = this->isCurrent();
+    engine::PromotionCandidates candidates { .upstreams = this->availableCandidates(orders), .unchangedSince = std::max(this->services[service].changedAt, this->firstCurrentAt.value_or(Time {})) };
+    if (isKnown)
+        return candidates;
+    for (const auto* known : this->parts.catalog.upstreamsOf(service)) {
+        if (std::find(candidates.upstreams.begin(), candidates.upstreams.end(), known->entry.id) == candidates.upstreams.end())
+            candidates.upstreams.push_back(known->entry.id);
     }
-    engine::PromotionCandidates all;
-    for (const auto* known : this->parts.catalog.upstreamsOf(service))
-        all.upstreams.push_back(known->entry.id);
-    return all;
+    return candidates;
 }
 
 /// Returns the candidates of orders. Where fences are not checked an order without an answer stays pending for ever, so one for an upstream that is gone is left out.
@@ -145,8 +179,11 @@
     return count;
 }
 
-void OrderTracker::fill(gossip::Digest& digest) const
+void OrderTracker::fill(gossip::Digest& digest)
 {
+    if (!this->hasSynchronousReplicas())
+        return;
+    digest.pendingOrdersAt = this->parts.store.clock().earliestStoreTime(freshness::bootNow()).value_or(0);
     for (const auto& [service, known] : this->services) {
         const bool hasChanged = known.changedAt != Time {} && this->parts.loop.now() - known.changedAt < reportLifetime;
         if (!known.pending.orders.empty() || hasChanged)
@@ -154,9 +191,14 @@
     }
 }
 
-bool OrderTracker::merge(const gossip::PendingOrdersReport& report, std::string_view vm)
+bool OrderTracker::merge(const gossip::Digest& digest)
 {
-    return this->note(report.service, fromReport(report), vm);
+    bool isNews = false;
+    for (const auto& report : digest.pendingOrders)
+        isNews = this->note(report.service, fromReport(report), digest.vm) || isNews;
+    auto& toldAt = this->toldUpTo[digest.vm];
+    toldAt = std::max(toldAt, digest.pendingOrdersAt);
+    return isNews;
 }
 
 }
--- a/src/amaranthhall/succession/succession_service.cpp
+++ b/src/amaranthhall/succession/succession_service.cpp
@@ -44,7 +44,7 @@
     , options(std::move(usedOptions))
     , requestGossip(std::move(usedRequestGossip))
     , leases({ .loop = usedParts.loop, .store = usedParts.store, .fleet = usedParts.fleet }, { .self = this->options.self, .table = this->options.table })
-    , orders({ .loop = usedParts.loop, .catalog = usedParts.catalog, .fleet = usedParts.fleet, .leases = this->leases }, this->options.fenceCheck)
+    , orders({ .loop = usedParts.loop, .catalog = usedParts.catalog, .store = usedParts.store, .fleet = usedParts.fleet, .leases = this->leases, .registered = usedParts.registered }, this->options.fenceCheck)
     , lastTickAt(usedParts.loop.now())
     , resumedAt(usedParts.loop.now())
     , tickTimer(usedParts.loop.every(tickInterval, [this] { this->tick(); }))
@@ -471,7 +471,7 @@
     state.retryAt = this->parts.loop.now() + (stepsAside ? leaseDuration + leaseDuration / 4 : retryDelay);
 }
 
-void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock) const
+void SuccessionService::fill(gossip::Digest& digest, const freshness::StoreClock& clock)
 {
     const auto now = this->parts.loop.now();
     this->orders.fill(digest);
--- a/src/amaranthhall/succession/succession_service.hpp
+++ b/src/amaranthhall/succession/succession_service.hpp
@@ -42,6 +42,7 @@
         gossip::PeerRegistry& peers;
         Promoter& promoter;
         std::function<const std::vector<std::string>&(const std::string& service)> group; ///< Daemons with connections to a service, including this one.
+        std::function<const std::set<std::string>&()> registered; ///< Names of all other daemons that are registered in the store, heard of or not.
         std::function<const std::vector<std::string>&()> served; ///< Sorted names of the services to which this daemon has connections.
     };
 
@@ -60,7 +61,7 @@
     [[nodiscard]] OrderTracker& pendingOrders() noexcept { return this->orders; }
 
     /// @brief Adds this daemon's suspicions and the recent promotion requests to a digest.
-    void fill(gossip::Digest& digest, const freshness::StoreClock& clock) const;
+    void fill(gossip::Digest& digest, const freshness::StoreClock& clock);
 
     /// @brief Merges suspicions and promotion requests from another daemon's digest.
     void mergeDigest(const gossip::Digest& digest, const freshness::StoreClock& clock);
@@ -158,6 +159,7 @@
     void voidOlderOrders(const std::string& service, ServiceState& state);
     void orderPrimaryAgain(const std::string& service);
     void mergePendingOrders(const gossip::Digest& digest);
+    [[nodiscard]] std::set<std::string> possibleHomes(const std::string& service) const;
     void awaitConfirmations(const std::string& service);
     void determineRequiredPoint(const std::string& service);
     void awaitCandidate(const std::string& service);
--- a/src/amaranthhall/succession/synchronous_promotion.cpp
+++ b/src/amaranthhall/succession/synchronous_promotion.cpp
@@ -15,7 +15,6 @@
     using telemetry::logEvent;
     using telemetry::LogLevel;
 
-    constexpr Duration confirmationTimeout = 250ms; // for the other daemons to tell that they know of the candidate
     constexpr Duration catchUpTimeout = 1s; // for a candidate to receive what its primary had when the daemons knew of it
     constexpr Duration pollInterval = 20ms;
     constexpr Duration statusTimeout = 80ms;
@@ -125,9 +124,9 @@
         auto& preparation = this->serviceStates[report.service].preparation;
         if (preparation && report.version >= preparation->leaseVersion)
             preparation->confirmedBy.insert(digest.vm);
-        if (this->orders.merge(report, digest.vm))
-            this->requestGossip(); // the holder of the lease waits for the confirmation
     }
+    if (this->orders.merge(digest))
+        this->requestGossip(); // the holder of the lease waits for the confirmation
 }
 
 /// Announces the candidate, and has its promotion ordered once it has what was acknowledged.
@@ -159,14 +158,28 @@
         promotion.reset();
 }
 
-/// Waits until the other daemons hold back commits that the candidate lacks, or the time for that is over.
+/// Returns the other daemons that may acknowledge commits of a service: its homes, and those that are not heard and may take themselves for homes.
+std::set<std::string> SuccessionService::possibleHomes(const std::string& service) const
+{
+    const auto now = this->parts.loop.now();
+    const auto& group = this->parts.group(service);
+    std::set<std::string> homes(group.begin(), group.end());
+    homes.erase(this->options.self.vm);
+    for (const auto& vm : this->parts.registered()) {
+        if (!this->parts.peers.isLive(vm, now))
+            homes.insert(vm);
+    }
+    return homes;
+}
+
+/// Waits until the other daemons hold back commits that the candidate lacks, or until those that do not tell so hold back what any upstream lacks.
 void SuccessionService::awaitConfirmations(const std::string& service)
 {
     auto& state = this->serviceStates[service];
     const auto& confirmedBy = state.preparation->confirmedBy;
-    const auto peers = this->livePeersOf(service);
+    const auto peers = this->possibleHomes(service);
     const bool isConfirmed = std::all_of(peers.begin(), peers.end(), [&](const auto& vm) { return confirmedBy.contains(vm); });
-    const bool isOver = this->parts.loop.now() - state.preparation->startedAt >= confirmationTimeout;
+    const bool isOver = this->parts.loop.now() - state.preparation->startedAt >= orderKnowledgeLifetime;
     if (!isConfirmed && !isOver) {
         state.queryTimer = this->parts.loop.after(pollInterval, [this, service] { this->awaitConfirmations(service); });
         return;
@@ -206,7 +219,7 @@
 {
     auto& state = this->serviceStates[service];
     const auto now = this->parts.loop.now();
-    if (now - state.preparation->startedAt >= confirmationTimeout + statusTimeout + catchUpTimeout) {
+    if (now - state.preparation->startedAt >= orderKnowledgeLifetime + statusTimeout + catchUpTimeout) {
         this->cancelPreparation(service, "the candidate is behind");
         return;
     }
--- a/test/gossip/test_digest.cpp
+++ b/test/gossip/test_digest.cpp
@@ -19,8 +19,10 @@
     sent.activityAges.push_back({ .shortId = 77, .age = std::chrono::milliseconds(1200) });
     sent.peers.push_back({ .host = "10.0.0.2", .port = 8782 });
     sent.pendingOrders.push_back({ .service = "s", .version = { .era = 1, .number = 80 }, .orders = { { .candidate = "i-1", .fence = { .number = 77 } } } });
+    sent.pendingOrdersAt = 123'456'789;
     const auto decoded = gossip::decodeDigest(gossip::encodeDigest(sent));
     CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(sent.pendingOrdersAt, decoded->pendingOrdersAt);
     CHECK_EQUAL(sent.vm, decoded->vm);
     CHECK(decoded->profile == sent.profile);
     CHECK_TRUE(decoded->requestsPeers);
--- a/test/succession/breadth_first_search.hpp
+++ b/test/succession/breadth_first_search.hpp
@@ -2,8 +2,8 @@
 
 #include <deque>
 #include <functional>
-#include <set>
 #include <string>
+#include <unordered_set>
 #include <utility>
 
 namespace amaranthhall::succession::testing {
@@ -39,7 +39,7 @@
 
 private:
     std::deque<State> queue;
-    std::set<std::string> visited;
+    std::unordered_set<std::string> visited;
     std::string firstViolation;
 };
 
--- a/test/succession/test_order_tracker.cpp
+++ b/test/succession/test_order_tracker.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,20 +21,21 @@
     store::TableWatch fleet { this->loop, this->storage, { .table = "t" }, { .changed = [](const auto&) {}, .batchApplied = [] {}, .reachabilityChanged = [](bool) {} } };
     std::unique_ptr<succession::LeaseKeeper> leases;
     std::unique_ptr<succession::OrderTracker> tracker;
+    std::set<std::string> registered { "d1", "d2" };
 
     void setup() override
     {
+        this->known.apply({ .version = 1, .services = { { "s", { .name = "s", .synchronousReplicas = 1 } } } });
         for (const auto* id : { "p", "a", "b" })
             this->known.put({ .id = id, .service = "s" }, { .number = 1 }, this->loop.now());
         this->leases = std::make_unique<succession::LeaseKeeper>(succession::LeaseKeeper::Parts { .loop = this->loop, .store = this->storage, .fleet = this->fleet }, succession::LeaseKeeper::Options { .self = { .vm = "me", .incarnation = 1 }, .table = "t" });
-        this->tracker = std::make_unique<succession::OrderTracker>(succession::OrderTracker::Parts { .loop = this->loop, .catalog = this->known, .fleet = this->fleet, .leases = *this->leases }, succession::FenceCheck::Present);
+        this->tracker = std::make_unique<succession::OrderTracker>(succession::OrderTracker::Parts { .loop = this->loop, .catalog = this->known, .store = this->storage, .fleet = this->fleet, .leases = *this->leases, .registered = [this]() -> const std::set<std::string>& { return this->registered; } }, succession::FenceCheck::Present);
     }
 
     /// Another daemon hands on the lease's row; its copy was that of the store until `age` ago.
     void receiveRow(std::uint64_t version, const Names& candidates, freshness::Micros age)
     {
-        const auto later = this->loop.after(5ms, [this] { this->loop.stop(); }); // more than the resolution of the store's clock
-        this->loop.run();
+        this->runFor(5ms); // more than the resolution of the store's clock
         succession::FailoverLease lease { .holder = { .vm = "other", .incarnation = 7 } };
         for (const auto& candidate : candidates)
             lease.orders.push_back({ .candidate = candidate });
@@ -41,6 +43,15 @@
         this->fleet.mergeCopy({ row }, { .newestRow = row.version, .verifiedAt = freshness::bootNow() - age });
     }
 
+    void runFor(Duration span)
+    {
+        const auto end = this->loop.after(span, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    /// Another daemon tells that it knew of no orders a time ago.
+    void tell(const char* vm, freshness::Micros age) const { this->tracker->merge({ .vm = vm, .pendingOrdersAt = freshness::bootNow() - age }); }
+
     static gossip::PendingOrdersReport report(std::uint64_t version, const Names& candidates)
     {
         gossip::PendingOrdersReport report { .service = "s", .version = { .number = version } };
@@ -74,9 +85,34 @@
 TEST(OrderTracker, TheNewestOfRowAndReportsHolds)
 {
     this->receiveRow(50, { "a" }, 0);
-    CHECK_TRUE(this->tracker->merge(this->report(60, { "b" }), "other"));
+    CHECK_TRUE(this->tracker->merge({ .vm = "d1", .pendingOrders = { this->report(60, { "b" }) } }));
     CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "b" }));
-    CHECK_FALSE(this->tracker->merge(this->report(55, { "p" }), "other"));
+    CHECK_FALSE(this->tracker->merge({ .vm = "d1", .pendingOrders = { this->report(55, { "p" }) } }));
     this->receiveRow(61, {}, 0);
     CHECK(this->tracker->candidatesOf("s").upstreams.empty());
 }
+
+// Failure: a daemon that was cut off from the others went on acknowledging commits that an ordered candidate lacked.
+TEST(OrderTracker, KnowledgeThatIsTooOldIsNotGoneBy)
+{
+    this->receiveRow(50, {}, 0);
+    CHECK(this->tracker->candidatesOf("s").upstreams.empty());
+    this->runFor(succession::orderKnowledgeLifetime);
+    CHECK(this->tracker->candidatesOf("s").upstreams == Names({ "a", "b", "p" }));
+    this->receiveRow(51, {}, 0);
+    CHECK(this->tracker->candidatesOf("s").upstreams.empty());
+}
+
+// While the store is away, the daemons that may hold a lease tell each other what they know.
+TEST(OrderTracker, AllRegisteredDaemonsTogetherKnowTheOrders)
+{
+    this->runFor(5ms);
+    this->tell("d1", 0);
+    CHECK_FALSE(this->tracker->candidatesOf("s").upstreams.empty());
+    this->tell("d2", 10'000'000);
+    CHECK_FALSE(this->tracker->candidatesOf("s").upstreams.empty());
+    this->tell("d2", 0);
+    CHECK(this->tracker->candidatesOf("s").upstreams.empty());
+    this->registered.insert("d3");
+    CHECK_FALSE(this->tracker->candidatesOf("s").upstreams.empty());
+}
--- a/test/succession/test_pending_orders_model.cpp
+++ b/test/succession/test_pending_orders_model.cpp
@@ -1,5 +1,5 @@
 // Explores all interleavings of a small model that calls the real functions on pending orders and required positions: a service of three upstreams whose commits
-// are confirmed once one replica has them, a daemon that acknowledges commits and is restarted, one holder of the failover lease at a time, and orders that get no answer and are
+// are confirmed once one replica has them, a daemon that acknowledges commits and is restarted or cut off, one holder of the failover lease at a time, and orders that get no answer and are
 // carried out at any later time. No upstream may be promoted that lacks an acknowledged commit, and no commit may be acknowledged that the primary lacks.
 // With a fault planted, the search must find such a promotion.
 
@@ -33,6 +33,7 @@
     StartsWithoutTheRow, ///< A daemon that starts knows of no order.
     RecordsAfterwards, ///< The row names the candidate once its order has been sent.
     ForgetsAtTheAnswer, ///< Older orders are forgotten while a takeover may be under way.
+    DoesNotWaitForUnheardDaemons, ///< The holder goes on although a daemon has not told that it knows of the candidate.
     TrustsOldReplies, ///< A commit is acknowledged although the upstream that confirmed it may have been replaced.
 };
 
@@ -50,6 +51,7 @@
 struct Daemon {
     PendingOrders known;
     std::size_t commitsAtChange { 0 }; ///< Commits that had run when it last learned of a change.
+    bool isCurrent { true }; ///< What it knows is not too old to go by.
 };
 
 struct Order {
@@ -78,7 +80,7 @@
     unsigned reign { 0 };
     unsigned holder { 0 };
     unsigned orders { 0 };
-    bool hasRestarted { false };
+    bool wasOutOfDate { false };
     std::string violation;
 };
 
@@ -114,18 +116,20 @@
     [[nodiscard]] bool mayAcknowledge(const World& world, std::size_t index) const
     {
         const auto& commit = world.commits[index];
-        for (const auto& candidate : candidatesOf(world.daemon.known.orders)) {
-            const auto upstream = std::stoul(candidate);
-            if (upstream != commit.upstream && !contains(world.upstreams[upstream].log, index))
+        const auto candidates = candidatesOf(world.daemon.known.orders);
+        for (std::size_t i = 0; i < upstreamCount; ++i) {
+            const bool isCandidate = !world.daemon.isCurrent || std::find(candidates.begin(), candidates.end(), nameOf(i)) != candidates.end();
+            if (isCandidate && i != commit.upstream && !contains(world.upstreams[i].log, index))
                 return false;
         }
         const bool stillLeads = world.reign == commit.reign;
         return this->fault == Fault::TrustsOldReplies || index >= world.daemon.commitsAtChange || stillLeads;
     }
 
-    static void learn(World& world, const PendingOrders& orders)
+    static void readRow(World& world)
     {
-        if (update(world.daemon.known, orders))
+        world.daemon.isCurrent = true;
+        if (update(world.daemon.known, world.row))
             world.daemon.commitsAtChange = world.commits.size();
     }
 
@@ -193,21 +197,22 @@
             if (world.commits[i].isConfirmed && !world.commits[i].isAcknowledged && this->mayAcknowledge(world, i))
                 this->explore(world, [i](World& next) { acknowledge(next, i); });
         }
-        if (world.daemon.known.version < world.row.version)
-            this->explore(world, [](World& next) { learn(next, next.row); });
+        if (world.daemon.known.version < world.row.version || !world.daemon.isCurrent)
+            this->explore(world, [](World& next) { readRow(next); });
         if (this->fault == Fault::ForgetsByTheClock && !world.daemon.known.orders.empty())
             this->explore(world, [](World& next) { next.daemon.known.orders.clear(); });
-        if (!world.hasRestarted)
-            this->explore(world, [this](World& next) { this->restart(next); });
+        if (world.wasOutOfDate)
+            return;
+        this->explore(world, [](World& next) { next.wasOutOfDate = !(next.daemon.isCurrent = false); });
+        this->explore(world, [this](World& next) { this->restart(next); });
     }
 
     void restart(World& world) const
     {
-        world.hasRestarted = true;
-        world.daemon = {};
-        learn(world, world.row);
+        world.wasOutOfDate = true;
+        world.daemon = { .isCurrent = false };
         if (this->fault == Fault::StartsWithoutTheRow)
-            world.daemon.known.orders.clear();
+            world.daemon = { .known = { .version = world.row.version } };
     }
 
     static void acknowledge(World& world, std::size_t index)
@@ -263,7 +268,8 @@
     void expandPreparation(const World& world)
     {
         const auto& preparation = *world.preparation;
-        const bool isConfirmed = world.daemon.known.version.number >= preparation.fence;
+        const bool isKnown = world.daemon.known.version.number >= preparation.fence;
+        const bool isConfirmed = isKnown || !world.daemon.isCurrent || this->fault == Fault::DoesNotWaitForUnheardDaemons;
         if (isConfirmed && !preparation.required) {
             for (const bool isPrimarySilent : { false, true })
                 this->explore(world, [isPrimarySilent](World& next) { next.preparation->required = determineRequired(next, isPrimarySilent); });
@@ -331,31 +337,44 @@
         }
     }
 
-    static std::string describe(const PendingOrders& orders)
+    /// Appends small numbers, a byte each.
+    template <typename... Numbers>
+    static void append(std::string& text, Numbers... numbers)
+    {
+        (text.push_back(static_cast<char>(numbers)), ...);
+    }
+
+    static void describe(std::string& text, const PendingOrders& orders)
     {
-        auto text = std::to_string(orders.version.number) + (orders.accepted ? "a" + std::to_string(orders.accepted->fence.number) : "") + ":";
+        append(text, orders.version.number, orders.accepted ? orders.accepted->fence.number : 0, orders.orders.size());
         for (const auto& order : orders.orders)
-            text += order.candidate + "/" + std::to_string(order.fence.number) + " ";
-        return text + "|";
+            append(text, order.candidate.front(), order.fence.number);
     }
 
     static std::string describe(const World& world)
     {
-        auto text = describe(world.row) + describe(world.holderKnows) + describe(world.daemon.known) + std::to_string(world.daemon.commitsAtChange) + "|";
+        std::string text;
+        for (const auto* orders : { &world.row, &world.holderKnows, &world.daemon.known })
+            describe(text, *orders);
+        append(text, world.daemon.commitsAtChange, world.daemon.isCurrent);
         for (const auto& upstream : world.upstreams) {
+            append(text, upstream.log.size());
             for (const auto commit : upstream.log)
-                text += std::to_string(commit);
-            text += "|";
+                append(text, commit);
         }
+        append(text, world.commits.size());
         for (const auto& commit : world.commits)
-            text += std::to_string(commit.isConfirmed) + std::to_string(commit.isAcknowledged) + std::to_string(commit.upstream) + std::to_string(commit.reign) + "|";
+            append(text, commit.isConfirmed, commit.isAcknowledged, commit.upstream, commit.reign);
+        append(text, world.preparation.has_value());
         if (world.preparation)
-            text += "p" + nameOf(world.preparation->candidate) + "/" + std::to_string(world.preparation->fence) + "/" + (world.preparation->required ? std::to_string(world.preparation->required->position) : "-");
+            append(text, world.preparation->candidate, world.preparation->fence, world.preparation->required ? 1 + world.preparation->required->position : 0);
+        append(text, world.sent.size(), world.takingOver.size());
         for (const auto& order : world.sent)
-            text += "s" + nameOf(order.candidate) + "/" + std::to_string(order.fence) + "/" + std::to_string(order.holder);
+            append(text, order.candidate, order.fence, order.holder);
         for (const auto candidate : world.takingOver)
-            text += "t" + nameOf(candidate);
-        return text + "|" + std::to_string(world.newestFence) + "," + std::to_string(world.leader) + "," + std::to_string(world.reign) + "," + std::to_string(world.holder) + "," + std::to_string(world.orders) + "," + std::to_string(world.hasRestarted);
+            append(text, candidate);
+        append(text, world.newestFence, world.leader, world.reign, world.holder, world.orders, world.wasOutOfDate);
+        return text;
     }
 
     void push(const World& world) { this->search.push(world, describe(world)); }
@@ -378,6 +397,6 @@
 
 TEST(PendingOrdersModel, PlantedFaultsAreFound)
 {
-    for (const auto fault : { Fault::KeepsOneCandidate, Fault::KeepsNewestForCandidate, Fault::ForgetsByTheClock, Fault::StartsWithoutTheRow, Fault::RecordsAfterwards, Fault::ForgetsAtTheAnswer, Fault::TrustsOldReplies })
+    for (const auto fault : { Fault::KeepsOneCandidate, Fault::KeepsNewestForCandidate, Fault::ForgetsByTheClock, Fault::StartsWithoutTheRow, Fault::RecordsAfterwards, Fault::ForgetsAtTheAnswer, Fault::DoesNotWaitForUnheardDaemons, Fault::TrustsOldReplies })
         CHECK_TEXT(!ModelChecker(fault).run().empty(), std::to_string(static_cast<int>(fault)).c_str());
 }
--- a/test/succession/test_succession_service.cpp
+++ b/test/succession/test_succession_service.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 using namespace amaranthhall;
@@ -40,6 +41,7 @@
     store::TableWatch fleet { this->loop, this->storage, { .table = "t" }, { .changed = [](const auto&) {}, .batchApplied = [] {}, .reachabilityChanged = [](bool) {} } };
     gossip::PeerRegistry peers;
     const std::vector<std::string> daemons { "me", "other" };
+    std::set<std::string> registered { "other" };
     const std::vector<std::string> services { "s" };
     RecordingPromoter promoter;
     kernel::Registration proofTimer;
@@ -62,6 +64,7 @@
             .peers = this->peers,
             .promoter = this->promoter,
             .group = [this](const auto&) -> const std::vector<std::string>& { return this->daemons; },
+            .registered = [this]() -> const std::set<std::string>& { return this->registered; },
             .served = [this]() -> const std::vector<std::string>& { return this->services; },
         };
         this->service = std::make_unique<succession::SuccessionService>(std::move(parts), succession::SuccessionService::Options { .self = { .vm = "me", .incarnation = 1 }, .zone = "z", .table = "t" }, [] {});
@@ -302,40 +305,52 @@
 }
 
 // A service whose primary confirms a commit once one replica has it. The primary drains, and still answers.
-TEST_GROUP_BASE(SynchronousReplicas, TEST_GROUP_CppUTestGroupSuccessionService) {
-    void setup() override {
+TEST_GROUP_BASE(SynchronousReplicas, TEST_GROUP_CppUTestGroupSuccessionService)
+{
+    kernel::Registration confirmTimer;
+
+    void setup() override
+    {
         TEST_GROUP_CppUTestGroupSuccessionService::setup();
-this->configure();
-this->known.noteComplete(this->loop.now() - 10s);
-this->links.upstreams["p"].point = { .term = 1, .position = 97 };
-this->links.upstreams["a"].isReplica = this->links.upstreams["b"].isReplica = true;
-this->putLease("me", 1, longAgo);
-}
+        this->configure();
+        this->known.noteComplete(this->loop.now() - 10s);
+        this->links.upstreams["p"].point = { .term = 1, .position = 97 };
+        this->links.upstreams["a"].isReplica = this->links.upstreams["b"].isReplica = true;
+        this->putLease("me", 1, longAgo);
+        this->confirmTimer = this->loop.every(5ms, [this] { this->confirmOrders(); });
+    }
 
-void configure()
-{
-    this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
-}
+    /// The other daemon tells that it knows what this one has told.
+    void confirmOrders() const
+    {
+        gossip::Digest own;
+        this->service->fill(own, this->storage.clock());
+        this->service->mergeDigest({ .vm = "other", .pendingOrders = own.pendingOrders }, this->storage.clock());
+    }
 
-/// Returns the candidates of pending orders in the row that was written last, separated by commas.
-std::string recordedCandidates() const
-{
-    std::string names;
-    for (const auto& order : nlohmann::json::parse(this->storage.lastPut.value).value("orders", nlohmann::json::array()))
-        names += (names.empty() ? "" : ",") + order.at("candidate").get<std::string>();
-    return names;
-}
+    void configure()
+    {
+        this->known.apply({ .version = 2, .services = { { "s", { .name = "s", .maximumConnections = 30, .synchronousReplicas = 1 } } } });
+    }
 
-/// Runs until an order is sent; returns false if none is within the limit.
-bool awaitOrder(Duration limit)
-{
-    const auto end = this->loop.now() + limit;
-    while (this->promoter.requests.empty() && this->loop.now() < end)
-        this->runFor(10ms);
-    return !this->promoter.requests.empty();
-}
-}
-;
+    /// Returns the candidates of pending orders in the row that was written last, separated by commas.
+    std::string recordedCandidates() const
+    {
+        std::string names;
+        for (const auto& order : nlohmann::json::parse(this->storage.lastPut.value).value("orders", nlohmann::json::array()))
+            names += (names.empty() ? "" : ",") + order.at("candidate").get<std::string>();
+        return names;
+    }
+
+    /// Runs until an order is sent; returns false if none is within the limit.
+    bool awaitOrder(Duration limit)
+    {
+        const auto end = this->loop.now() + limit;
+        while (this->promoter.requests.empty() && this->loop.now() < end)
+            this->runFor(10ms);
+        return !this->promoter.requests.empty();
+    }
+};
 
 // Failure: commits that only the other replica had received were acknowledged until the promotion took effect.
 TEST(SynchronousReplicas, TheCandidateIsToldBeforeItsPromotionIsOrdered)
@@ -407,16 +422,20 @@
 TEST(SynchronousReplicas, AConfirmationOfAllDaemonsEndsTheWait)
 {
     this->links.upstreams["b"].point.position = 97;
-    gossip::Digest digest { .vm = "other" };
     const auto startedAt = this->loop.now();
-    const auto confirm = this->loop.every(5ms, [&] {
-        gossip::Digest own;
-        this->service->fill(own, this->storage.clock());
-        digest.pendingOrders = own.pendingOrders;
-        this->service->mergeDigest(digest, this->storage.clock());
-    });
     CHECK_TRUE(this->awaitOrder(1s));
-    CHECK(this->loop.now() - startedAt < 950ms); // 1010 ms at least without it
+    CHECK(this->loop.now() - startedAt < 950ms); // 1760 ms at least without it
+}
+
+// Failure: a daemon that had not heard of the candidate was waited for for 250 ms only, and went on acknowledging commits that the candidate lacked.
+TEST(SynchronousReplicas, ADaemonThatDoesNotConfirmIsAwaitedUntilItsKnowledgeIsTooOld)
+{
+    this->links.upstreams["b"].point.position = 97;
+    this->registered.insert("unheard");
+    const auto startedAt = this->loop.now();
+    CHECK_FALSE(this->awaitOrder(600ms + succession::orderKnowledgeLifetime));
+    CHECK_TRUE(this->awaitOrder(500ms));
+    CHECK(this->loop.now() - startedAt >= 600ms + succession::orderKnowledgeLifetime);
 }
 
 // Failure: a replica that did not answer in 80 ms was passed over, also if it alone had acknowledged commits.
