Review: after a silence of idle links a primary is never replaced

At fault: as before, Dispatcher::queryStatus() waits for the reply to STATUS without a time-out. Links to replicas that went silent while idle aren't found by anything; STATUS over them takes up the limit of statements for good, the holder of the lease hears of no position, and no order is sent.

--- a/review/standin-3/backends.py
+++ b/review/standin-3/backends.py
@@ -33,6 +33,7 @@
         self.transaction = None  # {"read_only", "term", "writes"}
         self.failed = False
         self.held = []  # what can't be sent while the machine is unreachable
+        self.is_silent = False  # nothing arrives any more, in either direction
 
     @property
     def state(self):
@@ -61,6 +62,8 @@
             if not line or line.startswith("TERMINATE"):
                 return
             word, _, rest = line.rstrip("\r\n").partition(" ")
+            if self.is_silent:
+                continue
             if word != "QUERY":
                 return
             ident, _, text = rest.partition(" ")
@@ -78,7 +81,7 @@
     def _write(self, data):
         if self.backend.is_dark:
             self.held.append(data)
-        elif not self.writer.is_closing():
+        elif not self.is_silent and not self.writer.is_closing():
             self.writer.write(data)
 
     def write_held(self):
@@ -338,6 +341,14 @@
         self.report()
         self.group.synchronise(self)
 
+    def silence(self):
+        """All open connections go silent for good, without a reset; new ones work."""
+        self.group.note(f"{len(self.connections)} open connections of {self.id} go silent")
+        for connection in list(self.connections):
+            connection.is_silent = True
+            connection.end_transaction()
+            self.connections.discard(connection)
+
     async def crash(self):
         self.is_up = False
         self.server.close()
