Review: a healthy replica is given up, and with it commits that only it has

At fault: Dispatcher::queryStatus() has no time-out for the reply to STATUS. One dead connection makes a replica that serves look silent for good, for each daemon that takes the lease over; after silentReplicaTimeout it is given up.

The case: a service with sync_replicas 1. The open connections to one replica go silent, the other one receives nothing for 4 s, and the primary is lost meanwhile.

--- a/review/standin-3/backends.py
+++ b/review/standin-3/backends.py
@@ -18,6 +18,7 @@
 class Commit:
     def __init__(self, term, number, writes, ident):
         self.term, self.number, self.writes, self.ident = term, number, writes, ident
+        self.received = asyncio.Event()  # by a replica
 
     @property
     def position(self):
@@ -155,9 +156,10 @@
             return self.error("BUSY")
         try:
             await asyncio.sleep(seconds)
-            return action()
+            answer = action()
         finally:
             self.backend.slots.release()
+        return await answer if asyncio.iscoroutine(answer) else answer
 
     def status(self):
         backend = self.backend
@@ -191,8 +193,11 @@
             return f"COMPLETE {group.digest()}\r\n"
         return self.write([(item, data)], ident)
 
-    def write(self, writes, ident):
-        self.backend.append(writes, ident)
+    async def write(self, writes, ident):
+        """Commits; with synchronous replicas it is acknowledged once one of them has received it."""
+        commit = self.backend.append(writes, ident)
+        if self.backend.group.sync:
+            await commit.received.wait()
         return f"COMPLETE {self.backend.group.digest()}\r\n"
 
     async def commit(self, ident):
@@ -210,9 +215,9 @@
             self.end_transaction()
             if writes and lost_lead:
                 return f"ERROR READONLY {self.backend.id}\r\n"
-            return self.write(writes, ident) if writes else f"COMPLETE {self.backend.group.digest()}\r\n"
         finally:
             self.backend.slots.release()
+        return await self.write(writes, ident) if writes else f"COMPLETE {self.backend.group.digest()}\r\n"
 
 
 class Backend:
@@ -222,7 +227,7 @@
         self.role = "primary" if index == 0 else "replica"
         self.term, self.log, self.applied = 3, [], 0
         self.port, self.seq, self.born = 0, 0, int(time.time() * 1000)
-        self.state, self.is_up, self.is_dark, self.is_gone, self.held_term = "ready", False, False, False, 0
+        self.state, self.is_up, self.is_dark, self.is_deaf, self.is_gone, self.held_term = "ready", False, False, False, False, 0
         self.reachable = asyncio.Event()
         self.reachable.set()
         self.silent_since = None
@@ -260,6 +265,7 @@
         self.applied = len(self.log)
         self.group.note(f"{self.id} commits {commit.term}.{commit.number} for {ident}")
         self.group.replicate(self)
+        return commit
 
     def apply_to(self, size):
         self.applied = max(self.applied, min(size, len(self.log)))
@@ -341,6 +347,15 @@
         self.report()
         self.group.synchronise(self)
 
+    async def go_deaf(self, seconds):
+        """A replica receives nothing for a while."""
+        self.group.note(f"{self.id} receives nothing for {seconds} s")
+        self.is_deaf = True
+        await asyncio.sleep(seconds)
+        self.is_deaf = False
+        self.group.note(f"{self.id} receives again")
+        self.group.synchronise(self)
+
     def silence(self):
         """All open connections go silent for good, without a reset; new ones work."""
         self.group.note(f"{len(self.connections)} open connections of {self.id} go silent")
@@ -369,10 +384,10 @@
 class Group:
     """One service: a primary and its replicas."""
 
-    def __init__(self, store, service, note, hosts, zones, slots=4, max_conns=60, lag=0.008, promote_time=0.3, work=0.004, handshake=0.012, round_trip=0.0018):
+    def __init__(self, store, service, note, hosts, zones, slots=4, max_conns=60, lag=0.008, promote_time=0.3, work=0.004, handshake=0.012, round_trip=0.0018, sync=0):
         self.store, self.service, self.note = store, service, note
         self.slots, self.max_conns, self.lag, self.promote_time = slots, max_conns, lag, promote_time
-        self.work, self.handshake, self.round_trip = work, handshake, round_trip
+        self.work, self.handshake, self.round_trip, self.sync = work, handshake, round_trip, sync
         self.loses_answer = lambda backend, ident, text: False
         self.runs, self.promotions, self.digests, self.tasks = [], [], 0, []
         self.backends = [Backend(self, index, host, zones[index]) for index, host in enumerate(hosts)]
@@ -390,7 +405,7 @@
         return f"7.{self.digests:x}.c.2b"
 
     def can_receive(self, backend):
-        return backend.is_up and not backend.is_dark and not backend.held_term and backend is not self.leader
+        return backend.is_up and not backend.is_dark and not backend.is_deaf and not backend.held_term and backend is not self.leader
 
     def replicate(self, source):
         if source is self.leader and not source.is_dark:
@@ -413,6 +428,8 @@
             common += 1
         size = max(common, len(source.log) if size is None else size)
         backend.log, backend.applied = source.log[:size], min(backend.applied, common)
+        for commit in backend.log[common:]:
+            commit.received.set()
         backend.term = source.term
         if backend.role != "replica":
             backend.role = "replica"
